--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 golden: $(READY)
 	$(BIN)/python -m pytest tests/golden --renew-golden
 
-$(READY): requirements.txt requirements-dev.txt constraints.txt pyproject.toml
+$(READY): requirements-node.txt requirements.txt requirements-dev.txt constraints.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -c constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
--- a/src/lycheegw/app.py
+++ b/src/lycheegw/app.py
@@ -1,15 +1,13 @@
 """The application object: builds a node's parts and runs their life cycle."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
 
 from absl import logging
 
+from lycheegw import lifecycle
 from lycheegw.coordination import admission
 from lycheegw.coordination import bad_versions
 from lycheegw.coordination import bill_guard
@@ -60,63 +58,13 @@
 from lycheegw.transport import platform
 from lycheegw.transport import upstream_client
 
-__all__ = ["Application", "Node"]
+__all__ = ["Node"]
 
 _DRAIN_POLL_S = 0.02
 _SLOTS_TOPIC = "slots"
 _SLOTS_TIMEOUT_S = 0.5
 _COLD_TOPIC = "cold"
 
-Hook = Callable[[], Awaitable[None]]
-
-
-class Application:
-    """Starts parts in order and stops them in reverse."""
-
-    def __init__(self) -> None:
-        self._start_hooks: list[Hook] = []
-        self._stop_hooks: list[Hook] = []
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def add(self, on_start: Hook | None, on_stop: Hook | None = None) -> None:
-        """Adds the hooks of one part."""
-        if on_start is not None:
-            self._start_hooks.append(on_start)
-        if on_stop is not None:
-            self._stop_hooks.append(on_stop)
-
-    def spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Runs `run` as a task between start and stop."""
-
-        async def on_start() -> None:
-            task = asyncio.get_running_loop().create_task(run())
-            task.add_done_callback(_log_failure)
-            self._tasks.append(task)
-
-        self.add(on_start)
-
-    async def start(self) -> None:
-        """Runs the start hooks in order."""
-        for hook in self._start_hooks:
-            await hook()
-
-    async def stop(self) -> None:
-        """Ends the tasks and runs the stop hooks, the last added first."""
-        for hook in reversed(self._stop_hooks):
-            await hook()
-        await self.cancel()
-
-    async def cancel(self) -> None:
-        """Ends the tasks alone."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-
-def _log_failure(task: "asyncio.Task[None]") -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logging.error("task failed", exc_info=task.exception())
-
 
 class Node:
     """One node, from its settings.
@@ -138,7 +86,7 @@
         self.state = node_state.create(
             identity, config.limits, environment or clocks.system()
         )
-        self.application = Application()
+        self.application = lifecycle.Application()
         self.log = platform.HttpLog(config.platform.log)
         self.upstream_client = upstream_client.HttpUpstreams(
             config.limits, self.state.environment
--- a/src/lycheegw/coordination/admission.py
+++ b/src/lycheegw/coordination/admission.py
@@ -22,7 +22,9 @@
 def _pool_of(request: requests.Request) -> str:
     if isinstance(request.work, requests.ModelWork):
         return request.work.model
-    return request.work.service
+    if isinstance(request.work, requests.ServiceWork):
+        return request.work.service
+    return request.work.route.name
 
 
 def _cost_of(request: requests.Request) -> float:
--- /dev/null
+++ b/src/lycheegw/coordination/balancing.py
@@ -0,0 +1,204 @@
+"""Which upstream gets an attempt of a request that is passed on."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from lycheegw.coordination import cold_rates
+from lycheegw.coordination import directory
+from lycheegw.coordination import fleet_rollouts
+from lycheegw.coordination import rendezvous
+from lycheegw.state import forwarded
+from lycheegw.state import node_state
+from lycheegw.state import requests
+from lycheegw.state import routing
+from lycheegw.state import upstreams
+
+__all__ = ["Balancer", "Choice", "NoUpstream", "affinity_key"]
+
+# Shared tokens from which the same upstream is worth a way into another zone:
+# reading them again takes longer and costs more than moving the request.
+_FAR_AFFINITY_TOKENS = 8000
+# An upstream that has more than this many times the mean load, and so many
+# requests besides, is passed over although it has the prompt in memory.
+_AFFINITY_LOAD_FACTOR = 1.3
+_AFFINITY_LOAD_SLACK = 3.0
+
+
+class Choice(NamedTuple):
+    """An upstream and why it was taken."""
+
+    upstream: upstreams.Upstream
+    service: routing.Service
+    why: str
+
+
+class NoUpstream(NamedTuple):
+    """Why there is none now.
+
+    Attributes:
+        known: Upstreams of the service that were looked at.
+        is_cold: Whether some are there that bear no more right now.
+    """
+
+    known: int
+    is_cold: bool
+
+
+class Balancer:
+    """Chooses upstreams by version, health, coldness, memory and load."""
+
+    def __init__(
+        self,
+        state: node_state.NodeState,
+        known: directory.Directory,
+        rollouts: fleet_rollouts.FleetRollouts,
+        rates: cold_rates.ColdRates,
+        has_connection: Callable[[upstreams.Upstream], bool],
+    ):
+        self._state = state
+        self._directory = known
+        self._rollouts = rollouts
+        self._rates = rates
+        self._has_connection = has_connection
+
+    def choose(
+        self,
+        request: requests.Request,
+        work: forwarded.ForwardedWork,
+        service: routing.Service,
+        model: str | None,
+        tried: set[str],
+        version: str | None = None,
+    ) -> Choice | NoUpstream:
+        """Returns the upstream of the next attempt.
+
+        Args:
+            request: What is to be sent.
+            work: How it is passed on.
+            service: Service that serves it.
+            model: Model that the router names, if any.
+            tried: Upstreams that failed it.
+            version: Version that began its answer; others are a last resort.
+        """
+        pool = [
+            each
+            for each in self._state.upstreams.pool(service.name)
+            if each.entry.zone not in self._directory.closed_zones
+        ]
+        options = self._usable(pool, tried)
+        grouped, why = self._by_version(request, service, options, version)
+        sendable = [
+            each
+            for each in grouped
+            if self._rates.may_send(each, service)
+            and self._has_connection(each)
+        ]
+        if not sendable:
+            # Another version that may be used is better than none.
+            sendable = [
+                each
+                for each in options
+                if self._rollouts.may_use(service.name, each.entry.version)
+                and self._rates.may_send(each, service)
+                and self._has_connection(each)
+            ]
+            why = "other version"
+        if not sendable:
+            return NoUpstream(len(pool), bool(grouped))
+        upstream, reason = self._pick(work, service, model, sendable)
+        return Choice(upstream, service, f"{why}, {reason}" if why else reason)
+
+    def _usable(
+        self, pool: Sequence[upstreams.Upstream], tried: set[str]
+    ) -> list[upstreams.Upstream]:
+        """Returns the upstreams that may be reached, the best group only."""
+        now_s = self._state.environment.monotonic_s()
+        untried = [each for each in pool if each.entry.host_id not in tried]
+        reachable = [each for each in untried if not each.is_out(now_s)]
+        listed = [each for each in reachable if each.is_listed]
+        return listed or reachable or untried
+
+    def _by_version(
+        self,
+        request: requests.Request,
+        service: routing.Service,
+        options: Sequence[upstreams.Upstream],
+        version: str | None,
+    ) -> tuple[list[upstreams.Upstream], str]:
+        """Returns the upstreams of the version that a request is to get."""
+        if version is not None and self._rollouts.may_use(
+            service.name, version
+        ):
+            same = [each for each in options if each.entry.version == version]
+            return same, "same version"
+        key = request.session or request.request_id
+        wants_target = self._rollouts.wants_target(service.name, key)
+        if wants_target is None:
+            return list(options), ""
+        target = self._rollouts.target(service.name)
+        chosen = [
+            each
+            for each in options
+            if (each.entry.version == target) == wants_target
+        ]
+        return chosen, "target version" if wants_target else ""
+
+    def _pick(
+        self,
+        work: forwarded.ForwardedWork,
+        service: routing.Service,
+        model: str | None,
+        options: list[upstreams.Upstream],
+    ) -> tuple[upstreams.Upstream, str]:
+        key, tokens = affinity_key(work.traits)
+        if service.engine is None or key is None:
+            return self._least_loaded(options), "least loaded"
+        near = options
+        if tokens < _FAR_AFFINITY_TOKENS:
+            near = self._in_zone(options) or options
+        now_s = self._state.environment.monotonic_s()
+        load_by_id = {
+            each.entry.host_id: each.estimated_load(now_s) for each in near
+        }
+        mean = sum(load_by_id.values()) / len(load_by_id)
+        bound = mean * _AFFINITY_LOAD_FACTOR + _AFFINITY_LOAD_SLACK
+        by_id = {each.entry.host_id: each for each in near}
+        name = model or work.traits.model or ""
+        for host_id in rendezvous.order(f"{name} {key}", by_id):
+            if load_by_id[host_id] <= bound:
+                return by_id[host_id], "affinity"
+        return self._least_loaded(near), "least loaded"
+
+    def _in_zone(
+        self, options: Sequence[upstreams.Upstream]
+    ) -> list[upstreams.Upstream]:
+        zone = self._state.identity.zone
+        return [each for each in options if each.entry.zone == zone]
+
+    def _least_loaded(
+        self, options: Sequence[upstreams.Upstream]
+    ) -> upstreams.Upstream:
+        """Returns the least loaded, of equal ones one of the own zone."""
+        now_s = self._state.environment.monotonic_s()
+        zone = self._state.identity.zone
+
+        def rank(upstream: upstreams.Upstream) -> tuple[float, bool, float]:
+            slots = max(1, upstream.entry.slots)
+            load = round(upstream.estimated_load(now_s) / slots, 1)
+            is_far = upstream.entry.zone != zone
+            return load, is_far, self._state.environment.random.random()
+
+        return min(options, key=rank)
+
+
+def affinity_key(traits: forwarded.Traits) -> tuple[str | None, int]:
+    """Returns what requests with the same start of a prompt share.
+
+    The last part belongs to the request or its session alone, so the key is
+    the part before it; the second value counts the tokens up to there.
+    """
+    shared = traits.prompt[:-1]
+    if not shared:
+        return None, 0
+    return shared[-1].part_id, sum(part.tokens for part in shared)
--- a/src/lycheegw/coordination/seams.py
+++ b/src/lycheegw/coordination/seams.py
@@ -11,14 +11,20 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from lycheegw.state import forwarded
 from lycheegw.state import requests
+from lycheegw.state import topics
 from lycheegw.state import upstreams
 
 __all__ = [
     "AnswerSink",
     "AppendedEntry",
+    "ForwardAttempt",
+    "ForwardCall",
+    "ForwardClient",
     "GenerateCall",
     "HostsClient",
+    "KeyedStore",
     "LogClient",
     "LogPage",
     "NewEntry",
@@ -27,6 +33,7 @@
     "RatedAnswer",
     "Rating",
     "RatingsClient",
+    "ReportClient",
     "StreamedFrames",
     "TokenStream",
     "UpstreamClient",
@@ -86,6 +93,107 @@
         """
 
 
+class ForwardAttempt(NamedTuple):
+    """One attempt at passing a request on.
+
+    Attributes:
+        work: The request.
+        upstream: Where it goes.
+        organisation: Whose request it is, empty on a public route.
+        model: Model that the router names, None where the caller did.
+        time_left_s: How long the upstream may work on it.
+        last_event: Id of the last event that the caller has, where the
+            router resumes a stream.
+        urgency: 0 (first) to 9 (last), None for the upstream's default.
+        max_connections: Bound on this node's connections to the upstream.
+    """
+
+    work: forwarded.ForwardedWork
+    upstream: upstreams.HostEntry
+    organisation: str
+    model: str | None
+    time_left_s: float
+    last_event: str | None
+    urgency: int | None
+    max_connections: int
+
+
+class ForwardCall(Protocol):
+    """A request that was sent to an upstream."""
+
+    async def head(self) -> forwarded.AnswerHead:
+        """Returns the head of the answer to this request.
+
+        Raises:
+            errors.UpstreamError: There is none.
+        """
+
+    async def read(self) -> bytes | None:
+        """Returns the next bytes of the body, None at its end.
+
+        Raises:
+            errors.UpstreamError: The answer broke off.
+        """
+
+    def finish(self) -> None:
+        """Ends a call whose answer was read whole."""
+
+    def abort(self) -> None:
+        """Ends a call; the upstream stops work on it."""
+
+
+class ForwardClient(Protocol):
+    """Passes requests on byte for byte."""
+
+    async def send(self, attempt: ForwardAttempt) -> ForwardCall:
+        """Sends a request.
+
+        Raises:
+            errors.UpstreamError: It was not sent.
+        """
+
+
+class KeyedStore(Protocol):
+    """Topics that keep the newest record of each key, in a shared store."""
+
+    async def newest(self, topic: topics.Topic) -> topics.TopicPage:
+        """Returns the newest record of every key.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+
+    async def changes(
+        self, topic: topics.Topic, offset: int, wait_s: float
+    ) -> topics.TopicPage:
+        """Returns the records from an offset on; waits for the first.
+
+        Raises:
+            errors.StoreHistoryLostError: They are not kept any more.
+            errors.StoreError: The store did not answer.
+        """
+
+    async def put(
+        self,
+        topic: topics.Topic,
+        key: str,
+        value: bytes,
+        expected_end: int | None,
+    ) -> int:
+        """Writes the newest record of a key; returns its offset.
+
+        Args:
+            topic: Where to.
+            key: Which one.
+            value: Its new value.
+            expected_end: Offset at which the topic must end, None for any.
+
+        Raises:
+            errors.StoreConflictError: The topic ends elsewhere.
+            errors.StoreError: Unknown whether it took effect, or it did not.
+        """
+
+
 class HostsClient(Protocol):
     """The platform's lagging list of hosts."""
 
@@ -177,7 +285,20 @@
     fencing: int
 
 
-class UpstreamClient(Protocol):
+class ReportClient(Protocol):
+    """Upstreams that tell of themselves when asked."""
+
+    async def report(
+        self, target: upstreams.HostEntry, timeout_s: float
+    ) -> upstreams.LoadReport:
+        """Reads the load report of an upstream.
+
+        Raises:
+            errors.UpstreamError: No report came.
+        """
+
+
+class UpstreamClient(ReportClient, Protocol):
     """Model engines and plain services."""
 
     async def generate(
@@ -198,15 +319,6 @@
             errors.UpstreamError: With the verdict on this attempt.
         """
 
-    async def report(
-        self, target: upstreams.HostEntry, timeout_s: float
-    ) -> upstreams.LoadReport:
-        """Reads the load report of an upstream.
-
-        Raises:
-            errors.UpstreamError: No report came.
-        """
-
     async def order(
         self,
         target: upstreams.HostEntry,
--- a/src/lycheegw/coordination/suspects.py
+++ b/src/lycheegw/coordination/suspects.py
@@ -82,7 +82,7 @@
     def __init__(
         self,
         state: node_state.NodeState,
-        client: seams.UpstreamClient,
+        client: seams.ReportClient,
         peers: seams.PeerBus,
         codec: Codec,
     ):
--- /dev/null
+++ b/src/lycheegw/edge_app.py
@@ -0,0 +1,419 @@
+"""The application object of a node that passes opaque requests on."""
+
+import asyncio
+from collections.abc import Callable
+import pathlib
+from typing import NamedTuple
+
+from absl import logging
+
+from lycheegw import lifecycle
+from lycheegw.coordination import balancing
+from lycheegw.coordination import cold_rates
+from lycheegw.coordination import directory
+from lycheegw.coordination import fleet_rollouts
+from lycheegw.coordination import forwarding
+from lycheegw.coordination import node_registry
+from lycheegw.coordination import seams
+from lycheegw.coordination import shared_budgets
+from lycheegw.coordination import suspects
+from lycheegw.coordination import topic_exchange
+from lycheegw.coordination import topic_readers
+from lycheegw.protocol import rollout_codec
+from lycheegw.protocol import suspect_codec
+from lycheegw.protocol import topic_codec
+from lycheegw.state import clocks
+from lycheegw.state import edge_settings
+from lycheegw.state import errors
+from lycheegw.state import forwarded
+from lycheegw.state import limits
+from lycheegw.state import node_state
+from lycheegw.state import orders
+from lycheegw.state import routing
+from lycheegw.state import topics
+from lycheegw.transport import event_log
+from lycheegw.transport import exchange_client
+from lycheegw.transport import forward_client
+from lycheegw.transport import ingress
+from lycheegw.transport import metrics_page
+from lycheegw.transport import peer_edge
+
+__all__ = ["Adapter", "EdgeNode"]
+
+# The balancer asks once a second and takes a node out after two misses, so
+# new connections come for a little over two seconds.
+_LISTEN_ON_S = 3.0
+# Left of the grace time when what still runs is cut off.
+_CUT_BEFORE_KILL_S = 0.7
+_DRAIN_POLL_S = 0.05
+_HOUSEKEEPING_S = 0.5
+_SETTINGS_POLL_S = 1.0
+# Age at which the next node in turn reads the list of upstreams; with the
+# way of news it is well below the time in which a leaving upstream has to
+# get no more work.
+_TURN_S = 0.6
+# Share of that time after which a node that hears nothing reads by itself.
+_ALONE_SHARE = 0.6
+
+
+class Adapter(NamedTuple):
+    """What translates between a platform and the node.
+
+    Attributes:
+        open_store: Returns the client of the store at an address.
+        records: How records of the store are read and written.
+        upstream_digest: Returns what of an upstream's entry is news.
+        callers: How callers' headers are read and refusals written.
+        upstreams: How requests and answers of upstreams are written.
+        is_ready_check: Whether a request asks if the node takes work.
+        read_settings: Returns the settings in a file.
+    """
+
+    open_store: Callable[
+        [exchange_client.ConnectionPool, str], seams.KeyedStore
+    ]
+    records: orders.Codec
+    upstream_digest: Callable[[bytes], object]
+    callers: forwarding.Codec
+    upstreams: forward_client.Codec
+    is_ready_check: Callable[[forwarded.IncomingRequest], bool]
+    read_settings: Callable[[pathlib.Path], edge_settings.EdgeSettings]
+
+
+class EdgeNode:
+    """One node, from its settings and the adapter of its platform.
+
+    Attributes:
+        state: What the node knows of peers and upstreams.
+        settings: The settings in force.
+        is_draining: Whether the node is going down.
+    """
+
+    def __init__(
+        self,
+        settings: edge_settings.EdgeSettings,
+        adapter: Adapter,
+        environment: clocks.Environment,
+        log: event_log.EventLog,
+    ):
+        self.settings = settings
+        self.is_draining = False
+        self.application = lifecycle.Application()
+        self._adapter = adapter
+        self._log = log
+        identity = node_state.Identity(
+            settings.node_id, settings.zone, settings.region
+        )
+        self.state = node_state.create(identity, limits.Limits(), environment)
+        self.histograms = metrics_page.Histograms()
+        self.pool = exchange_client.ConnectionPool(environment)
+        self._store_pool = exchange_client.ConnectionPool(environment)
+        self.store = adapter.open_store(self._store_pool, settings.store)
+        self._build_knowledge()
+        self._build_routing()
+        self._build_servers()
+
+    def _bounds(self) -> edge_settings.Bounds:
+        return self.settings.bounds
+
+    def _build_knowledge(self) -> None:
+        """Adds what follows the store and tells the peers."""
+        settings = self.settings
+        self.peers = peer_edge.PeerEdge(
+            self.state, settings.peer, f"lycheegw {settings.store}"
+        )
+        self.state_by_topic = {
+            topic: topics.TopicState(topic) for topic in topics.Topic
+        }
+        self.state_by_topic[topics.Topic.UPSTREAMS] = topics.TopicState(
+            topics.Topic.UPSTREAMS, self._adapter.upstream_digest
+        )
+        self.directory = directory.Directory(
+            self.state,
+            self._adapter.records,
+            self.state_by_topic,
+            settings.heartbeat_s,
+            self._log.note,
+        )
+        self.exchange = topic_exchange.TopicExchange(
+            self.state,
+            self.peers,
+            topic_codec.CODEC,
+            self.state_by_topic,
+            self._on_change,
+            self.peers.nudge,
+        )
+        alone_s = _ALONE_SHARE * settings.bounds.drain_s
+        self.readers = topic_readers.TopicReaders(
+            self.state,
+            self.store,
+            self.exchange,
+            self.peers.liveness.live_by_zone,
+            topic_readers.ReadPace(min(_TURN_S, alone_s), alone_s),
+            topic_readers.Dependency("store", self._note_dependency),
+        )
+        self.registry = node_registry.NodeRegistry(
+            self.state,
+            self.store,
+            self.readers,
+            self.state_by_topic[topics.Topic.NODES],
+            self.peers.take_entries,
+            self.peers.live_nodes,
+        )
+        self.application.add(self.peers.start, self.peers.stop)
+        self.application.spawn(self.readers.run)
+        self.application.spawn(self.peers.run)
+        self.application.spawn(self._register)
+
+    async def _register(self) -> None:
+        await self.registry.run(self.peers.address)
+
+    def _on_change(self, topic: topics.Topic, changed: set[str]) -> None:
+        if topic is topics.Topic.NODES:
+            if changed:
+                self.registry.apply()
+            return
+        self.directory.apply(topic, changed)
+
+    def _note_dependency(self, name: str, is_lost: bool, why: str) -> None:
+        event = "dependency_lost" if is_lost else "dependency_regained"
+        self._log.note(event, name=name, why=why)
+
+    def _build_routing(self) -> None:
+        """Adds the policies and the forwarder that asks them."""
+        self.rollouts = fleet_rollouts.FleetRollouts(
+            self.state,
+            self.directory,
+            self.peers,
+            rollout_codec.CODEC,
+            self._bounds,
+            self.peers.nudge,
+            self._log.note,
+        )
+        self.peers.on_connect(self.exchange.forget_neighbour)
+        self.peers.on_connect(self.rollouts.forget_neighbour)
+        self.client = forward_client.ForwardClient(
+            self.pool, self._adapter.upstreams
+        )
+        self.suspects = suspects.Suspects(
+            self.state,
+            forward_client.HealthReports(
+                self.client,
+                self._health_path,
+                self.state.environment.monotonic_s,
+            ),
+            self.peers,
+            suspect_codec.CODEC,
+        )
+        rates = cold_rates.ColdRates(
+            self.state, self._bounds, self.registry.members
+        )
+        balancer = balancing.Balancer(
+            self.state,
+            self.directory,
+            self.rollouts,
+            rates,
+            self._has_connection,
+        )
+        self.forwarder = forwarding.Forwarder(
+            self.state,
+            self._adapter.callers,
+            forwarding.Parts(
+                self.directory,
+                balancer,
+                rates,
+                shared_budgets.RetryBudgets(
+                    self.state, self._bounds, self.registry.count
+                ),
+                self.rollouts,
+                self.suspects,
+                self.client,
+                self.registry.count,
+                self._log.note,
+                self.histograms.observe,
+            ),
+        )
+        self.application.spawn(self._run_rollouts)
+        self.application.spawn(self._keep_house)
+
+    async def _run_rollouts(self) -> None:
+        await self.rollouts.run(
+            self.store, self.exchange, self._adapter.records.encode_outcome
+        )
+
+    def _health_path(self, service: str) -> str:
+        manifest = self.directory.manifest
+        known = manifest.service_by_name.get(service) if manifest else None
+        return known.health_path if known is not None else "/"
+
+    def _has_connection(self, upstream: "balancing.upstreams.Upstream") -> bool:
+        manifest = self.directory.manifest
+        pool = upstream.entry.pool
+        service = manifest.service_by_name.get(pool) if manifest else None
+        if service is None:
+            return False
+        limit = self.forwarder.connection_limit(service)
+        return self.client.has_connection(upstream.entry, limit)
+
+    def _build_servers(self) -> None:
+        """Adds what callers, the balancer and operators reach."""
+        self.server = ingress.IngressServer(
+            self.settings.front,
+            self._handle,
+            self._caller_limits,
+            self._note_rejected,
+        )
+        self.ready_server = ingress.IngressServer(
+            self.settings.ready,
+            self._answer_ready,
+            routing.CallerLimits,
+            self._note_rejected,
+        )
+        self.metrics_server = ingress.IngressServer(
+            self.settings.metrics,
+            self._answer_metrics,
+            routing.CallerLimits,
+            self._note_rejected,
+        )
+        for server in (self.server, self.ready_server, self.metrics_server):
+            self.application.add(server.start, server.stop)
+
+    def _caller_limits(self) -> routing.CallerLimits:
+        manifest = self.directory.manifest
+        return manifest.limits if manifest else routing.CallerLimits()
+
+    def _note_rejected(self, status: int, reason: str) -> None:
+        self.state.counters.add(f"rejected.{status}")
+        self._log.note("request_rejected", status=status, reason=reason)
+
+    async def _handle(self, exchange: ingress.Exchange) -> None:
+        await self.forwarder.handle(exchange)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes new work."""
+        upstreams_known = self.state_by_topic[topics.Topic.UPSTREAMS].is_known
+        return (
+            not self.is_draining
+            and self.directory.manifest is not None
+            and upstreams_known
+        )
+
+    async def _answer_ready(self, exchange: ingress.Exchange) -> None:
+        if not self._adapter.is_ready_check(exchange.incoming):
+            await exchange.send(forwarded.Refusal(404, (), b""))
+            return
+        status = 200 if self.is_ready else 503
+        await exchange.send(forwarded.Refusal(status, (), b""))
+
+    async def _answer_metrics(self, exchange: ingress.Exchange) -> None:
+        page = metrics_page.render(
+            self.state.counters, self.histograms, self._gauges
+        )
+        content_type = (b"Content-Type", b"text/plain; version=0.0.4")
+        await exchange.send(forwarded.Refusal(200, (content_type,), page))
+
+    def _gauges(self) -> dict[str, float]:
+        manifest = self.directory.manifest
+        gauges = {
+            "manifest_version": float(manifest.version if manifest else -1),
+            "upstreams": float(len(self.state.upstreams.by_id)),
+            "peers_live": float(len(self.peers.live_nodes())),
+            "requests_running": float(self.server.running),
+            "connections_opened": float(self.pool.opened),
+            "is_ready": float(self.is_ready),
+        }
+        for topic in topics.Topic:
+            gauges[f"topic_{topic.value}_age_s"] = self.readers.age_s(topic)
+        return gauges
+
+    async def _keep_house(self) -> None:
+        """Drops what has expired, until cancelled."""
+        while True:
+            await self.state.environment.sleep(_HOUSEKEEPING_S)
+            self.pool.expire()
+            self.directory.expire_lapsed()
+            self._log.flush()
+
+    async def watch_settings(
+        self, path: pathlib.Path, is_asked: asyncio.Event
+    ) -> None:
+        """Takes over settings that changed, until cancelled.
+
+        Args:
+            path: File of the settings.
+            is_asked: Set by whoever wants them read at once.
+        """
+        former = _signature(path)
+        while True:
+            try:
+                async with asyncio.timeout(_SETTINGS_POLL_S):
+                    await is_asked.wait()
+            except TimeoutError:
+                if _signature(path) == former:
+                    continue
+            is_asked.clear()
+            former = _signature(path)
+            self._reload(path)
+
+    def _reload(self, path: pathlib.Path) -> None:
+        try:
+            settings = self._adapter.read_settings(path)
+        except errors.SettingsError as error:
+            # The node goes on with what it has.
+            self._log.note("reload_failed", faults=error.faults)
+            return
+        is_changed = settings != self.settings
+        # Addresses stay those that were bound at the start.
+        self.settings = self.settings._replace(
+            bounds=settings.bounds, heartbeat_s=settings.heartbeat_s
+        )
+        self._log.note("reload", changed=is_changed)
+
+    async def start(self) -> None:
+        """Starts all parts."""
+        await self.application.start()
+        self._log.note(
+            "start",
+            zone=self.settings.zone,
+            front=self.settings.front,
+            peer=self.settings.peer,
+            store=self.settings.store,
+        )
+
+    async def drain(self) -> None:
+        """Takes no new work and ends what runs, within the grace time."""
+        begun_s = self.state.environment.monotonic_s()
+        self.is_draining = True
+        self.server.is_closing = True
+        self._log.note("drain", running=self.server.running)
+        await self.peers.leave()
+        await self.state.environment.sleep(
+            min(_LISTEN_ON_S, self.settings.bounds.grace_s / 2)
+        )
+        self.server.stop_listening()
+        end_s = begun_s + self.settings.bounds.grace_s - _CUT_BEFORE_KILL_S
+        while self.server.running:
+            if self.state.environment.monotonic_s() >= end_s:
+                logging.error("%d requests cut off", self.server.running)
+                break
+            await self.state.environment.sleep(_DRAIN_POLL_S)
+            self.server.close_idle()
+
+    async def stop(self) -> None:
+        """Drains, then stops all parts."""
+        await self.drain()
+        self._log.note("stop", running=self.server.running)
+        self.pool.close()
+        self._store_pool.close()
+        await self.application.stop()
+        self._log.flush()
+
+
+def _signature(path: pathlib.Path) -> tuple[int, int] | None:
+    """Returns what changes when a file is written, None if unreadable."""
+    try:
+        status = path.stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
--- /dev/null
+++ b/src/lycheegw/lifecycle.py
@@ -0,0 +1,61 @@
+"""The life cycle of an application: parts start in order, stop in reverse."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from absl import logging
+
+__all__ = ["Application"]
+
+Hook = Callable[[], Awaitable[None]]
+
+
+class Application:
+    """Starts parts in order and stops them in reverse."""
+
+    def __init__(self) -> None:
+        self._start_hooks: list[Hook] = []
+        self._stop_hooks: list[Hook] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def add(self, on_start: Hook | None, on_stop: Hook | None = None) -> None:
+        """Adds the hooks of one part."""
+        if on_start is not None:
+            self._start_hooks.append(on_start)
+        if on_stop is not None:
+            self._stop_hooks.append(on_stop)
+
+    def spawn(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Runs `run` as a task between start and stop."""
+
+        async def on_start() -> None:
+            task = asyncio.get_running_loop().create_task(run())
+            task.add_done_callback(_log_failure)
+            self._tasks.append(task)
+
+        self.add(on_start)
+
+    async def start(self) -> None:
+        """Runs the start hooks in order."""
+        for hook in self._start_hooks:
+            await hook()
+
+    async def stop(self) -> None:
+        """Ends the tasks and runs the stop hooks, the last added first."""
+        for hook in reversed(self._stop_hooks):
+            await hook()
+        await self.cancel()
+
+    async def cancel(self) -> None:
+        """Ends the tasks alone."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _log_failure(task: "asyncio.Task[None]") -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logging.error("task failed", exc_info=task.exception())
--- /dev/null
+++ b/src/lycheegw/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the Authority platform: translates, and decides nothing."""
--- /dev/null
+++ b/src/lycheegw/platform/main.py
@@ -0,0 +1,102 @@
+"""The program that runs on the platform: a node behind this adapter."""
+
+import asyncio
+import gc
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+import uuid
+
+from lycheegw import edge_app
+from lycheegw.coordination import forwarding
+from lycheegw.platform import headers
+from lycheegw.platform import records
+from lycheegw.platform import settings_file
+from lycheegw.platform import store_client
+from lycheegw.state import clocks
+from lycheegw.state import edge_settings
+from lycheegw.state import errors
+from lycheegw.transport import event_log
+from lycheegw.transport import forward_client
+from lycheegw.transport import logs
+
+__all__ = ["ADAPTER", "main"]
+
+_EXIT_USAGE = 2
+
+ADAPTER = edge_app.Adapter(
+    store_client.Store,
+    records.CODEC,
+    records.upstream_digest,
+    forwarding.Codec(headers.decode_traits, headers.encode_refusal),
+    forward_client.Codec(
+        headers.encode_attempt,
+        headers.decode_answer,
+        headers.encode_health_check,
+    ),
+    headers.is_ready_check,
+    settings_file.read,
+)
+
+
+def _boot_time_s() -> float:
+    """Returns seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class _BootTimeLoop(asyncio.SelectorEventLoop):
+    """A loop whose timers are due after a suspension, not later."""
+
+    def time(self) -> float:
+        return _boot_time_s()
+
+
+def _environment() -> clocks.Environment:
+    return clocks.Environment(
+        _boot_time_s, time.time, random.Random(), lambda: uuid.uuid4().hex
+    )
+
+
+async def _run(
+    path: pathlib.Path, settings: edge_settings.EdgeSettings
+) -> None:
+    """Runs a node until SIGTERM."""
+    loop = asyncio.get_running_loop()
+    is_stopping, is_reloading = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, is_stopping.set)
+    loop.add_signal_handler(signal.SIGINT, is_stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, is_reloading.set)
+    environment = _environment()
+    log = event_log.EventLog(
+        settings.node_id, environment.wall_s, environment.monotonic_s
+    )
+    logs.install(log.note)
+    node = edge_app.EdgeNode(settings, ADAPTER, environment, log)
+    await node.start()
+    watcher = loop.create_task(node.watch_settings(path, is_reloading))
+    # What lives from the start lives to the end; collections skip it.
+    gc.collect()
+    gc.freeze()
+    await is_stopping.wait()
+    watcher.cancel()
+    await node.stop()
+
+
+def main() -> None:
+    """Entry point; exits with 2 and a line for each fault of the settings."""
+    path = pathlib.Path(os.environ.get(settings_file.ENVIRONMENT_VARIABLE, ""))
+    try:
+        settings = settings_file.read(path)
+    except errors.SettingsError as error:
+        for fault in error.faults:
+            print(f"lycheegw: {fault}", file=sys.stderr)
+        sys.exit(_EXIT_USAGE)
+    with asyncio.Runner(loop_factory=_BootTimeLoop) as runner:
+        runner.run(_run(path, settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lycheegw/platform/settings_file.py
@@ -0,0 +1,130 @@
+"""The settings file of the platform: lines of the form a.b=value."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import pathlib
+from typing import Any
+from typing import TypeVar
+
+from lycheegw.state import edge_settings
+from lycheegw.state import errors
+
+__all__ = ["ENVIRONMENT_VARIABLE", "parse", "read"]
+
+ENVIRONMENT_VARIABLE = "LYCHEEGW_BOOT"
+
+_Value = TypeVar("_Value")
+
+
+def read(path: pathlib.Path) -> edge_settings.EdgeSettings:
+    """Returns the settings in a file.
+
+    Raises:
+        errors.SettingsError: With every fault and its field.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
+    return parse(text)
+
+
+def parse(text: str) -> edge_settings.EdgeSettings:
+    """Returns the settings in the text of a file.
+
+    Raises:
+        errors.SettingsError: With every fault and its field.
+    """
+    fields = _Fields(_split(text))
+    low, high = fields.get("internal_ports", _ports)
+    ip = fields.get("ip", str)
+    settings = edge_settings.EdgeSettings(
+        node_id=fields.get("node_name", str),
+        zone=fields.get("zone", str),
+        region=fields.get("region", str),
+        front=fields.get("listeners_map.front", _address),
+        ready=fields.get("listeners_map.ready", _address),
+        peer=f"{ip}:{low}",
+        metrics=f"{ip}:{edge_settings.METRICS_PORT}",
+        store=fields.get("platform.address", _address),
+        store_reads_per_s=fields.get("platform.reads_per_s", float),
+        store_writes_per_s=fields.get("platform.writes_per_s", float),
+        heartbeat_s=fields.get("heartbeat_ms", _seconds),
+        bounds=_bounds(fields),
+    )
+    if high < low:
+        fields.faults.append("internal_ports: the last is below the first")
+    if fields.faults:
+        raise errors.SettingsError(fields.faults)
+    return settings
+
+
+def _bounds(fields: "_Fields") -> edge_settings.Bounds:
+    return edge_settings.Bounds(
+        drain_s=fields.get("bounds.drain_ms", _seconds),
+        grace_s=fields.get("bounds.grace_s", float),
+        config_apply_s=fields.get("bounds.config_apply_ms", _seconds),
+        retry_ratio=fields.get("bounds.retry_budget_ratio", float),
+        retry_window_s=fields.get("bounds.budget_window_s", float),
+        retry_slack=fields.get("bounds.retry_slack", float),
+        exposure_share=fields.get("bounds.exposure_share", float),
+        exposure_slack=fields.get("bounds.exposure_slack", float),
+        rollback_s=fields.get("bounds.rollback_ms", _seconds),
+        cold_overage=fields.get("bounds.cold_overage", float),
+        cold_slack=fields.get("bounds.cold_slack", float),
+        event_deadline_s=fields.get("bounds.event_deadline_ms", _seconds),
+        session_s=fields.get("bounds.session_s", float),
+    )
+
+
+def _split(text: str) -> dict[str, str]:
+    value_by_name = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not name.lstrip().startswith("#"):
+            value_by_name[name.strip()] = value.strip()
+    return value_by_name
+
+
+class _Fields:
+    """Fields by name; faults are gathered, so that all are told at once."""
+
+    def __init__(self, value_by_name: Mapping[str, str]):
+        self.faults: list[str] = []
+        self._value_by_name = value_by_name
+
+    def get(self, name: str, convert: Callable[[str], _Value]) -> _Value:
+        """Returns a field; on a fault it is noted and a blank returned."""
+        text = self._value_by_name.get(name)
+        if not text:
+            self.faults.append(f"{name}: is missing")
+        else:
+            try:
+                return convert(text)
+            except ValueError as error:
+                self.faults.append(f"{name}: {error}")
+        return _blank(convert)
+
+
+def _blank(convert: Callable[[str], Any]) -> Any:
+    if convert is _ports:
+        return (0, 0)
+    return "" if convert in {str, _address} else 0.0
+
+
+def _seconds(text: str) -> float:
+    return float(text) / 1000
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("is not ip:port")
+    return text
+
+
+def _ports(text: str) -> tuple[int, int]:
+    low, _, high = text.partition(",")
+    if not low.isdigit() or not high.isdigit():
+        raise ValueError("is not two ports")
+    return int(low), int(high)
--- /dev/null
+++ b/src/lycheegw/platform/store_client.py
@@ -0,0 +1,192 @@
+"""Client of the platform's metadata store, a log with keyed topics."""
+
+import base64
+import binascii
+import json
+import struct
+import urllib.parse
+
+from lycheegw.state import errors
+from lycheegw.state import topics
+from lycheegw.state import verdicts
+from lycheegw.transport import exchange_client
+
+__all__ = ["Store"]
+
+_NAME_BY_TOPIC = {
+    topics.Topic.ORDERS: "keyed.op",
+    topics.Topic.UPSTREAMS: "keyed.servers",
+    topics.Topic.OUTCOMES: "keyed.status",
+    topics.Topic.NODES: "keyed.nodes",
+}
+# Longest time that a call may take beyond the wait that it asks for: the
+# store answers in 4 ms, and a connection to it that stays silent for a
+# second is best replaced by another.
+_TIMEOUT_S = 1.0
+# The whole list of a deployment with hundreds of routes takes longer.
+_NEWEST_TIMEOUT_S = 2.0
+_MAX_READ_KB = 1024
+_MAX_PAGES = 20
+_HEAD = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+class Store:
+    """The keyed topics of the store."""
+
+    def __init__(self, pool: exchange_client.ConnectionPool, address: str):
+        self._pool = pool
+        self._address = address
+
+    async def newest(self, topic: topics.Topic) -> topics.TopicPage:
+        """Returns the newest record of every key; raises errors.StoreError."""
+        records: list[topics.TopicRecord] = []
+        after = None
+        end_offset = None
+        for _ in range(_MAX_PAGES):
+            query = {"topic": _NAME_BY_TOPIC[topic], "part": "0"}
+            if after is not None:
+                query["after"] = after
+            _, body = await self._call(
+                b"GET", "/v1/log-newest", query, b"", _NEWEST_TIMEOUT_S
+            )
+            page = _decode_page(body)
+            records += page.records
+            if end_offset is None:
+                # Pages are no snapshot; what is written between two of them
+                # is read again with the changes since the first.
+                end_offset = page.end_offset
+            if page.is_whole:
+                return topics.TopicPage(records, end_offset, True)
+            after = page.records[-1].key
+        raise errors.StoreError(f"{topic.value}: more pages than expected")
+
+    async def changes(
+        self, topic: topics.Topic, offset: int, wait_s: float
+    ) -> topics.TopicPage:
+        """Returns the records from an offset on; raises errors.StoreError."""
+        query = {
+            "topic": _NAME_BY_TOPIC[topic],
+            "part": "0",
+            "from": str(offset),
+            "max_size": str(_MAX_READ_KB),
+        }
+        if wait_s:
+            query["wait_ms"] = str(int(wait_s * 1000))
+        _, body = await self._call(
+            b"GET", "/v1/log-read", query, b"", _TIMEOUT_S + wait_s
+        )
+        return _decode_changes(body, offset)
+
+    async def put(
+        self,
+        topic: topics.Topic,
+        key: str,
+        value: bytes,
+        expected_end: int | None,
+    ) -> int:
+        """Writes a key; raises errors.StoreError."""
+        query = {"topic": _NAME_BY_TOPIC[topic], "part": "0"}
+        if expected_end is not None:
+            query["at"] = str(expected_end)
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        body = _LENGTH.pack(len(record)) + record
+        _, answer = await self._call(
+            b"POST", "/v1/log-append", query, body, _TIMEOUT_S
+        )
+        try:
+            return int(json.loads(answer)["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.StoreError(f"append: {error!r}", True) from error
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        """Returns status and body of a success.
+
+        Raises:
+            errors.StoreError: There was none.
+        """
+        is_write = method == b"POST"
+        request = exchange_client.ClientRequest(
+            method,
+            f"{path}?{urllib.parse.urlencode(query)}".encode(),
+            (
+                (b"Host", self._address.encode()),
+                (b"Content-Length", str(len(body)).encode()),
+            ),
+            body,
+        )
+        try:
+            head, answer = await exchange_client.fetch(
+                self._pool, "store", self._address, request, timeout_s
+            )
+        except errors.UpstreamError as error:
+            is_unknown = error.verdict is not verdicts.RunVerdict.NOT_RUN
+            raise errors.StoreError(
+                f"{path}: {error}", is_write and is_unknown
+            ) from error
+        if head.status == 200:
+            return head.status, answer
+        raise _error_of(path, head.status, answer)
+
+
+def _error_of(path: str, status: int, answer: bytes) -> errors.StoreError:
+    message = f"{path}: status {status} {answer[:200]!r}"
+    if status in {409, 412}:
+        return errors.StoreConflictError(message)
+    if status == 410:
+        return errors.StoreHistoryLostError(message)
+    # Every other status says that nothing was done.
+    return errors.StoreError(message)
+
+
+def _decode_page(body: bytes) -> topics.TopicPage:
+    """Returns a page of newest records; raises errors.StoreError."""
+    try:
+        value = json.loads(body)
+        records = [
+            topics.TopicRecord(
+                str(entry["key"]),
+                int(entry["offset"]),
+                base64.b64decode(entry["value"]),
+            )
+            for entry in value["entries"]
+        ]
+        is_last = not value.get("has_more") or not records
+        return topics.TopicPage(records, int(value["end_offset"]), is_last)
+    except (ValueError, KeyError, TypeError, binascii.Error) as error:
+        raise errors.StoreError(f"page of records: {error!r}") from error
+
+
+def _decode_changes(body: bytes, offset: int) -> topics.TopicPage:
+    """Returns the records of a log read; raises errors.StoreError."""
+    if len(body) < _HEAD.size:
+        raise errors.StoreError(f"log read of {len(body)} bytes")
+    end_offset, first_offset = _HEAD.unpack_from(body)
+    if first_offset > offset:
+        raise errors.StoreHistoryLostError(f"log begins at {first_offset}")
+    records = []
+    position = _HEAD.size
+    while position + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        records.append(_decode_record(offset, body[position:][:length]))
+        position += length
+        offset += 1
+    # A read that is cut by its size ends before the log does.
+    end = offset if records and offset < end_offset else end_offset
+    return topics.TopicPage(records, end, False)
+
+
+def _decode_record(offset: int, data: bytes) -> topics.TopicRecord:
+    name_length = data[0] if data else 0
+    key = data[1 : 1 + name_length].decode("utf-8", "replace")
+    value = data[1 + name_length :]
+    return topics.TopicRecord(key, offset, value or None)
--- /dev/null
+++ b/src/lycheegw/protocol/rollout_codec.py
@@ -0,0 +1,70 @@
+"""Protobuf form of what nodes tell each other of roll-outs."""
+
+from lycheegw.coordination import fleet_rollouts
+from lycheegw.protocol.pb import rollouts_pb2
+from lycheegw.state import tallies
+
+__all__ = ["CODEC"]
+
+
+def _encode(news: fleet_rollouts.News) -> bytes:
+    message = rollouts_pb2.News(
+        tallies=[
+            rollouts_pb2.Tally(
+                **each.key._asdict(),
+                started_ms=each.started_ms,
+                sequence=each.sequence,
+                order_offset=each.order_offset,
+                sent=each.sent,
+                answered=each.answered,
+                failed=each.failed,
+                timed=each.timed,
+                log_time_sum=each.log_time_sum,
+                in_flight=each.in_flight,
+                failing_upstreams=sorted(each.failing_upstreams),
+            )
+            for each in news.tallies
+        ],
+        stances=[
+            rollouts_pb2.Stance(**each._asdict()) for each in news.stances
+        ],
+    )
+    return bytes(message.SerializeToString())
+
+
+def _decode(payload: bytes) -> fleet_rollouts.News:
+    message = rollouts_pb2.News.FromString(payload)
+    return fleet_rollouts.News(
+        tuple(
+            tallies.Tally(
+                tallies.TallyKey(each.service, each.version, each.node_id),
+                each.started_ms,
+                each.sequence,
+                each.order_offset,
+                each.sent,
+                each.answered,
+                each.failed,
+                each.timed,
+                each.log_time_sum,
+                each.in_flight,
+                frozenset(each.failing_upstreams),
+            )
+            for each in message.tallies
+        ),
+        tuple(
+            tallies.Stance(
+                each.service,
+                each.node_id,
+                each.started_ms,
+                each.sequence,
+                each.order_offset,
+                max(0.0, each.order_age_s),
+                each.share,
+                each.is_condemned,
+            )
+            for each in message.stances
+        ),
+    )
+
+
+CODEC = fleet_rollouts.Codec(_encode, _decode)
--- /dev/null
+++ b/src/lycheegw/protocol/topic_codec.py
@@ -0,0 +1,59 @@
+"""Protobuf form of what nodes tell each other of the store's topics."""
+
+from collections.abc import Sequence
+
+from lycheegw.coordination import topic_exchange
+from lycheegw.protocol.pb import topics_pb2
+from lycheegw.state import topics
+
+__all__ = ["CODEC"]
+
+
+def _encode(news: Sequence[topic_exchange.News]) -> bytes:
+    batch = topics_pb2.Batch(
+        news=[
+            topics_pb2.News(
+                topic=each.topic.value,
+                end_offset=each.end_offset,
+                age_s=each.age_s,
+                from_offset=each.from_offset,
+                records=[_record(record) for record in each.records],
+                reader=each.reader,
+            )
+            for each in news
+        ]
+    )
+    return bytes(batch.SerializeToString())
+
+
+def _record(record: topics.TopicRecord) -> topics_pb2.Record:
+    return topics_pb2.Record(
+        key=record.key,
+        offset=record.offset,
+        is_deleted=record.value is None,
+        value=record.value or b"",
+    )
+
+
+def _decode(payload: bytes) -> list[topic_exchange.News]:
+    return [
+        topic_exchange.News(
+            topics.Topic(each.topic),
+            each.end_offset,
+            max(0.0, each.age_s),
+            each.from_offset,
+            tuple(
+                topics.TopicRecord(
+                    record.key,
+                    record.offset,
+                    None if record.is_deleted else bytes(record.value),
+                )
+                for record in each.records
+            ),
+            each.reader,
+        )
+        for each in topics_pb2.Batch.FromString(payload).news
+    ]
+
+
+CODEC = topic_exchange.Codec(_encode, _decode)
--- a/src/lycheegw/state/errors.py
+++ b/src/lycheegw/state/errors.py
@@ -13,6 +13,9 @@
     "RecordError",
     "RefusalError",
     "SettingsError",
+    "StoreConflictError",
+    "StoreError",
+    "StoreHistoryLostError",
     "UpstreamError",
 ]
 
@@ -51,6 +54,26 @@
         self.may_have_applied = may_have_applied
 
 
+class StoreError(PlatformError):
+    """The store did not answer as asked.
+
+    Attributes:
+        may_have_applied: Whether a write may have taken effect, or still may.
+    """
+
+    def __init__(self, message: str, may_have_applied: bool = False):
+        super().__init__(message)
+        self.may_have_applied = may_have_applied
+
+
+class StoreConflictError(StoreError):
+    """A conditional write found a newer record; nothing was written."""
+
+
+class StoreHistoryLostError(StoreError):
+    """The records asked for are not kept any more; read the newest ones."""
+
+
 class PeerUnavailableError(LycheeError):
     """Another node did not answer a call in time."""
 
--- a/src/lycheegw/state/requests.py
+++ b/src/lycheegw/state/requests.py
@@ -3,6 +3,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from lycheegw.state import forwarded
 from lycheegw.state import verdicts
 
 __all__ = [
@@ -72,7 +73,7 @@
     request_id: str
     organisation: str
     kind: str
-    work: ModelWork | ServiceWork
+    work: ModelWork | ServiceWork | forwarded.ForwardedWork
     session: str | None
     session_token: str | None
     deadline_s: float
--- /dev/null
+++ b/src/lycheegw/state/tallies.py
@@ -0,0 +1,135 @@
+"""What each process saw of the versions in a roll-out; counts only grow."""
+
+from typing import NamedTuple
+
+__all__ = ["Stance", "Tallies", "Tally", "TallyKey", "Totals"]
+
+
+class TallyKey(NamedTuple):
+    """A version of a service at one node."""
+
+    service: str
+    version: str
+    node_id: str
+
+
+class Tally(NamedTuple):
+    """Counts of one process since an order.
+
+    Attributes:
+        key: What was counted, and where.
+        started_ms: Unix millisecond of the start of the counting process.
+        sequence: Grows with each change.
+        order_offset: Offset of the order.
+        sent: Requests sent.
+        answered: Answers of the version's own, failures included.
+        failed: Failures among them.
+        timed: Answers whose time to the head was taken.
+        log_time_sum: Sum of the logarithms of these times in seconds.
+        in_flight: Requests that run now.
+        failing_upstreams: Upstreams that failed requests.
+    """
+
+    key: TallyKey
+    started_ms: int
+    sequence: int
+    order_offset: int
+    sent: int = 0
+    answered: int = 0
+    failed: int = 0
+    timed: int = 0
+    log_time_sum: float = 0.0
+    in_flight: int = 0
+    failing_upstreams: frozenset[str] = frozenset()
+
+
+class Stance(NamedTuple):
+    """How one process takes part in a roll-out.
+
+    Attributes:
+        service: Service that is rolled out.
+        node_id: Node of the process.
+        started_ms: Unix millisecond of its start.
+        sequence: Grows with each change.
+        order_offset: Offset of the order.
+        order_age_s: Seconds since any process first saw the order.
+        share: Share of new work that goes to the target version.
+        is_condemned: Whether the target is known to be bad.
+    """
+
+    service: str
+    node_id: str
+    started_ms: int
+    sequence: int
+    order_offset: int
+    order_age_s: float
+    share: float
+    is_condemned: bool
+
+
+class Totals(NamedTuple):
+    """Sums over all nodes."""
+
+    sent: int
+    answered: int
+    failed: int
+    timed: int
+    log_time_sum: float
+    in_flight: int
+    failing_upstreams: frozenset[str]
+
+
+class Tallies:
+    """The latest tally of each version and node."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[TallyKey, Tally] = {}
+
+    def get(self, key: TallyKey) -> Tally | None:
+        """Returns a tally."""
+        return self._by_key.get(key)
+
+    def put(self, tally: Tally) -> bool:
+        """Keeps a tally unless a later one is known; returns whether kept."""
+        known = self._by_key.get(tally.key)
+        if known is not None and _order(known) >= _order(tally):
+            return False
+        self._by_key[tally.key] = tally
+        return True
+
+    def values(self) -> list[Tally]:
+        """Returns all tallies."""
+        return list(self._by_key.values())
+
+    def totals(
+        self, service: str, order_offset: int, is_target: bool, version: str
+    ) -> Totals:
+        """Returns the sums over the target version, or over all others."""
+        chosen = [
+            each
+            for each in self._by_key.values()
+            if each.key.service == service
+            and each.order_offset == order_offset
+            and (each.key.version == version) == is_target
+        ]
+        return Totals(
+            sum(each.sent for each in chosen),
+            sum(each.answered for each in chosen),
+            sum(each.failed for each in chosen),
+            sum(each.timed for each in chosen),
+            sum(each.log_time_sum for each in chosen),
+            sum(each.in_flight for each in chosen),
+            frozenset().union(*(each.failing_upstreams for each in chosen)),
+        )
+
+    def forget(self, service: str, but_offset: int) -> None:
+        """Drops the tallies of a service's former orders."""
+        self._by_key = {
+            key: each
+            for key, each in self._by_key.items()
+            if key.service != service or each.order_offset == but_offset
+        }
+
+
+def _order(tally: Tally) -> tuple[int, int]:
+    return tally.started_ms, tally.sequence
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -11,6 +11,9 @@
 _FAILURES_TO_OUT = 2
 _OUT_S = 2.0
 _MAX_OUT_S = 10.0
+# A load told by an answer is about half wrong after this; answers of a model
+# take some seconds.
+_LOAD_HALF_LIFE_S = 1.0
 
 
 class HostRole(enum.Enum):
@@ -32,6 +35,11 @@
         zone: Availability zone.
         is_leaving: Whether the host takes no new work.
         honours_fencing: Whether it refuses orders with an old fencing number.
+        version: Version of its software, empty where not said.
+        slots: Requests that it runs at once, 0 where not said.
+        started_ms: Unix millisecond of its start, 0 where not said.
+        sequence: Grows with each entry of one start.
+        cold_s: How long it was to stay cold when it wrote the entry.
     """
 
     host_id: str
@@ -41,6 +49,11 @@
     zone: str
     is_leaving: bool
     honours_fencing: bool
+    version: str = ""
+    slots: int = 0
+    started_ms: int = 0
+    sequence: int = 0
+    cold_s: float = 0.0
 
 
 class LoadReport(NamedTuple):
@@ -70,6 +83,9 @@
         entry: The line of the platform's list.
         report: The last load report or None.
         in_flight: Requests of this node that run there now.
+        cold_until_s: Monotonic second until which it is cold.
+        doubted_s: Monotonic second of a failure that no later entry has
+            explained yet, None where there is none.
         is_listed: Whether the list has it; one that vanished without
             leaving is kept for a while, as the last choice.
     """
@@ -79,6 +95,9 @@
         self.report: LoadReport | None = None
         self.in_flight = 0
         self.is_listed = True
+        self.cold_until_s = 0.0
+        self.doubted_s: float | None = None
+        self._sent_since_report = 0
         self._failures = 0
         self._out_until_s = 0.0
 
@@ -109,6 +128,35 @@
             return math.inf
         return now_s - self.report.received_s
 
+    def note_sent(self) -> None:
+        """Counts a request that no report can know of yet."""
+        self.in_flight += 1
+        self._sent_since_report += 1
+
+    def take_load(self, report: LoadReport) -> None:
+        """Takes a load that an answer carried."""
+        self.report = report
+        self._sent_since_report = 0
+
+    def estimated_load(self, now_s: float) -> float:
+        """Returns about how many requests run or wait there.
+
+        A report loses weight as it ages; what this node sent since, and what
+        of its own requests runs there, is known for certain.
+        """
+        if self.report is None:
+            return float(self.in_flight)
+        weight = 0.5 ** (self.report_age_s(now_s) / _LOAD_HALF_LIFE_S)
+        reported = self.report.running + self.report.queued
+        return max(
+            float(self.in_flight),
+            weight * reported + self._sent_since_report,
+        )
+
+    def is_cold(self, now_s: float) -> bool:
+        """Returns whether it bears only few requests a second."""
+        return now_s < self.cold_until_s or self.doubted_s is not None
+
     @property
     def load(self) -> int:
         """Requests known to run or wait there."""
@@ -141,8 +189,7 @@
         self.by_id = {}
         for entry in entries:
             upstream = known.get(entry.host_id)
-            if upstream is None or upstream.entry.address != entry.address:
-                # Another address means another process: nothing is known.
+            if upstream is None or not _is_same_process(upstream.entry, entry):
                 upstream = Upstream(entry)
             upstream.entry = entry
             self.by_id[entry.host_id] = upstream
@@ -162,3 +209,11 @@
             for upstream in self.by_id.values()
             if upstream.entry.pool == name and not upstream.entry.is_leaving
         ]
+
+
+def _is_same_process(known: HostEntry, entry: HostEntry) -> bool:
+    """Returns whether two entries of one id are of the same process."""
+    return (known.address, known.started_ms) == (
+        entry.address,
+        entry.started_ms,
+    )
--- a/src/lycheegw/transport/caller_edge.py
+++ b/src/lycheegw/transport/caller_edge.py
@@ -186,7 +186,7 @@
             await self._while_present(
                 exchange, self._answer_model(exchange, request, request.work)
             )
-        else:
+        elif isinstance(request.work, requests.ServiceWork):
             await self._answer_service(exchange, request, request.work)
         self._state.counters.add("answers")
         self._state.trace(request_id, "answered")
--- a/src/lycheegw/transport/logs.py
+++ b/src/lycheegw/transport/logs.py
@@ -1,5 +1,6 @@
 """One JSON line an event, through absl.logging."""
 
+from collections.abc import Callable
 import json
 import logging as std_logging
 from typing import Any
@@ -8,6 +9,8 @@
 
 __all__ = ["event", "install"]
 
+Note = Callable[..., None]
+
 
 class _JsonFormatter(std_logging.Formatter):
     """Formats a record as one JSON object."""
@@ -24,11 +27,37 @@
         return json.dumps(value | getattr(record, "fields", {}))
 
 
-def install() -> None:
-    """Makes absl log JSON lines to the standard error stream."""
+class _NoteHandler(std_logging.Handler):
+    """Hands records to a bounded log of events."""
+
+    def __init__(self, note: Note):
+        super().__init__()
+        self._note = note
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Writes a record."""
+        fields = dict(getattr(record, "fields", {}))
+        if record.exc_info:
+            formatter = std_logging.Formatter()
+            fields["exception"] = formatter.formatException(record.exc_info)
+        self._note(
+            "log",
+            level=record.levelname,
+            message=record.getMessage(),
+            **fields,
+        )
+
+
+def install(note: Note | None = None) -> None:
+    """Makes absl log JSON lines, to standard error or a log of events."""
     logging.use_absl_handler()
-    logging.get_absl_handler().setFormatter(_JsonFormatter())
     logging.set_verbosity(logging.INFO)
+    if note is None:
+        logging.get_absl_handler().setFormatter(_JsonFormatter())
+        return
+    root = std_logging.getLogger()
+    root.handlers = [_NoteHandler(note)]
+    root.setLevel(std_logging.WARNING)
 
 
 def event(name: str, **fields: Any) -> None:
--- /dev/null
+++ b/src/lycheegw/transport/metrics_page.py
@@ -0,0 +1,81 @@
+"""Counters, gauges and latency histograms as a text page."""
+
+import bisect
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from lycheegw.state import counters
+
+__all__ = ["Histograms", "render"]
+
+# Upper bounds of the buckets in seconds, from a plain service's answer to the
+# longest time limit.
+_BOUNDS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    4.0,
+    8.0,
+    16.0,
+    32.0,
+)
+# Histograms kept; names come from the configuration, which is bounded too.
+_MAX_HISTOGRAMS = 2000
+
+
+class Histograms:
+    """Counts of times by name and label."""
+
+    def __init__(self) -> None:
+        self._counts_by_key: dict[tuple[str, str], list[int]] = {}
+        self._sum_by_key: dict[tuple[str, str], float] = {}
+
+    def observe(self, name: str, label: str, seconds: float) -> None:
+        """Adds a time."""
+        key = (name, label)
+        counts = self._counts_by_key.get(key)
+        if counts is None:
+            if len(self._counts_by_key) >= _MAX_HISTOGRAMS:
+                return
+            counts = [0] * (len(_BOUNDS_S) + 1)
+            self._counts_by_key[key] = counts
+        counts[bisect.bisect_left(_BOUNDS_S, seconds)] += 1
+        self._sum_by_key[key] = self._sum_by_key.get(key, 0.0) + seconds
+
+    def lines(self) -> list[str]:
+        """Returns the lines of all histograms."""
+        lines = []
+        for (name, label), counts in sorted(self._counts_by_key.items()):
+            metric = f"lycheegw_{name}_seconds"
+            total = 0
+            for bound, count in zip((*_BOUNDS_S, "+Inf"), counts, strict=True):
+                total += count
+                lines.append(
+                    f'{metric}_bucket{{of="{label}",le="{bound}"}} {total}'
+                )
+            lines.append(f'{metric}_count{{of="{label}"}} {total}')
+            seconds = self._sum_by_key[(name, label)]
+            lines.append(f'{metric}_sum{{of="{label}"}} {seconds:.6f}')
+        return lines
+
+
+def render(
+    source: counters.Counters,
+    histograms: Histograms,
+    gauges: Callable[[], Mapping[str, float]],
+) -> bytes:
+    """Returns the page."""
+    lines = [
+        f'lycheegw_events_total{{event="{name}"}} {count}'
+        for name, count in sorted(source.by_name.items())
+    ]
+    lines += [
+        f"lycheegw_{name} {value:g}" for name, value in sorted(gauges().items())
+    ]
+    return "\n".join([*lines, *histograms.lines(), ""]).encode()
