--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -403,11 +403,11 @@
             if not choice.known or self._now_s() >= until_s:
                 break
             await self._state.environment.sleep(_HOLD_POLL_S)
-        if progress.tried and not progress.events:
+        if progress.tried:
             # All that were left failed it; one of them may do better now.
             progress.tried.clear()
             choice = self._parts.balancer.choose(
-                request, work, service, model, progress.tried, None
+                request, work, service, model, progress.tried, progress.version
             )
             if isinstance(choice, balancing.Choice):
                 return choice
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -31,7 +31,7 @@
 _WATCHERS_PER_ZONE = 2
 # Longest wait of an open read; a connection that fell silent is noticed by
 # its own probes before.
-_WATCH_WAIT_S = 10.0
+_WATCH_WAIT_S = 20.0
 # A watcher that is replaced stops its open read within this time.
 _ROLE_CHECK_S = 0.5
 _RETRY_S = 0.25
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -51,7 +51,7 @@
 # Age at which the next node in turn reads the list of upstreams; with the
 # way of news it is well below the time in which a leaving upstream has to
 # get no more work.
-_TURN_S = 0.6
+_TURN_S = 0.7
 # Share of that time after which a node that hears nothing reads by itself.
 _ALONE_SHARE = 0.6
 
--- a/src/lycheegw/protocol/knowledge_codec.py
+++ b/src/lycheegw/protocol/knowledge_codec.py
@@ -57,10 +57,17 @@
     """Returns changes of the list as bytes."""
     message = knowledge_pb2.HostChanges(read_s=news.read_s)
     for change in news.changes:
-        fields = change.entry._asdict()
-        fields["role"] = change.entry.role.value
+        entry = change.entry
         message.changes.add(
-            is_gone=change.is_gone, seen_s=change.seen_s, **fields
+            host_id=entry.host_id,
+            role=entry.role.value,
+            pool=entry.pool,
+            address=entry.address,
+            zone=entry.zone,
+            is_leaving=entry.is_leaving,
+            honours_fencing=entry.honours_fencing,
+            is_gone=change.is_gone,
+            seen_s=change.seen_s,
         )
     return message.SerializeToString()
 
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -384,11 +384,8 @@
     @property
     def address(self) -> str:
         """The bound "ip:port"."""
-        if self._server is None:
-            host, port = self._listen
-            return f"{host}:{port}"
-        bound = self._server.sockets[0].getsockname()
-        return f"{bound[0]}:{bound[1]}"
+        host, port = self._listen
+        return f"{host}:{port}"
 
     def note_running(self, change: int) -> None:
         """Counts requests that begin or end."""
@@ -400,6 +397,8 @@
         self._server = await loop.create_server(
             lambda: _Connection(self), *self._listen, backlog=_BACKLOG
         )
+        host, port = self._server.sockets[0].getsockname()
+        self._listen = (host, port)
 
     def stop_listening(self) -> None:
         """Takes no new connections and closes those that are idle."""
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -172,16 +172,17 @@
 
     async def _write(self) -> None:
         """Sends queued frames at once and a heartbeat once a beat."""
-        beat_s = 0.0
+        beat_s = nudged_s = 0.0
         while not await self._has_fallen_silent():
             while not self._queue.empty():
                 await self._send(self._queue.get_nowait())
             if self._now_s() >= beat_s:
+                nudged_s = self._now_s() + _NUDGE_GAP_S
                 await self._send(self._beat())
                 beat_s = self._next_beat_s()
             is_nudged = await self._wait(beat_s)
             if is_nudged and self.is_neighbour:
-                beat_s = min(beat_s, self._now_s() + _NUDGE_GAP_S)
+                beat_s = min(beat_s, max(self._now_s(), nudged_s))
 
     async def _has_fallen_silent(self) -> bool:
         if self._silence_s() <= liveness.SILENT_S:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,8 @@
 """Shared by all tests: fixed seeds and the option to renew golden files."""
 
+import asyncio
+import inspect
+
 import hypothesis
 import pytest
 
@@ -10,3 +13,14 @@
 def pytest_addoption(parser: pytest.Parser) -> None:
     """Adds --renew-golden."""
     parser.addoption("--renew-golden", action="store_true")
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
+    """Runs a test that is a coroutine in a loop of its own."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = pyfuncitem._fixtureinfo.argnames
+    arguments = {name: pyfuncitem.funcargs[name] for name in names}
+    asyncio.run(pyfuncitem.obj(**arguments))
+    return True
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter and of a node behind it."""
--- /dev/null
+++ b/tests/platform/authority.py
@@ -0,0 +1,445 @@
+"""A stand-in of the platform: its store, upstreams and a caller.
+
+Speaks the platform's words by itself, without the adapter under test. Faults
+are attributes that a test sets while it runs.
+"""
+
+import asyncio
+import base64
+from collections.abc import Callable
+import contextlib
+import itertools
+import json
+import struct
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+from lycheegw.state import forwarded
+from lycheegw.state import routing
+from lycheegw.transport import ingress
+
+KEY = "key-of-acme"
+HOST = "desk.example"
+
+
+def _server(
+    handle: Callable[[ingress.Exchange], Any],
+) -> ingress.IngressServer:
+    return ingress.IngressServer(
+        "127.0.0.1:0", handle, routing.CallerLimits, lambda *_: None
+    )
+
+
+async def _answer(
+    exchange: ingress.Exchange,
+    status: int,
+    body: bytes = b"",
+    headers: forwarded.Headers = (),
+) -> None:
+    await exchange.send(forwarded.Refusal(status, headers, body))
+
+
+class Store:
+    """The log with keyed topics.
+
+    Attributes:
+        calls: Calls of each path.
+        fault: "", "busy" (503), "reset" or "silent".
+        lost_appends: Appends that are done but not answered.
+        first_offset: Records before it are not read any more, by topic.
+    """
+
+    def __init__(self) -> None:
+        self.calls: dict[str, int] = {}
+        self.fault = ""
+        self.lost_appends = 0
+        self.first_offset: dict[str, int] = {}
+        self._records: dict[str, list[bytes]] = {}
+        self._changed = asyncio.Condition()
+        self._server = _server(self._handle)
+
+    @property
+    def address(self) -> str:
+        return self._server.address
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+    async def put(self, topic: str, key: str, value: Any) -> None:
+        """Writes a record as the operator or an upstream does."""
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        await self._append(topic, bytes([len(key)]) + key.encode() + body)
+
+    async def delete(self, topic: str, key: str) -> None:
+        await self._append(topic, bytes([len(key)]) + key.encode())
+
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Returns the newest value of each key."""
+        values = {}
+        for record in self._records.get(topic, []):
+            size = record[0]
+            values[record[1 : 1 + size].decode()] = record[1 + size :]
+        return {key: value for key, value in values.items() if value}
+
+    async def _append(self, topic: str, record: bytes) -> int:
+        async with self._changed:
+            records = self._records.setdefault(topic, [])
+            records.append(record)
+            self._changed.notify_all()
+            return len(records) - 1
+
+    async def _handle(self, exchange: ingress.Exchange) -> None:
+        path, _, query_text = exchange.incoming.target.decode().partition("?")
+        query = dict(urllib.parse.parse_qsl(query_text))
+        self.calls[path] = self.calls.get(path, 0) + 1
+        if self.fault == "busy":
+            await _answer(exchange, 503)
+        elif self.fault == "reset":
+            exchange.abort()
+        elif self.fault == "silent":
+            await asyncio.sleep(60)
+        else:
+            await self._serve(exchange, path, query)
+
+    async def _serve(
+        self, exchange: ingress.Exchange, path: str, query: dict[str, str]
+    ) -> None:
+        topic = query["topic"]
+        if path == "/v1/log-append":
+            await self._take_append(exchange, topic, query)
+        elif path == "/v1/log-newest":
+            await _answer(exchange, 200, self._newest_page(topic))
+        elif path == "/v1/log-read":
+            await self._read(exchange, topic, query)
+        else:
+            await _answer(exchange, 404)
+
+    async def _take_append(
+        self, exchange: ingress.Exchange, topic: str, query: dict[str, str]
+    ) -> None:
+        end = len(self._records.get(topic, []))
+        if "at" in query and int(query["at"]) != end:
+            body = json.dumps({"end_offset": end}).encode()
+            await _answer(exchange, 412, body)
+            return
+        offset = await self._append(topic, exchange.incoming.body[4:])
+        if self.lost_appends:
+            self.lost_appends -= 1
+            exchange.abort()
+            return
+        body = json.dumps({"offset": offset, "end_offset": offset + 1})
+        await _answer(exchange, 200, body.encode())
+
+    def _newest_page(self, topic: str) -> bytes:
+        records = self._records.get(topic, [])
+        offset_by_key = {}
+        for offset, record in enumerate(records):
+            offset_by_key[record[1 : 1 + record[0]].decode()] = offset
+        entries = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset_by_key[key],
+            }
+            for key, value in self.newest(topic).items()
+        ]
+        page = {
+            "entries": entries,
+            "has_more": False,
+            "end_offset": len(records),
+        }
+        return json.dumps(page).encode()
+
+    async def _read(
+        self, exchange: ingress.Exchange, topic: str, query: dict[str, str]
+    ) -> None:
+        start = int(query["from"])
+        first = self.first_offset.get(topic, 0)
+        if start < first:
+            body = json.dumps({"first_offset": first}).encode()
+            await _answer(exchange, 410, body)
+            return
+        wait_s = int(query.get("wait_ms", "0")) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s or 0.001), self._changed:
+                await self._changed.wait_for(
+                    lambda: len(self._records.get(topic, [])) > start
+                )
+        records = self._records.get(topic, [])
+        body = struct.pack(">QQ", len(records), first)
+        for record in records[start:]:
+            body += struct.pack(">I", len(record)) + record
+        await _answer(exchange, 200, body)
+
+
+class Seen(NamedTuple):
+    """A request as it reached an upstream."""
+
+    upstream: str
+    target: str
+    header_by_name: dict[str, str]
+    body: bytes
+
+
+class Upstream:
+    """A runner of a plain or a model service.
+
+    Attributes:
+        seen: Requests that ran, of all upstreams that share the list.
+        status: Status of answers.
+        is_full: Whether it turns requests down.
+        delay_s: Seconds before it answers.
+        break_after: Events after which it breaks a stream off, once.
+        confidence: What it says of its answers, by model.
+    """
+
+    def __init__(self, name: str, seen: list[Seen], version: str = "v1"):
+        self.name = name
+        self.version = version
+        self.seen = seen
+        self.status = 200
+        self.is_full = False
+        self.delay_s = 0.0
+        self.break_after: int | None = None
+        self.is_answer_lost = False
+        self.extra_answer = b""
+        self.confidence: dict[str, int] = {}
+        self.abandoned = 0
+        self._server = _server(self._handle)
+
+    @property
+    def address(self) -> str:
+        return self._server.address
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+    def entry(self, service: str, **changes: Any) -> dict[str, Any]:
+        """Returns its entry in the list of upstreams."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "z-a",
+            "version": self.version,
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1000,
+            **changes,
+        }
+
+    async def _handle(self, exchange: ingress.Exchange) -> None:
+        incoming = exchange.incoming
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in incoming.headers
+        }
+        if incoming.target == b"/healthz":
+            instance = ((b"X-Lycheegw-Instance-Id", self.name.encode()),)
+            await _answer(exchange, 200, b"", instance)
+            return
+        if headers.get("x-lycheegw-expected-instance") != self.name:
+            await _answer(exchange, 421)
+            return
+        if self.is_full:
+            not_run = ((b"X-Lycheegw-Not-Executed", b"1"),)
+            await _answer(exchange, 503, b"", not_run)
+            return
+        target = incoming.target.decode()
+        self.seen.append(Seen(self.name, target, headers, incoming.body))
+        try:
+            await asyncio.sleep(self.delay_s)
+            await self._run(exchange, headers)
+        except asyncio.CancelledError:
+            self.abandoned += 1
+            raise
+
+    async def _run(
+        self, exchange: ingress.Exchange, headers: dict[str, str]
+    ) -> None:
+        if self.is_answer_lost:
+            exchange.abort()
+            return
+        answer = [
+            (
+                b"X-Lycheegw-Attempt-Id",
+                headers["x-lycheegw-attempt-id"].encode(),
+            ),
+            (b"X-Lycheegw-Response-Signature", f"sig-{self.name}".encode()),
+            (b"X-Lycheegw-Instance-Load", b"1,0,8"),
+        ]
+        model = headers.get("x-lycheegw-model")
+        if model in self.confidence:
+            confidence = str(self.confidence[model]).encode()
+            answer.append((b"X-Lycheegw-Confidence", confidence))
+        if exchange.incoming.target.startswith(b"/ask/"):
+            await self._stream(exchange, headers, tuple(answer))
+            return
+        body = f"{self.name} ran {headers['x-lycheegw-attempt-id']}".encode()
+        await _answer(exchange, self.status, body, tuple(answer))
+
+    async def _stream(
+        self,
+        exchange: ingress.Exchange,
+        headers: dict[str, str],
+        answer: forwarded.Headers,
+    ) -> None:
+        if self.status != 200:
+            await _answer(exchange, self.status, b"bad", answer)
+            return
+        await exchange.start(200, answer, None)
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, 6):
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if self.break_after == number:
+                self.break_after = None
+                await exchange.write(event[:9])
+                await asyncio.sleep(0.01)
+                exchange.abort()
+                return
+            await exchange.write(event)
+        await exchange.finish()
+
+
+def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration with a route of each kind."""
+
+    def route(name: str, prefix: str, kind: str, service: str, **more: Any):  # type: ignore[no-untyped-def]
+        return {
+            "name": name,
+            "hostname": HOST,
+            "path_prefix": prefix,
+            "type": kind,
+            "timeout_ms": 2000,
+            "target_latency_ms": 400,
+            "priority": 0,
+            "service": service,
+            "max_attempts": 3,
+            "public": False,
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("look", "/look/", "safe", "desk"),
+            route("book", "/book/", "unsafe", "desk", max_attempts=1),
+            route(
+                "ask",
+                "/ask/",
+                "streaming",
+                "llm",
+                resumable=True,
+                sticky=True,
+                sizes=["small", "large"],
+                target_gap_ms=300,
+            ),
+        ],
+        "services": [
+            {"name": "desk", "health_path": "/healthz", "max_connections": 50},
+            {
+                "name": "llm",
+                "health_path": "/healthz",
+                "max_connections": 100,
+                "cold_start_s": 3.0,
+                "cold_per_s": 8.0,
+                "engine": {
+                    "slots": 8,
+                    "kv_capacity": 100000,
+                    "models": [
+                        {"name": "small", "cost": 0.01},
+                        {"name": "large", "cost": 0.1},
+                    ],
+                },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [{"name": "acme", "api_keys": [KEY], "priority": 1}],
+        **changes,
+    }
+
+
+class Reply(NamedTuple):
+    """What a caller got; `is_whole` is False where it broke off."""
+
+    status: int
+    header_by_name: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+_NUMBERS = itertools.count()
+
+
+async def ask(
+    address: str,
+    path: str,
+    method: str = "GET",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    leave_after_s: float | None = None,
+) -> Reply | None:
+    """Sends one request on a connection of its own; None if it left."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    fields = {
+        "Host": HOST,
+        "X-Lycheegw-Attempt-Id": f"attempt-{next(_NUMBERS)}",
+        "X-Lycheegw-Deadline-Ms": "3000",
+        "Api-Key": KEY,
+        "Content-Length": str(len(body)),
+        "Connection": "close",
+        **(headers or {}),
+    }
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+    try:
+        if leave_after_s is not None:
+            await asyncio.sleep(leave_after_s)
+            return None
+        return await _read_reply(reader)
+    finally:
+        writer.close()
+
+
+async def _read_reply(reader: asyncio.StreamReader) -> Reply:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    fields = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        fields[name.lower()] = value.strip()
+    body, is_whole = b"", False
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        if fields.get("transfer-encoding") == "chunked":
+            async for chunk in _chunks(reader):
+                body += chunk
+        else:
+            body = await reader.readexactly(
+                int(fields.get("content-length", "0"))
+            )
+        is_whole = True
+    return Reply(int(first.split()[1]), fields, body, is_whole)
+
+
+async def _chunks(reader: asyncio.StreamReader):  # type: ignore[no-untyped-def]
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+        chunk = await reader.readexactly(size)
+        await reader.readexactly(2)
+        if not size:
+            return
+        yield chunk
--- /dev/null
+++ b/tests/platform/rig.py
@@ -0,0 +1,158 @@
+"""Nodes on loopback behind the adapter, with the stand-in of the platform."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import os
+import socket
+from typing import Any
+
+from lycheegw import edge_app
+from lycheegw.platform import main
+from lycheegw.platform import settings_file
+from lycheegw.state import clocks
+from lycheegw.state import edge_settings
+from lycheegw.transport import event_log
+from tests.platform import authority
+
+BOUNDS = """
+bounds.drain_ms=2000
+bounds.grace_s=8
+bounds.config_apply_ms=2000
+bounds.retry_budget_ratio=0.9
+bounds.budget_window_s=10
+bounds.retry_slack=54
+bounds.exposure_share=0.15
+bounds.exposure_slack=30
+bounds.rollback_ms=5000
+bounds.cold_overage=1.5
+bounds.cold_slack=5
+bounds.event_deadline_ms=120
+bounds.session_s=5
+"""
+
+
+def free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
+
+
+def settings_text(store: str, number: int = 1, zone: str = "z-a") -> str:
+    """Returns the settings file of a node on free ports."""
+    front, ready, peer = free_port(), free_port(), free_port()
+    return f"""node_name=node-{number}
+role=router
+ip=127.0.0.1
+zone={zone}
+region=r
+listeners_map.front=127.0.0.1:{front}
+listeners_map.ready=127.0.0.1:{ready}
+internal_ports={peer},{peer + 10}
+heartbeat_ms=1200
+platform.address={store}
+platform.writes_per_s=400
+platform.reads_per_s=2000
+unknown.field=1
+{BOUNDS}"""
+
+
+def settings(
+    store: str, number: int = 1, zone: str = "z-a"
+) -> edge_settings.EdgeSettings:
+    """Returns the settings of a node; its metrics page is anywhere."""
+    parsed = settings_file.parse(settings_text(store, number, zone))
+    return parsed._replace(metrics=f"127.0.0.1:{free_port()}")
+
+
+class Fleet:
+    """Store, upstreams and nodes of one test."""
+
+    def __init__(self) -> None:
+        self.store = authority.Store()
+        self.seen: list[authority.Seen] = []
+        self.upstream_by_name: dict[str, authority.Upstream] = {}
+        self.nodes: list[edge_app.EdgeNode] = []
+        self.events: list[dict[str, Any]] = []
+
+    async def add_upstream(
+        self, name: str, service: str, **changes: Any
+    ) -> authority.Upstream:
+        """Starts an upstream and lists it."""
+        upstream = authority.Upstream(
+            name, self.seen, changes.pop("version", "v1")
+        )
+        await upstream.start()
+        self.upstream_by_name[name] = upstream
+        await self.store.put(
+            "keyed.servers", name, upstream.entry(service, **changes)
+        )
+        return upstream
+
+    async def add_node(self, zone: str = "z-a") -> edge_app.EdgeNode:
+        """Starts a node and waits until it is ready."""
+        number = len(self.nodes) + 1
+        environment = clocks.seeded(number)
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        log = event_log.EventLog(
+            f"node-{number}",
+            environment.wall_s,
+            environment.monotonic_s,
+            descriptor,
+        )
+        node = edge_app.EdgeNode(
+            settings(self.store.address, number, zone),
+            main.ADAPTER,
+            environment,
+            log,
+        )
+        await node.start()
+        self.nodes.append(node)
+        return node
+
+    async def stop(self) -> None:
+        for node in self.nodes:
+            node.pool.close()
+            await node.application.stop()
+        for upstream in self.upstream_by_name.values():
+            await upstream.stop()
+        await self.store.stop()
+
+
+async def until(condition: Callable[[], bool], seconds: float = 8.0) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    nodes: int = 1, manifest: dict[str, Any] | None = None
+) -> AsyncIterator[Fleet]:
+    """Runs a fleet with two upstreams of each service."""
+    running = Fleet()
+    await running.store.start()
+    try:
+        await running.store.put(
+            "keyed.op", "config", manifest or authority.manifest()
+        )
+        for name, service in (
+            ("d1", "desk"),
+            ("d2", "desk"),
+            ("m1", "llm"),
+            ("m2", "llm"),
+        ):
+            await running.add_upstream(name, service)
+        for _ in range(nodes):
+            await running.add_node()
+        await until(
+            lambda: all(
+                node.is_ready and len(node.state.upstreams.by_id) == 4
+                for node in running.nodes
+            )
+        )
+        yield running
+    finally:
+        await running.stop()
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,206 @@
+"""What the platform says is decoded once, and faults name their field."""
+
+import json
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from lycheegw.platform import headers
+from lycheegw.platform import records
+from lycheegw.platform import settings_file
+from lycheegw.state import errors
+from lycheegw.state import forwarded
+from lycheegw.state import reasons
+from lycheegw.state import routing
+from lycheegw.state import verdicts
+from lycheegw.transport import exchange_client
+from tests.platform import authority
+from tests.platform import rig
+
+
+def _decode(value: dict[str, Any]) -> routing.Manifest:
+    return records.decode_manifest(json.dumps(value).encode())
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    value = authority.manifest()
+    value["routes"].append(
+        {**value["routes"][0], "name": "deep", "path_prefix": "/look/deep/"}
+    )
+    manifest = _decode(value)
+    for path, name in (
+        ("/look/deep/1", "deep"),
+        ("/look/deeper", "look"),
+        ("/looks/1", None),
+    ):
+        route = manifest.find_route(authority.HOST, path)
+        assert (route.name if route else None) == name
+    assert manifest.find_route("else.example", "/look/1") is None
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "fault"),
+    [
+        (("version",), "7", "/version"),
+        (("routes", 1, "timeout_ms"), None, "routes/1/timeout_ms"),
+        (("routes", 0, "type"), "odd", "routes/0/type"),
+        (("routes", 2, "hostname"), 5, "routes/2/hostname"),
+        (("services", 0, "name"), True, "services/0/name"),
+    ],
+)
+def test_fault_of_a_manifest_names_its_field(
+    path: tuple[Any, ...], value: Any, fault: str
+) -> None:
+    manifest = authority.manifest()
+    inner: Any = manifest
+    for step in path[:-1]:
+        inner = inner[step]
+    inner[path[-1]] = value
+    with pytest.raises(errors.RecordError, match=fault):
+        _decode(manifest)
+
+
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "z-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 3,
+    "born": 1789369306321,
+}
+
+
+def test_entry_of_an_upstream() -> None:
+    entry = records.decode_upstream("i-1", json.dumps(ENTRY).encode())
+    assert entry.pool == "llm"
+    assert entry.cold_s == 1.5
+    assert entry.started_ms == ENTRY["born"]
+
+
+@hypothesis.given(
+    name=strategies.sampled_from(sorted(set(ENTRY) - {"cold_remaining_ms"})),
+    value=strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.lists(strategies.integers(), max_size=2),
+        strategies.dictionaries(strategies.text(max_size=3), strategies.none()),
+    ),
+)
+def test_entry_of_another_writer_is_no_upstream(name: str, value: Any) -> None:
+    with pytest.raises(errors.RecordError):
+        records.decode_upstream(
+            "i-1", json.dumps({**ENTRY, name: value}).encode()
+        )
+
+
+@hypothesis.given(strategies.binary(max_size=40))
+def test_any_bytes_are_an_entry_or_an_error(value: bytes) -> None:
+    try:
+        records.decode_upstream("i-1", value)
+    except errors.RecordError:
+        return
+    raise AssertionError(value)
+
+
+def test_heartbeat_alone_is_no_news() -> None:
+    before = json.dumps(ENTRY).encode()
+    after = json.dumps({**ENTRY, "sequence": 4}).encode()
+    leaving = json.dumps({**ENTRY, "state": "draining"}).encode()
+    assert records.upstream_digest(before) == records.upstream_digest(after)
+    assert records.upstream_digest(before) != records.upstream_digest(leaving)
+
+
+def test_settings_are_read_and_unknown_fields_ignored() -> None:
+    text = rig.settings_text("10.0.0.9:70")
+    settings = settings_file.parse(text)
+    assert settings.store == "10.0.0.9:70"
+    assert settings.bounds.drain_s == 2.0
+    assert settings.heartbeat_s == 1.2
+
+
+def test_every_fault_of_the_settings_is_told() -> None:
+    text = rig.settings_text("10.0.0.9")
+    text = text.replace("bounds.grace_s=8", "bounds.grace_s=soon")
+    text = text.replace("node_name=node-1", "")
+    with pytest.raises(errors.SettingsError) as raised:
+        settings_file.parse(text)
+    faults = "\n".join(raised.value.faults)
+    for name in ("platform.address", "bounds.grace_s", "node_name"):
+        assert name in faults
+
+
+@pytest.mark.parametrize(
+    ("reason", "verdict", "status"),
+    [
+        (reasons.RefusalReason.UNKNOWN_ROUTE, "not_run", 404),
+        (reasons.RefusalReason.UNAUTHENTICATED, "not_run", 401),
+        (reasons.RefusalReason.NO_UPSTREAM, "not_run", 503),
+        (reasons.RefusalReason.DEADLINE_PASSED, "not_run", 503),
+        (reasons.RefusalReason.DEADLINE_PASSED, "may_have_run", 504),
+        (reasons.RefusalReason.MAY_HAVE_RUN, "may_have_run", 502),
+        (reasons.RefusalReason.SHED, "ran", 502),
+    ],
+)
+def test_only_what_has_not_run_is_said_not_to_have_run(
+    reason: reasons.RefusalReason, verdict: str, status: int
+) -> None:
+    error = errors.RefusalError(
+        reason, "why", verdicts.RunVerdict(verdict), retry_after_s=0.25
+    )
+    refusal = headers.encode_refusal(error)
+    assert refusal.status == status
+    has_time = any(name == b"Retry-After" for name, _ in refusal.headers)
+    assert has_time == (status == 503)
+
+
+def test_answer_is_decoded() -> None:
+    raw = (
+        (b"X-Lycheegw-Attempt-Id", b"a1"),
+        (b"X-Lycheegw-Response-Signature", b"s"),
+        (b"X-Lycheegw-Instance-Load", b"3, 1,8"),
+        (b"X-Lycheegw-Confidence", b"41"),
+        (b"Keep-Alive", b"timeout=5, max=9"),
+        (b"Connection", b"keep-alive, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"Content-Length", b"12"),
+    )
+    low = tuple((name.lower(), value) for name, value in raw)
+    head = headers.decode_answer(exchange_client.RawHead(200, low, raw))
+    assert (head.running, head.waiting, head.slots) == (3, 1, 8)
+    assert head.confidence == 41
+    assert head.keep_alive_s == 5
+    assert head.content_length == 12
+    assert [name for name, _ in head.headers] == [
+        b"X-Lycheegw-Attempt-Id",
+        b"X-Lycheegw-Response-Signature",
+        b"X-Lycheegw-Instance-Load",
+        b"X-Lycheegw-Confidence",
+    ]
+
+
+def test_traits_of_a_prompt() -> None:
+    incoming = forwarded.IncomingRequest(
+        b"POST",
+        b"/ask/1?a=b",
+        (
+            (b"host", b"Desk.Example:80"),
+            (b"X-Lycheegw-Attempt-Id", b"a1"),
+            (b"X-Lycheegw-Model", b"*"),
+            (b"X-Lycheegw-Token-Usage", b"1460,80"),
+            (b"X-Lycheegw-Prompt-Prefix", b"5c:800,91:410,bad,e4:250"),
+        ),
+        b"",
+        0.0,
+        True,
+    )
+    traits = headers.decode_traits(incoming)
+    assert traits.host == "desk.example"
+    assert traits.path == "/ask/1"
+    assert traits.is_model_open
+    assert (traits.prompt_tokens, traits.max_tokens) == (1460, 80)
+    assert [part.tokens for part in traits.prompt] == [800, 410, 250]
--- /dev/null
+++ b/tests/platform/test_node.py
@@ -0,0 +1,370 @@
+"""A node behind the adapter serves the platform's callers."""
+
+import asyncio
+import json
+
+import pytest
+
+from lycheegw.state import errors
+from lycheegw.state import topics
+from tests.platform import authority
+from tests.platform import rig
+
+PROMPT = {
+    "X-Lycheegw-Model": "*",
+    "X-Lycheegw-Token-Usage": "900,50",
+    "X-Lycheegw-Prompt-Prefix": "aa:700,bb:200",
+}
+
+
+async def test_answer_and_signature_pass_unchanged() -> None:
+    async with rig.fleet() as fleet:
+        front = fleet.nodes[0].settings.front
+        reply = await authority.ask(
+            front,
+            "/look/1?x=2",
+            headers={
+                "X-Lycheegw-Tenant": "other",
+                "X-Lycheegw-Hold": "h",
+                "Kv-From": "1.2.3.4:5/6",
+                "X-Custom": "kept",
+            },
+        )
+        assert reply is not None
+        assert reply.status == 200
+        (seen,) = fleet.seen
+        assert (
+            reply.header_by_name["x-lycheegw-response-signature"]
+            == f"sig-{seen.upstream}"
+        )
+        assert reply.body.startswith(seen.upstream.encode())
+        assert seen.target == "/look/1?x=2"
+        assert seen.header_by_name["x-lycheegw-tenant"] == "acme"
+        assert seen.header_by_name["x-custom"] == "kept"
+        assert "api-key" not in seen.header_by_name
+        assert "x-lycheegw-hold" not in seen.header_by_name
+        assert "kv-from" not in seen.header_by_name
+        assert 0 < int(seen.header_by_name["x-lycheegw-deadline-ms"]) <= 2000
+
+
+async def test_unknown_route_and_key_are_refused() -> None:
+    async with rig.fleet() as fleet:
+        front = fleet.nodes[0].settings.front
+        reply = await authority.ask(front, "/nowhere/")
+        assert reply is not None and reply.status == 404
+        reply = await authority.ask(
+            front, "/look/1", headers={"Api-Key": "wrong"}
+        )
+        assert reply is not None and reply.status == 401
+        assert not fleet.seen
+
+
+async def test_smuggled_request_is_turned_away() -> None:
+    async with rig.fleet() as fleet:
+        front = fleet.nodes[0].settings.front
+        reply = await authority.ask(
+            front,
+            "/book/1",
+            "POST",
+            b"0\r\n\r\nPOST /book/2 HTTP/1.1\r\n\r\n",
+            headers={"Transfer-Encoding": "chunked"},
+        )
+        assert reply is not None and reply.status == 400
+        assert not fleet.seen
+
+
+async def test_safe_request_goes_on_after_a_failure() -> None:
+    async with rig.fleet() as fleet:
+        fleet.upstream_by_name["d1"].status = 500
+        for _ in range(6):
+            reply = await authority.ask(
+                fleet.nodes[0].settings.front, "/look/1"
+            )
+            assert reply is not None and reply.status == 200
+
+
+async def test_lost_answer_of_an_unsafe_request_is_no_refusal() -> None:
+    """answer_lost: it ran, so neither a second run nor a "not run"."""
+    async with rig.fleet() as fleet:
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].is_answer_lost = True
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front, "/book/1", "POST", b"crew"
+        )
+        assert reply is not None and reply.status == 502
+        assert len(fleet.seen) == 1
+
+
+async def test_unsafe_request_goes_on_after_a_true_refusal() -> None:
+    async with rig.fleet() as fleet:
+        fleet.upstream_by_name["d1"].is_full = True
+        for _ in range(4):
+            reply = await authority.ask(
+                fleet.nodes[0].settings.front, "/book/1", "POST", b"crew"
+            )
+            assert reply is not None and reply.status == 200
+        assert {each.upstream for each in fleet.seen} == {"d2"}
+
+
+async def test_full_service_is_refused_with_a_time_to_return() -> None:
+    async with rig.fleet() as fleet:
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].is_full = True
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front, "/book/1", "POST", b"crew"
+        )
+        assert reply is not None and reply.status == 503
+        assert float(reply.header_by_name["retry-after"]) > 0
+        assert not fleet.seen
+
+
+async def test_request_is_given_up_at_the_time_limit_of_its_route() -> None:
+    async with rig.fleet() as fleet:
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 10
+        begun_s = asyncio.get_running_loop().time()
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front,
+            "/book/1",
+            "POST",
+            b"crew",
+            headers={"X-Lycheegw-Deadline-Ms": "9000"},
+        )
+        taken_s = asyncio.get_running_loop().time() - begun_s
+        assert reply is not None and reply.status == 504
+        assert 1.9 < taken_s < 2.25
+
+
+async def test_work_ends_when_the_caller_leaves() -> None:
+    async with rig.fleet() as fleet:
+        upstream = fleet.upstream_by_name
+        for name in ("d1", "d2"):
+            upstream[name].delay_s = 10
+        await authority.ask(
+            fleet.nodes[0].settings.front, "/look/1", leave_after_s=0.2
+        )
+        await rig.until(
+            lambda: sum(upstream[name].abandoned for name in ("d1", "d2")) == 1,
+            1.0,
+        )
+
+
+async def test_low_confidence_is_answered_by_the_largest_model() -> None:
+    async with rig.fleet() as fleet:
+        for name in ("m1", "m2"):
+            fleet.upstream_by_name[name].confidence = {"small": 20, "large": 20}
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front, "/ask/1", "POST", b"q", PROMPT
+        )
+        assert reply is not None and reply.status == 200 and reply.is_whole
+        models = [
+            each.header_by_name["x-lycheegw-model"] for each in fleet.seen
+        ]
+        assert models == ["small", "large"]
+
+
+@pytest.mark.parametrize("broken_event", [1, 3, 5])
+async def test_broken_stream_goes_on_elsewhere(broken_event: int) -> None:
+    """srv_crash: a stream stops within an event, its rest comes once."""
+    async with rig.fleet() as fleet:
+        for name in ("m1", "m2"):
+            fleet.upstream_by_name[name].break_after = broken_event
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front,
+            "/ask/1",
+            "POST",
+            b"q",
+            {**PROMPT, "X-Lycheegw-Model": "large"},
+        )
+        assert reply is not None and reply.is_whole
+        numbers = [
+            line.split()[-1]
+            for line in reply.body.decode().splitlines()
+            if line.startswith("data")
+        ]
+        assert numbers == ["1", "2", "3", "4", "5"]
+        assert len(fleet.seen) == 3
+        assert reply.header_by_name["x-lycheegw-response-signature"] == (
+            f"sig-{fleet.seen[0].upstream}"
+            if broken_event > 1
+            else f"sig-{fleet.seen[-1].upstream}"
+        )
+
+
+async def test_newer_manifest_reaches_a_node_that_the_store_turns_away() -> (
+    None
+):
+    """platform_down, nodes: a peer tells what the store does not."""
+    async with rig.fleet(nodes=2) as fleet:
+        lone = fleet.nodes[1]
+        await rig.until(lambda: len(lone.peers.links()) == 1)
+
+        async def fail(*_: object) -> topics.TopicPage:
+            raise errors.StoreError("turned away")
+
+        lone.store.newest = fail  # type: ignore[method-assign]
+        lone.store.changes = fail  # type: ignore[method-assign]
+        changed = authority.manifest(7)
+        changed["routes"][0]["path_prefix"] = "/view/"
+        await fleet.store.put("keyed.op", "config", changed)
+        await rig.until(
+            lambda: all(
+                node.directory.manifest is not None
+                and node.directory.manifest.version == 7
+                for node in fleet.nodes
+            ),
+            2.0,
+        )
+        reply = await authority.ask(lone.settings.front, "/view/1")
+        assert reply is not None and reply.status == 200
+
+
+async def test_older_manifest_changes_nothing() -> None:
+    async with rig.fleet(manifest=authority.manifest(5)) as fleet:
+        node = fleet.nodes[0]
+        await fleet.store.put("keyed.op", "config", authority.manifest(4))
+        await fleet.store.put("keyed.op", "config", b"not json")
+        await asyncio.sleep(0.3)
+        assert node.directory.manifest is not None
+        assert node.directory.manifest.version == 5
+
+
+async def test_leaving_and_unreadable_entries_get_no_work() -> None:
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        leaving = fleet.upstream_by_name["d1"].entry(
+            "desk", state="draining", sequence=2
+        )
+        await fleet.store.put("keyed.servers", "d1", leaving)
+        await fleet.store.put("keyed.servers", "x1", b"\xff")
+        await fleet.store.put("keyed.servers", "x2", {"service": "desk"})
+        await rig.until(
+            lambda: node.state.upstreams.by_id["d1"].entry.is_leaving, 2.0
+        )
+        assert set(node.state.upstreams.by_id) == {"d1", "d2", "m1", "m2"}
+        for _ in range(4):
+            reply = await authority.ask(node.settings.front, "/look/1")
+            assert reply is not None and reply.status == 200
+        assert {each.upstream for each in fleet.seen} == {"d2"}
+
+
+async def test_closed_zone_gets_no_work_until_it_is_taken_back() -> None:
+    """evacuate: and counts as cold right after."""
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        away = fleet.upstream_by_name["m1"].entry("llm", zone="z-b", sequence=2)
+        await fleet.store.put("keyed.servers", "m1", away)
+        await fleet.store.put("keyed.op", "evacuate/z-b", {})
+        await rig.until(lambda: node.directory.closed_zones == {"z-b"}, 2.0)
+        table = node.state.upstreams.by_id
+        await rig.until(lambda: table["m1"].entry.zone == "z-b", 2.0)
+        for _ in range(4):
+            await authority.ask(
+                node.settings.front, "/ask/1", "POST", b"q", PROMPT
+            )
+        assert {each.upstream for each in fleet.seen} == {"m2"}
+        await fleet.store.delete("keyed.op", "evacuate/z-b")
+        await rig.until(lambda: not node.directory.closed_zones, 2.0)
+        now_s = node.state.environment.monotonic_s()
+        assert node.state.upstreams.by_id["m1"].is_cold(now_s)
+        assert not node.state.upstreams.by_id["m2"].is_cold(now_s)
+
+
+async def test_nodes_share_the_reading_of_the_store() -> None:
+    """At most two calls a second, however many nodes there are."""
+    async with rig.fleet(nodes=4) as fleet:
+        await rig.until(
+            lambda: all(
+                len(node.peers.live_nodes()) == 4 for node in fleet.nodes
+            )
+        )
+        before = sum(fleet.store.calls.values())
+        await asyncio.sleep(3.0)
+        calls = sum(fleet.store.calls.values()) - before
+        assert calls <= 2 * 3 + 1
+        for node in fleet.nodes:
+            assert node.readers.age_s(topics.Topic.UPSTREAMS) < 1.2
+
+
+async def test_good_version_is_rolled_out() -> None:
+    async with rig.fleet(nodes=2) as fleet:
+        for name in ("m3", "m4"):
+            await fleet.add_upstream(name, "llm", version="v2")
+        await fleet.store.put(
+            "keyed.op",
+            "rollout/llm",
+            {"service": "llm", "target": "v2", "duration_s": 5},
+        )
+
+        def outcome() -> dict[str, str]:
+            value = fleet.store.newest("keyed.status").get("rollout/llm", b"{}")
+            loaded: dict[str, str] = json.loads(value)
+            return loaded
+
+        async def ask_on() -> None:
+            number = 0
+            while outcome().get("state") != "completed":
+                node = fleet.nodes[number % 2]
+                await authority.ask(
+                    node.settings.front, "/ask/1", "POST", b"q", PROMPT
+                )
+                number += 1
+
+        async with asyncio.timeout(8):
+            await ask_on()
+        fleet.seen.clear()
+        for node in fleet.nodes:
+            await authority.ask(
+                node.settings.front, "/ask/1", "POST", b"q", PROMPT
+            )
+        assert {each.upstream for each in fleet.seen} <= {"m3", "m4"}
+
+
+async def test_bad_version_is_given_up_by_all_nodes() -> None:
+    """rollout_bad, errors: what one node sees, the other acts on."""
+    async with rig.fleet(nodes=2) as fleet:
+        for name in ("m3", "m4"):
+            upstream = await fleet.add_upstream(name, "llm", version="v2")
+            upstream.status = 500
+        await fleet.store.put(
+            "keyed.op",
+            "rollout/llm",
+            {"service": "llm", "target": "v2", "duration_s": 20},
+        )
+        first, second = fleet.nodes
+        await rig.until(
+            lambda: (
+                bool(first.directory.rollout_by_service)
+                and bool(second.directory.rollout_by_service)
+            )
+        )
+        number = 0
+        while first.rollouts.share("llm") > 0:
+            await authority.ask(
+                first.settings.front, f"/ask/{number}", "POST", b"q", PROMPT
+            )
+            number += 1
+            assert number < 400
+        await rig.until(lambda: second.rollouts.share("llm") == 0, 1.0)
+        await rig.until(
+            lambda: (
+                b"rolled_back"
+                in fleet.store.newest("keyed.status").get("rollout/llm", b"")
+            ),
+            3.0,
+        )
+
+
+async def test_ready_and_metrics_pages() -> None:
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        ready = await authority.ask(node.settings.ready, "/v1/readyz")
+        assert ready is not None and ready.status == 200
+        await authority.ask(node.settings.front, "/look/1")
+        page = await authority.ask(node.settings.metrics, "/metrics")
+        assert page is not None
+        assert b"lycheegw_manifest_version 1" in page.body
+        assert b'lycheegw_head_seconds_count{of="look"} 1' in page.body
+        node.is_draining = True
+        ready = await authority.ask(node.settings.ready, "/v1/readyz")
+        assert ready is not None and ready.status == 503
--- /dev/null
+++ b/tests/test_exchange_client.py
@@ -0,0 +1,219 @@
+"""The HTTP client on raw sockets that misbehave."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+
+import pytest
+
+from lycheegw.state import clocks
+from lycheegw.state import errors
+from lycheegw.state import verdicts
+from lycheegw.transport import exchange_client
+
+REQUEST = exchange_client.ClientRequest(
+    b"POST", b"/x", ((b"Host", b"h"), (b"Content-Length", b"2")), b"ab"
+)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: %s\r\n\r\nok"
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@contextlib.asynccontextmanager
+async def _server(serve: Serve) -> AsyncIterator[str]:
+    async def run(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await serve(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(run, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(2)
+
+
+def _pool() -> exchange_client.ConnectionPool:
+    return exchange_client.ConnectionPool(clocks.system())
+
+
+async def _body(call: exchange_client.Call) -> bytes:
+    body = b""
+    while (data := await call.read()) is not None:
+        body += data
+    return body
+
+
+async def test_connection_is_kept() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await _read_request(reader)
+            writer.write(OK % b"1")
+
+    async with _server(serve) as address:
+        pool = _pool()
+        for _ in range(3):
+            call = await pool.send("k", address, REQUEST)
+            assert (await call.head()).status == 200
+            assert await _body(call) == b"ok"
+            call.finish()
+        assert pool.opened == 1
+        assert pool.open_count("k") == 1
+        pool.close()
+
+
+async def test_bytes_after_an_answer_end_the_connection() -> None:
+    """garble, extra: a second answer belongs to no request."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_request(reader)
+        writer.write(OK % b"1" + OK % b"1")
+        await reader.read()
+
+    async with _server(serve) as address:
+        pool = _pool()
+        for _ in range(2):
+            call = await pool.send("k", address, REQUEST)
+            await call.head()
+            assert await _body(call) == b"ok"
+            call.finish()
+        assert pool.opened == 2
+
+
+async def test_late_answer_to_another_request_is_passed_over() -> None:
+    """garble, extra late: it comes where ours is expected."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_request(reader)
+        writer.write(OK % b"old")
+        await asyncio.sleep(0.02)
+        writer.write(OK % b"new")
+        await reader.read()
+
+    async with _server(serve) as address:
+        pool = _pool()
+        call = await pool.send("k", address, REQUEST)
+        head = await call.head()
+        assert head.value(b"id") == b"old"
+        await call.skip_answer()
+        head = await call.head()
+        assert head.value(b"id") == b"new"
+        assert await _body(call) == b"ok"
+        call.finish()
+        await asyncio.sleep(0.02)
+        assert pool.open_count("k") == 0
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_answer_without_a_length_ends_with_an_orderly_close(
+    is_reset: bool,
+) -> None:
+    """garble, unframed: a reset on the way is no end."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if is_reset:
+            writer.get_extra_info("socket").setsockopt(
+                exchange_client.socket.SOL_SOCKET,
+                exchange_client.socket.SO_LINGER,
+                exchange_client.struct.pack("ii", 1, 0),
+            )
+            writer.transport.abort()
+
+    async with _server(serve) as address:
+        call = await _pool().send("k", address, REQUEST)
+        await call.head()
+        if is_reset:
+            with pytest.raises(errors.UpstreamError):
+                await _body(call)
+        else:
+            assert await _body(call) == b"all of it"
+        call.abort()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+        b"\x00\x01garbage that is no answer\r\n\r\n",
+        b"",
+    ],
+)
+async def test_broken_answer_may_have_run(answer: bytes) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_request(reader)
+        writer.write(answer)
+
+    async with _server(serve) as address:
+        pool = _pool()
+        call = await pool.send("k", address, REQUEST)
+        with pytest.raises(errors.UpstreamError) as raised:
+            await call.head()
+            await _body(call)
+        assert raised.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+        call.abort()
+        await asyncio.sleep(0.02)
+        assert pool.open_count("k") == 0
+
+
+async def test_no_connection_is_not_run() -> None:
+    with pytest.raises(errors.UpstreamError) as raised:
+        await _pool().send("k", "127.0.0.1:1", REQUEST)
+    assert raised.value.verdict is verdicts.RunVerdict.NOT_RUN
+
+
+async def test_bound_on_connections() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read()
+
+    async with _server(serve) as address:
+        pool = _pool()
+        await pool.send("k", address, REQUEST)
+        assert pool.has_room("k", 2)
+        await pool.send("k", address, REQUEST)
+        assert not pool.has_room("k", 2)
+        pool.close()
+
+
+async def test_connection_that_its_server_closed_is_not_reused() -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_request(reader)
+        writer.write(OK % b"1")
+
+    async with _server(serve) as address:
+        pool = _pool()
+        for _ in range(2):
+            call = await pool.send("k", address, REQUEST)
+            await call.head()
+            await _body(call)
+            call.finish()
+            await asyncio.sleep(0.02)
+        assert pool.opened == 2
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,154 @@
+"""The HTTP server of the callers on raw sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import pytest
+
+from lycheegw.state import forwarded
+from lycheegw.state import routing
+from lycheegw.transport import ingress
+
+LIMITS = routing.CallerLimits(1000, 50, 0.15, 0.4)
+
+
+@contextlib.asynccontextmanager
+async def _server(
+    handle: ingress.Handler,
+) -> AsyncIterator[ingress.IngressServer]:
+    server = ingress.IngressServer(
+        "127.0.0.1:0", handle, lambda: LIMITS, lambda *_: None
+    )
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
+
+
+async def _open(
+    server: ingress.IngressServer,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = server.address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def _echo(exchange: ingress.Exchange) -> None:
+    incoming = exchange.incoming
+    body = incoming.method + b" " + incoming.target + b" " + incoming.body
+    await exchange.send(forwarded.Refusal(200, (), body))
+
+
+async def _status(reader: asyncio.StreamReader) -> int:
+    return int((await reader.readuntil(b"\r\n\r\n")).split()[1])
+
+
+async def test_pipelined_requests_are_answered_in_order() -> None:
+    async with _server(_echo) as server:
+        reader, writer = await _open(server)
+        writer.write(
+            b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+            b"POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n0\r\n\r\n"
+        )
+        for expected in (b"GET /1 ", b"POST /2 ab"):
+            assert await _status(reader) == 200
+            assert await reader.readexactly(len(expected)) == expected
+        assert len(server.connections) == 1
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n"
+            + b"x" * 99,
+            413,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 1100, 431),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"GET / HTTP/1.1\r\nHost:", 408),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", 408),
+    ],
+)
+async def test_bad_request_is_told_and_its_connection_closed(
+    request_bytes: bytes, status: int
+) -> None:
+    async with _server(_echo) as server:
+        reader, writer = await _open(server)
+        writer.write(request_bytes)
+        assert await _status(reader) == status
+        await reader.read()
+        assert reader.at_eof()
+        writer.close()
+
+
+async def test_idle_connection_is_closed() -> None:
+    async with _server(_echo) as server:
+        reader, writer = await _open(server)
+        async with asyncio.timeout(2):
+            assert await reader.read() == b""
+        writer.close()
+
+
+async def test_answer_that_breaks_off_does_not_look_complete() -> None:
+    async def handle(exchange: ingress.Exchange) -> None:
+        await exchange.start(200, (), None)
+        await exchange.write(b"part")
+        exchange.abort()
+
+    async with _server(handle) as server:
+        for version in (b"1.1", b"1.0"):
+            reader, writer = await _open(server)
+            writer.write(b"GET / HTTP/%s\r\nHost: h\r\n\r\n" % version)
+            with pytest.raises(ConnectionResetError):
+                while await reader.read(1000):
+                    pass
+            writer.close()
+
+
+async def test_caller_that_leaves_cancels_its_request() -> None:
+    begun, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def handle(exchange: ingress.Exchange) -> None:
+        begun.set()
+        try:
+            await asyncio.sleep(10)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async with _server(handle) as server:
+        _, writer = await _open(server)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await begun.wait()
+        writer.close()
+        async with asyncio.timeout(1):
+            await cancelled.wait()
+        await asyncio.sleep(0.02)
+        assert server.running == 0
+
+
+async def test_closing_server_tells_callers_and_ends_idle_ones() -> None:
+    async with _server(_echo) as server:
+        idle_reader, idle_writer = await _open(server)
+        reader, writer = await _open(server)
+        await asyncio.sleep(0.02)
+        server.is_closing = True
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"connection: close" in head.lower()
+        server.stop_listening()
+        assert await idle_reader.read() == b""
+        with pytest.raises(OSError):
+            await _open(server)
+        writer.close()
+        idle_writer.close()
--- /dev/null
+++ b/tests/test_shared_bounds.py
@@ -0,0 +1,95 @@
+"""Bounds over all nodes hold whatever the nodes know of each other."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from lycheegw.coordination import cold_rates
+from lycheegw.coordination import shared_budgets
+from lycheegw.state import edge_settings
+from lycheegw.state import routing
+from tests import fakes
+
+BOUNDS = edge_settings.Bounds(
+    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
+)
+SERVICE = routing.Service("m", "/", 100, 3.0, 8.0, None)
+
+
+def _bounds() -> edge_settings.Bounds:
+    return BOUNDS
+
+
+@hypothesis.given(
+    nodes=strategies.integers(1, 90),
+    steps=strategies.lists(strategies.floats(0.0, 0.4), max_size=80),
+)
+def test_cold_upstream_gets_no_more_than_it_bears_in_any_second(
+    nodes: int, steps: list[float]
+) -> None:
+    """cold_return, zone_loss: every node sends as soon as it may."""
+    clock = fakes.Clock()
+    members = [f"n{number}" for number in range(nodes)]
+    states = [fakes.node(clock, member) for member in members]
+    rates = [
+        cold_rates.ColdRates(state, _bounds, lambda: members)
+        for state in states
+    ]
+    upstreams = [fakes.add_upstream(state, "u") for state in states]
+    for upstream in upstreams:
+        upstream.cold_until_s = clock.now_s + 60
+    sent: collections.deque[float] = collections.deque()
+    bound = SERVICE.cold_per_s * BOUNDS.cold_overage + BOUNDS.cold_slack
+    for step in steps:
+        clock.now_s += step
+        for rate, upstream in zip(rates, upstreams, strict=True):
+            if rate.may_send(upstream, SERVICE):
+                rate.note_sent(upstream, SERVICE)
+                sent.append(clock.now_s)
+        while sent and sent[0] < clock.now_s - 1:
+            sent.popleft()
+        assert len(sent) <= bound
+
+
+def test_some_node_may_send_to_a_cold_upstream() -> None:
+    clock = fakes.Clock()
+    members = [f"n{number}" for number in range(76)]
+    sent = 0
+    for member in members:
+        state = fakes.node(clock, member)
+        upstream = fakes.add_upstream(state, "u")
+        upstream.cold_until_s = clock.now_s + 9
+        rates = cold_rates.ColdRates(state, _bounds, lambda: members)
+        sent += rates.may_send(upstream, SERVICE)
+    assert 1 <= sent <= 17
+
+
+@hypothesis.given(
+    loads=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 60), strategies.integers(0, 9)
+        ),
+        min_size=1,
+        max_size=9,
+    )
+)
+def test_further_attempts_stay_within_the_shared_budget(
+    loads: list[tuple[int, int]],
+) -> None:
+    """answer_lost, srv_grey: every request wants all attempts it can get."""
+    clock = fakes.Clock()
+    count = len(loads)
+    extras = 0
+    for number, (requests, wanted) in enumerate(loads):
+        budget = shared_budgets.RetryBudgets(
+            fakes.node(clock, f"n{number}"), _bounds, lambda: count
+        )
+        for _ in range(requests):
+            budget.note_request("m")
+            for _ in range(wanted):
+                if budget.has_room("m"):
+                    budget.note_extra("m")
+                    extras += 1
+    total = sum(requests for requests, _ in loads)
+    assert extras <= BOUNDS.retry_ratio * total + BOUNDS.retry_slack
--- /dev/null
+++ b/tests/test_topics.py
@@ -0,0 +1,107 @@
+"""Copies of keyed topics never go back, and peers make them equal."""
+
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lycheegw.state import topics
+
+KEYS = ("a", "b", "c")
+
+
+class Copies(stateful.RuleBasedStateMachine):
+    """A log, and nodes that read it or hear of it from each other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log: list[topics.TopicRecord] = []
+        self.copies = [topics.TopicState(topics.Topic.ORDERS) for _ in range(3)]
+        self.seen_by_copy: list[dict[str, int]] = [{}, {}, {}]
+
+    @stateful.rule(
+        key=strategies.sampled_from(KEYS), is_deleted=strategies.booleans()
+    )
+    def write(self, key: str, is_deleted: bool) -> None:
+        value = None if is_deleted else b"%d" % len(self.log)
+        self.log.append(topics.TopicRecord(key, len(self.log), value))
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def read_changes(self, number: int) -> None:
+        copy = self.copies[number]
+        start = max(0, copy.end_offset)
+        page = topics.TopicPage(self.log[start:], len(self.log), False)
+        copy.take(page)
+
+    @stateful.rule(
+        number=strategies.integers(0, 2), lag=strategies.integers(0, 3)
+    )
+    def read_newest(self, number: int, lag: int) -> None:
+        end = max(0, len(self.log) - lag)
+        self.copies[number].take(
+            topics.TopicPage(list(_newest(self.log[:end]).values()), end, True)
+        )
+
+    @stateful.rule(
+        source=strategies.integers(0, 2),
+        hearing=strategies.integers(0, 2),
+        told=strategies.integers(0, 30),
+    )
+    def tell(self, source: int, hearing: int, told: int) -> None:
+        teller, hearer = self.copies[source], self.copies[hearing]
+        if not teller.is_known:
+            return
+        from_offset, records = teller.since(min(told, teller.end_offset))
+        hearer.merge(from_offset, teller.end_offset, records)
+
+    @stateful.invariant()
+    def copies_equal_the_log_up_to_their_end(self) -> None:
+        for copy in self.copies:
+            if copy.is_known:
+                expected = {
+                    key: record.value
+                    for key, record in _newest(
+                        self.log[: copy.end_offset]
+                    ).items()
+                }
+                assert copy.values() == expected
+
+    @stateful.invariant()
+    def no_key_goes_back(self) -> None:
+        for copy, seen in zip(self.copies, self.seen_by_copy, strict=True):
+            for key in KEYS:
+                offset = copy.offset_of(key)
+                assert offset >= seen.get(key, -1)
+                seen[key] = offset
+
+
+def _newest(log: list[topics.TopicRecord]) -> dict[str, topics.TopicRecord]:
+    newest: dict[str, topics.TopicRecord] = {}
+    for record in log:
+        newest[record.key] = record
+    return {key: each for key, each in newest.items() if each.value is not None}
+
+
+TestCopies: Any = Copies.TestCase
+TestCopies.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=25, deadline=None
+)
+
+
+def test_records_that_say_the_same_are_not_told_again() -> None:
+    copy = topics.TopicState(topics.Topic.UPSTREAMS, lambda value: value[:1])
+    copy.take(
+        topics.TopicPage(
+            [
+                topics.TopicRecord("a", 0, b"x1"),
+                topics.TopicRecord("b", 1, b"y1"),
+                topics.TopicRecord("a", 2, b"x2"),
+            ],
+            3,
+            False,
+        )
+    )
+    assert copy.since(2) == (2, [])
+    copy.take(topics.TopicPage([topics.TopicRecord("a", 3, b"z")], 4, False))
+    assert [each.key for each in copy.since(3)[1]] == ["a"]
