Measure of the HTTP edges; the answered line tells the time to the head

Cause: the choice of h11 wants its measure, and late answers can't be told apart by their log lines.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -153,6 +153,7 @@
         model: Model of the last attempt.
         answer: The failure of an upstream that was passed on.
         begun_s: Monotonic second at which the last attempt went out.
+        head_s: Seconds from there to the head of its answer.
     """
 
     def __init__(self, work: forwarded.ForwardedWork) -> None:
@@ -169,6 +170,7 @@
         self.model: str | None = None
         self.answer: _Answer | None = None
         self.begun_s = 0.0
+        self.head_s = 0.0
 
     def verdict_now(self) -> verdicts.RunVerdict:
         """Returns the verdict, an attempt that is out included."""
@@ -445,7 +447,7 @@
                 self._encode(request, work, progress, choice, step)
             )
             head = await self._head(request, work, progress, call, choice, step)
-            head_s = self._now_s() - sent_s
+            head_s = progress.head_s = self._now_s() - sent_s
             self._take_load(upstream, head)
             await self._check(head, call)
             if has_next_step and self._is_to_be_asked_again(
@@ -893,6 +895,7 @@
             fields["attempts"] = progress.sends
             fields["upstream"] = progress.upstream
             fields["model"] = progress.model
+            fields["head_s"] = round(progress.head_s, 3)
             fields["events"] = progress.events
         if isinstance(error, errors.RefusalError):
             fields["reason"] = error.reason.value
--- a/src/lycheegw/measure/targets.py
+++ b/src/lycheegw/measure/targets.py
@@ -73,6 +73,8 @@
         _at_most("innocents_condemned", 0),
     ),
     "overload": (_at_least("goodput_ratio_2x", 0.9),),
+    # The platform's rule: half a second after a caller left, its work is over.
+    "http-edge": (_at_most("work_after_leaving_s", 0.5),),
     "silent": (_at_most("double_runs", 0), _at_most("unanswered", 0)),
     "whole-answers": (
         _at_most("broken_passed_as_whole", 0),
