No model is asked that can't answer in time; a roll-out moves prompts together

Ruled out: queues at the runners (0 preempted, load 2 to 4 of 64). Change: head times are learnt by the size of the prompt; the larger model is asked where it answers within the objective, or where the first answer is worthless; after a failure the model that is in time; the share of a roll-out grows over a fifth of its time, by prompts.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -87,7 +87,9 @@
             if each.entry.zone not in self._directory.closed_zones
         ]
         options = self._usable(pool, tried)
-        grouped, why = self._by_version(request, service, options, version)
+        grouped, why = self._by_version(
+            request, work, service, options, version
+        )
         sendable = [
             each
             for each in grouped
@@ -122,6 +124,7 @@
     def _by_version(
         self,
         request: requests.Request,
+        work: forwarded.ForwardedWork,
         service: routing.Service,
         options: Sequence[upstreams.Upstream],
         version: str | None,
@@ -132,8 +135,11 @@
         ):
             same = [each for each in options if each.entry.version == version]
             return same, "same version"
-        key = request.session or request.request_id
-        wants_target = self._rollouts.wants_target(service.name, key)
+        wants_target = self._rollouts.wants_target(
+            service.name,
+            request.session or request.request_id,
+            affinity_key(work.traits)[0],
+        )
         if wants_target is None:
             return list(options), ""
         target = self._rollouts.target(service.name)
--- a/src/lycheegw/coordination/cascades.py
+++ b/src/lycheegw/coordination/cascades.py
@@ -1,37 +1,99 @@
-"""Which models answer a request, one after the other."""
+"""Which models answer a request, one after the other.
 
-from collections.abc import Sequence
+The smallest model answers first. Its own confidence, which comes with the
+head of its answer, tells whether the largest one is asked instead; the middle
+ones seldom know better where the smallest does not. Nothing is asked for that
+can't arrive in time: a long prompt takes the largest model several seconds,
+and delays whatever runs beside it.
+"""
+
+from collections.abc import Callable
 from typing import NamedTuple
 
 from lycheegw.state import forwarded
 
-__all__ = ["Step", "plan"]
+__all__ = ["Clock", "first_model", "larger_model", "model_after_failure"]
 
 # Confidence (0 to 100) from which an answer of the smallest model is kept.
 # Trials on two deployments had their best mean worth at 50; 30 and 70 lost
 # 0.03 to 0.07 of it.
 _MIN_CONFIDENCE = 50.0
+# Confidence below which even a late answer of the largest model is worth
+# more; late answers earn three tenths on both deployments.
+_MIN_CONFIDENCE_LATE = 30.0
+# Part of the time left that an expected answer may take; the rest is for
+# its events and for what the expectation misses.
+_LATE_SHARE = 0.5
+
+Expected = Callable[[str], float | None]
 
 
-class Step(NamedTuple):
-    """One model of a plan.
+class Clock(NamedTuple):
+    """Where a request stands in its time.
 
     Attributes:
-        model: Name to tell the upstream, None where the caller named one.
-        min_confidence: Confidence from which its answer is kept.
+        target_left_s: Seconds until its latency objective.
+        left_s: Seconds until its deadline.
     """
 
-    model: str | None
-    min_confidence: float
+    target_left_s: float
+    left_s: float
+
 
+def _is_open(work: forwarded.ForwardedWork) -> bool:
+    return work.traits.is_model_open and bool(work.route.models)
 
-def plan(work: forwarded.ForwardedWork) -> Sequence[Step]:
-    """Returns the steps of a request; the last one's answer is kept."""
-    models = work.route.models
-    if not work.traits.is_model_open or not models:
-        return [Step(None, 0.0)]
-    if len(models) == 1 or work.traits.last_event is not None:
+
+def first_model(work: forwarded.ForwardedWork) -> str | None:
+    """Returns the model to begin with, None where the caller named one."""
+    if not _is_open(work):
+        return None
+    if work.traits.last_event is not None:
         # A stream that goes on was begun by a model that answered well
         # enough; the largest one is never worse.
-        return [Step(models[-1], 0.0)]
-    return [Step(models[0], _MIN_CONFIDENCE), Step(models[-1], 0.0)]
+        return work.route.models[-1]
+    return work.route.models[0]
+
+
+def larger_model(
+    work: forwarded.ForwardedWork,
+    model: str | None,
+    confidence: float | None,
+    clock: Clock,
+    expected: Expected,
+) -> str | None:
+    """Returns the model to ask instead, None to keep the answer.
+
+    Args:
+        work: The request.
+        model: Model that answered.
+        confidence: What it says of its answer (0 to 100).
+        clock: The time that is left.
+        expected: Returns the usual time to the head of a model's answer.
+    """
+    if model is None or confidence is None or not _is_open(work):
+        return None
+    largest = work.route.models[-1]
+    if model == largest or confidence >= _MIN_CONFIDENCE:
+        return None
+    expected_s = expected(largest) or 0.0
+    if expected_s <= clock.target_left_s:
+        return largest
+    if confidence >= _MIN_CONFIDENCE_LATE:
+        return None
+    return largest if expected_s <= _LATE_SHARE * clock.left_s else None
+
+
+def model_after_failure(
+    work: forwarded.ForwardedWork,
+    model: str | None,
+    clock: Clock,
+    expected: Expected,
+) -> str | None:
+    """Returns the model for another attempt after one failed."""
+    if model is None or not _is_open(work):
+        return model
+    expected_s = expected(model) or 0.0
+    if expected_s <= _LATE_SHARE * clock.left_s:
+        return model
+    return work.route.models[0]
--- a/src/lycheegw/coordination/fleet_rollouts.py
+++ b/src/lycheegw/coordination/fleet_rollouts.py
@@ -36,10 +36,10 @@
 # Part of the time that a version stays on trial. A session may change its
 # version in the second half only.
 _TRIAL_PART = 0.5
-# Share right after the trial, and how long; a version that fails under load
-# shows it here before it has everything.
-_RAMP_SHARE = 0.35
-_RAMP_S = 1.0
+# Part of the time in which the share grows from that of the trial to all. A
+# version that fails under load shows it before it has everything, and its
+# upstreams read the shared prompts in one after the other.
+_RAMP_PART = 0.2
 # Answers that a version must have given before it gets more than on trial.
 _TRIAL_ANSWERS = 12
 # Failures below this are chance.
@@ -167,16 +167,31 @@
             return 0.0
         return self._running_share(run)
 
-    def wants_target(self, service: str, key: str) -> bool | None:
+    def wants_target(
+        self, service: str, request_key: str, prompt_key: str | None
+    ) -> bool | None:
         """Returns whether a request is to go to the target version.
 
-        None where no roll-out concerns the service.
+        On trial the requests are taken one by one, since a popular prompt
+        could be more than the bound. Later all requests with a prompt move
+        together, so that each prompt is read in once.
+
+        Args:
+            service: Service that serves the request.
+            request_key: What names the request or its session.
+            prompt_key: What names its shared prompt, if it has one.
+
+        Returns:
+            None where no roll-out concerns the service.
         """
         if service not in self._directory.rollout_by_service:
             return None
         share = self.share(service)
-        digest = xxhash.xxh64_intdigest(f"rollout {service}\n{key}".encode())
-        return digest < share * 2**64
+        trial = min(share, self._trial_share())
+        if _point(service, request_key) < trial:
+            return True
+        rest = (share - trial) / (1 - trial) if share < 1 else 1.0
+        return _point(service, prompt_key or request_key) < rest
 
     def is_trial(self, service: str) -> bool:
         """Returns whether sessions keep to the version that they had."""
@@ -298,7 +313,8 @@
             if target.answered - target.failed < _TRIAL_ANSWERS:
                 return self._trial_share()
             run.ramp_s = now_s
-        return _RAMP_SHARE if now_s - run.ramp_s < _RAMP_S else 1.0
+        ramp_s = max(_RAMP_PART * run.known.order.duration_s, 0.001)
+        return min(1.0, self._trial_share() + (now_s - run.ramp_s) / ramp_s)
 
     def _totals(
         self, known: directory.KnownRollout
@@ -567,6 +583,12 @@
         exchange.take(topics.Topic.OUTCOMES, page, begun_s)
 
 
+def _point(service: str, key: str) -> float:
+    """Returns a hash from 0 to 1, the same at every node."""
+    digest = xxhash.xxh64_intdigest(f"rollout {service}\n{key}".encode())
+    return digest / 2.0**64
+
+
 def _version(news: tallies.Tally | tallies.Stance) -> int:
     """Returns what grows with each change of a tally or a stance."""
     return (news.started_ms << 32) | news.sequence
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -50,7 +50,7 @@
 _SILENT_FACTOR = 6.0
 _SILENT_SHARE_OF_TARGET = {
     routing.RequestKind.IDEMPOTENT: 2.5,
-    routing.RequestKind.STREAM: 0.6,
+    routing.RequestKind.STREAM: 0.8,
 }
 _TIME_SHARE = 0.5
 # A stream that pauses for this many times the longest good pause has lost its
@@ -306,29 +306,55 @@
         self._parts.suspects.check(request)
         service = self._service(work)
         self._parts.budgets.note_request(service.name)
-        steps = list(cascades.plan(work))
+        progress.model = cascades.first_model(work)
         while True:
-            step = steps[0]
-            choice = await self._choose(
-                request, work, service, step.model, progress
-            )
+            choice = await self._choose(request, work, service, progress)
             try:
-                is_kept = await self._attempt(
-                    request, work, sink, progress, choice, step, len(steps) > 1
+                larger = await self._attempt(
+                    request, work, sink, progress, choice
                 )
             except errors.UpstreamError as error:
                 await self._after_failure(
                     request, work, sink, progress, choice, error
                 )
-                if progress.answer is not None and sink.is_started:
+                if progress.answer is not None:
                     return
+                if not progress.events:
+                    progress.model = cascades.model_after_failure(
+                        work,
+                        progress.model,
+                        self._clock(request, work),
+                        self._expected(work, service),
+                    )
                 continue
             self._parts.suspects.note_success(request, choice.upstream)
-            if is_kept:
+            if larger is None:
                 return
-            steps.pop(0)
+            progress.model = larger
+            progress.runs += 1
             progress.tried.clear()
 
+    def _clock(
+        self, request: requests.Request, work: forwarded.ForwardedWork
+    ) -> cascades.Clock:
+        """Returns where a request stands in its time."""
+        passed_s = self._now_s() - work.incoming.received_s
+        return cascades.Clock(
+            work.route.target_s - passed_s, self._left_s(request)
+        )
+
+    def _expected(
+        self, work: forwarded.ForwardedWork, service: routing.Service
+    ) -> cascades.Expected:
+        """Returns what tells the usual time to the head of an answer."""
+
+        def expected(model: str) -> float | None:
+            return self._times.expected_s(
+                service.name, model, work.traits.prompt_tokens
+            )
+
+        return expected
+
     def _service(self, work: forwarded.ForwardedWork) -> routing.Service:
         """Returns the service that gets a request, by weight."""
         manifest = self._parts.directory.manifest
@@ -355,7 +381,6 @@
         request: requests.Request,
         work: forwarded.ForwardedWork,
         service: routing.Service,
-        model: str | None,
         progress: _Progress,
     ) -> balancing.Choice:
         """Returns the upstream of the next attempt.
@@ -364,16 +389,12 @@
             errors.RefusalError: There is none.
         """
         if not self._parts.suspects.is_suspect(request):
-            return await self._wait_for_choice(
-                request, work, service, model, progress
-            )
+            return await self._wait_for_choice(request, work, service, progress)
         choices: list[balancing.Choice] = []
 
         async def choose() -> upstreams.Upstream:
             choices.append(
-                await self._wait_for_choice(
-                    request, work, service, model, progress
-                )
+                await self._wait_for_choice(request, work, service, progress)
             )
             return choices[-1].upstream
 
@@ -386,7 +407,6 @@
         request: requests.Request,
         work: forwarded.ForwardedWork,
         service: routing.Service,
-        model: str | None,
         progress: _Progress,
     ) -> balancing.Choice:
         """Returns an upstream; waits a little for one that may get more.
@@ -398,7 +418,12 @@
         until_s = self._now_s() + min(hold_s, self._left_s(request))
         while True:
             choice = self._parts.balancer.choose(
-                request, work, service, model, progress.tried, progress.version
+                request,
+                work,
+                service,
+                progress.model,
+                progress.tried,
+                progress.version,
             )
             if isinstance(choice, balancing.Choice):
                 return choice
@@ -409,7 +434,12 @@
             # All that were left failed it; one of them may do better now.
             progress.tried.clear()
             choice = self._parts.balancer.choose(
-                request, work, service, model, progress.tried, progress.version
+                request,
+                work,
+                service,
+                progress.model,
+                progress.tried,
+                progress.version,
             )
             if isinstance(choice, balancing.Choice):
                 return choice
@@ -430,36 +460,31 @@
         sink: Sink,
         progress: _Progress,
         choice: balancing.Choice,
-        step: cascades.Step,
-        has_next_step: bool,
-    ) -> bool:
-        """Makes one attempt; returns whether its answer was kept.
+    ) -> str | None:
+        """Makes one attempt; returns the model to ask instead, if any.
 
         Raises:
             errors.UpstreamError: It failed.
         """
         upstream, service = choice.upstream, choice.service
-        self._note_attempt(request, progress, choice, step)
+        self._note_attempt(request, progress, choice)
         call: seams.ForwardCall | None = None
-        sent_s = self._now_s()
         try:
             call = await self._parts.client.send(
-                self._encode(request, work, progress, choice, step)
+                self._encode(request, work, progress, choice)
             )
-            head = await self._head(request, work, progress, call, choice, step)
-            head_s = progress.head_s = self._now_s() - sent_s
+            head = await self._head(request, work, progress, call, choice)
+            progress.head_s = self._now_s() - progress.begun_s
             self._take_load(upstream, head)
             await self._check(head, call)
-            if has_next_step and self._is_to_be_asked_again(
-                request, work, service, progress, head, step
-            ):
+            larger = self._larger_model(request, work, service, progress, head)
+            self._note_answer(request, work, choice, progress, larger)
+            if larger is not None:
                 call.abort()
-                self._note_answer(request, work, choice, step, head_s, False)
-                return False
-            self._note_answer(request, work, choice, step, head_s, True)
+                return larger
             await self._deliver(work, sink, progress, call, head, upstream)
             call.finish()
-            return True
+            return None
         except BaseException:
             if call is not None:
                 call.abort()
@@ -475,14 +500,12 @@
         request: requests.Request,
         progress: _Progress,
         choice: balancing.Choice,
-        step: cascades.Step,
     ) -> None:
         upstream, service = choice.upstream, choice.service
         progress.sends += 1
         progress.is_out = True
         progress.begun_s = self._now_s()
         progress.upstream = upstream.entry.host_id
-        progress.model = step.model
         if progress.sends > 1:
             self._parts.budgets.note_extra(service.name)
         self._parts.rates.note_sent(upstream, service)
@@ -493,7 +516,7 @@
             request_id=request.request_id,
             upstream=upstream.entry.host_id,
             version=upstream.entry.version,
-            model=step.model,
+            model=progress.model,
             number=progress.sends,
             why=choice.why,
             load=round(upstream.estimated_load(self._now_s()), 1),
@@ -510,13 +533,12 @@
         work: forwarded.ForwardedWork,
         progress: _Progress,
         choice: balancing.Choice,
-        step: cascades.Step,
     ) -> seams.ForwardAttempt:
         return seams.ForwardAttempt(
             work,
             choice.upstream.entry,
             request.organisation,
-            step.model,
+            progress.model,
             self._left_s(request),
             progress.last_event if progress.events else None,
             None,
@@ -537,13 +559,18 @@
         progress: _Progress,
         call: seams.ForwardCall,
         choice: balancing.Choice,
-        step: cascades.Step,
     ) -> forwarded.AnswerHead:
-        limit_s = self._head_limit_s(request, work, progress, choice, step)
+        limit_s = self._head_limit_s(request, work, progress, choice)
         try:
             async with asyncio.timeout(limit_s):
                 return await call.head()
         except TimeoutError:
+            self._times.note_at_least(
+                choice.service.name,
+                progress.model,
+                work.traits.prompt_tokens,
+                limit_s or 0.0,
+            )
             raise errors.UpstreamError(
                 reasons.RetryReason.HEAD_TIMEOUT,
                 f"no head in {limit_s:.2f} s",
@@ -556,7 +583,6 @@
         work: forwarded.ForwardedWork,
         progress: _Progress,
         choice: balancing.Choice,
-        step: cascades.Step,
     ) -> float | None:
         """Returns how long an upstream may be silent, None for no limit."""
         if not request.is_idempotent:
@@ -566,7 +592,7 @@
         kind = work.route.kind
         least_s = _SILENT_SHARE_OF_TARGET[kind] * work.route.target_s
         usual_s = self._times.expected_s(
-            choice.service.name, step.model, work.traits.prompt_tokens
+            choice.service.name, progress.model, work.traits.prompt_tokens
         )
         limit_s = max(least_s, _SILENT_FACTOR * (usual_s or 0.0))
         return min(limit_s, _TIME_SHARE * self._left_s(request))
@@ -633,50 +659,50 @@
                 )
         return bytes(body)
 
-    def _is_to_be_asked_again(
+    def _larger_model(
         self,
         request: requests.Request,
         work: forwarded.ForwardedWork,
         service: routing.Service,
         progress: _Progress,
         head: forwarded.AnswerHead,
-        step: cascades.Step,
-    ) -> bool:
-        """Returns whether a larger model is to answer instead."""
-        if head.confidence is None or progress.events:
-            return False
-        if head.confidence >= step.min_confidence:
-            return False
-        if progress.runs + 1 >= work.route.max_attempts:
-            return False
-        usual_s = self._times.expected_s(
-            service.name, work.route.models[-1], work.traits.prompt_tokens
+    ) -> str | None:
+        """Returns the model that is to answer instead, None for none."""
+        if progress.events or progress.runs + 1 >= work.route.max_attempts:
+            return None
+        larger = cascades.larger_model(
+            work,
+            progress.model,
+            head.confidence,
+            self._clock(request, work),
+            self._expected(work, service),
         )
-        if self._left_s(request) < 2 * (usual_s or 0.0):
-            return False
-        return self._parts.budgets.has_room(service.name)
+        if larger is None or not self._parts.budgets.has_room(service.name):
+            return None
+        return larger
 
     def _note_answer(
         self,
         request: requests.Request,
         work: forwarded.ForwardedWork,
         choice: balancing.Choice,
-        step: cascades.Step,
-        head_s: float,
-        is_kept: bool,
+        progress: _Progress,
+        larger: str | None,
     ) -> None:
         service = choice.service.name
         version = choice.upstream.entry.version
         tokens = work.traits.prompt_tokens
-        self._times.note(service, step.model, tokens, head_s)
+        head_s = progress.head_s
+        self._times.note(service, progress.model, tokens, head_s)
         self._parts.rollouts.note_answer(service, version, head_s)
         self._parts.observe("head", work.route.name, head_s)
-        if not is_kept:
+        if larger is not None:
             self._state.counters.add("retry.low_confidence")
             self._parts.note(
                 "answer_not_kept",
                 request_id=request.request_id,
-                model=step.model,
+                model=progress.model,
+                instead=larger,
                 head_s=round(head_s, 3),
             )
 
--- /dev/null
+++ b/tests/test_cascades.py
@@ -0,0 +1,151 @@
+"""Which model answers under load: long prompts in a burst.
+
+Pattern: a burst of requests of which some have prompts ten times the usual
+size. The largest model takes many seconds to read them; asked for all the
+same, it answers none of them in time and delays all that run beside them.
+"""
+
+import hypothesis
+from hypothesis import strategies
+
+from lycheegw.coordination import cascades
+from lycheegw.coordination import head_times
+from lycheegw.state import forwarded
+from lycheegw.state import routing
+
+MODELS = ("small", "middle", "large")
+ROUTE = routing.Route(
+    "ask",
+    "h",
+    "/",
+    routing.RequestKind.STREAM,
+    12.0,
+    3.0,
+    0.8,
+    0,
+    3,
+    True,
+    True,
+    MODELS,
+    (routing.Backend("m", 1.0),),
+)
+# Seconds to the head of an answer: tokens by a rate, and attention besides,
+# as the operators' sheet has it for their engines.
+PACE = {"small": 0.3, "large": 3.0}
+
+
+def _head_s(model: str, tokens: int) -> float:
+    return PACE[model] * (tokens / 64_200 + 0.647e-9 * tokens * tokens + 0.02)
+
+
+def _work(
+    tokens: int, last_event: str | None = None
+) -> forwarded.ForwardedWork:
+    incoming = forwarded.IncomingRequest(b"POST", b"/", (), b"", 0.0, True)
+    traits = forwarded.Traits(
+        "r", "h", "/", None, 12.0, "*", True, (), tokens, 100, None, last_event
+    )
+    return forwarded.ForwardedWork(incoming, traits, ROUTE)
+
+
+def _learnt() -> head_times.HeadTimes:
+    times = head_times.HeadTimes()
+    for _ in range(20):
+        for tokens in (1000, 3000, 9000, 17000):
+            for model in PACE:
+                times.note("m", model, tokens, _head_s(model, tokens))
+    return times
+
+
+def _larger(tokens: int, confidence: float, passed_s: float) -> str | None:
+    times = _learnt()
+    return cascades.larger_model(
+        _work(tokens),
+        "small",
+        confidence,
+        cascades.Clock(ROUTE.target_s - passed_s, ROUTE.timeout_s - passed_s),
+        lambda model: times.expected_s("m", model, tokens),
+    )
+
+
+def test_usual_prompt_goes_to_the_largest_model_where_in_doubt() -> None:
+    assert _larger(9000, 40, 0.3) == "large"
+    assert _larger(9000, 60, 0.3) is None
+
+
+def test_long_prompt_keeps_the_answer_that_is_there() -> None:
+    assert _head_s("large", 53_000) > ROUTE.target_s
+    assert _larger(53_000, 40, 0.6) is None
+
+
+def test_late_answer_is_asked_for_only_where_the_first_is_worthless() -> (
+    None
+):
+    assert _larger(17_000, 40, 2.7) is None
+    assert _larger(17_000, 10, 2.7) == "large"
+    assert _larger(17_000, 10, 11.5) is None
+
+
+def test_burst_of_long_prompts_is_answered_in_time() -> None:
+    """Against a plain cascade: how many answers come within the objective."""
+    tokens = [1500, 3000, 9000, 17_000, 40_000, 53_000] * 20
+    in_time = plain_in_time = 0
+    for size in tokens:
+        first_s = _head_s("small", size)
+        larger = _larger(size, 40, first_s)
+        taken_s = first_s + (_head_s(larger, size) if larger else 0.0)
+        in_time += taken_s <= ROUTE.target_s
+        plain_in_time += first_s + _head_s("large", size) <= ROUTE.target_s
+    assert in_time >= 0.95 * len(tokens)
+    assert plain_in_time <= 0.7 * len(tokens)
+
+
+def test_failed_attempt_goes_on_with_a_model_that_is_in_time() -> None:
+    times = _learnt()
+
+    def after(tokens: int, left_s: float) -> str | None:
+        return cascades.model_after_failure(
+            _work(tokens),
+            "large",
+            cascades.Clock(0.0, left_s),
+            lambda model: times.expected_s("m", model, tokens),
+        )
+
+    assert after(9000, 9.0) == "large"
+    assert after(53_000, 5.0) == "small"
+
+
+def test_resumed_stream_keeps_to_the_largest_model() -> None:
+    assert cascades.first_model(_work(100, "7")) == "large"
+    assert cascades.first_model(_work(100)) == "small"
+
+
+@hypothesis.given(
+    sizes=strategies.lists(
+        strategies.integers(100, 60_000), min_size=1, max_size=8
+    ),
+    asked=strategies.integers(100, 60_000),
+)
+def test_expected_times_are_those_of_the_size(
+    sizes: list[int], asked: int
+) -> None:
+    """A few times of any sizes tell the time of another within a factor."""
+    times = head_times.HeadTimes()
+    for size in sizes:
+        times.note("m", "large", size, _head_s("large", size))
+    expected = times.expected_s("m", "large", asked)
+    assert expected is not None
+    nearest = min(sizes, key=lambda size: abs(size - asked))
+    if 0.8 < nearest / asked < 1.25:
+        assert 0.3 < expected / _head_s("large", asked) < 3.5
+
+
+def test_time_without_an_answer_counts_as_at_least_that() -> None:
+    times = _learnt()
+    before = times.expected_s("m", "large", 17_000)
+    assert before is not None
+    times.note_at_least("m", "large", 17_000, before / 2)
+    assert times.expected_s("m", "large", 17_000) == before
+    times.note_at_least("m", "large", 17_000, before * 4)
+    after = times.expected_s("m", "large", 17_000)
+    assert after is not None and after > before
--- /dev/null
+++ b/tests/test_fleet_rollouts.py
@@ -0,0 +1,196 @@
+"""Roll-outs by the sums of all nodes, without a network."""
+
+import math
+
+import hypothesis
+from hypothesis import strategies
+
+from lycheegw.coordination import directory
+from lycheegw.coordination import fleet_rollouts
+from lycheegw.protocol import rollout_codec
+from lycheegw.state import edge_settings
+from lycheegw.state import orders
+from lycheegw.state import tallies
+from tests import fakes
+
+BOUNDS = edge_settings.Bounds(
+    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
+)
+ORDER = orders.RolloutOrder("m", "v2", 24.0)
+
+
+class _Peers:
+    """The peers of one node: messages go through a codec to all others."""
+
+    def __init__(self, node_id: str):
+        self.node_id = node_id
+        self.source = self.target = None
+        self.others: list[_Peers] = []
+
+    def on_delta(self, topic, source, target) -> None:  # type: ignore[no-untyped-def]
+        self.source, self.target = source, target
+
+    def live_nodes(self, zone: str | None = None) -> list[str]:
+        return [self.node_id, *(each.node_id for each in self.others)]
+
+    def tell(self) -> None:
+        for other in self.others:
+            payload = self.source(other.node_id)
+            if payload is not None:
+                other.target(self.node_id, payload)
+
+
+class Fleet:
+    """Nodes that carry out one roll-out under a clock moved by hand."""
+
+    def __init__(self, count: int):
+        self.clock = fakes.Clock()
+        self.peers = [_Peers(f"n{number}") for number in range(count)]
+        self.rollouts = []
+        self.directories = []
+        for peer in self.peers:
+            peer.others = [each for each in self.peers if each is not peer]
+            state = fakes.node(self.clock, peer.node_id)
+            known = directory.Directory(
+                state, None, {}, 1.2, lambda *_, **__: None
+            )
+            known.rollout_by_service["m"] = directory.KnownRollout(
+                ORDER, 7, self.clock.now_s
+            )
+            self.directories.append(known)
+            self.rollouts.append(
+                fleet_rollouts.FleetRollouts(
+                    state,
+                    known,
+                    peer,
+                    rollout_codec.CODEC,
+                    lambda: BOUNDS,
+                    lambda: None,
+                    lambda *_, **__: None,
+                )
+            )
+
+    def tick(self) -> None:
+        """Lets each node decide and tell the others."""
+        for known, rollout in zip(self.directories, self.rollouts, strict=True):
+            rollout._decide(known.rollout_by_service["m"])
+            rollout._tell(known.rollout_by_service["m"])
+        for peer in self.peers:
+            peer.tell()
+
+    def serve(self, number: int, request: int, is_target_bad: bool) -> bool:
+        """Serves a request at a node; returns whether the target got it."""
+        rollout = self.rollouts[number]
+        wants = rollout.wants_target("m", f"r{request}", f"p{request % 40}")
+        version = "v2" if wants else "v1"
+        rollout.note_sent("m", version)
+        if wants and is_target_bad and request % 2:
+            rollout.note_failed("m", version, f"u{request % 5}")
+        else:
+            rollout.note_answer("m", version, 0.2)
+        rollout.note_ended("m", version)
+        return bool(wants)
+
+
+def _play(
+    nodes: int, bad_from_s: float, requests_per_s: int = 30
+) -> tuple[Fleet, int, int]:
+    """Returns the fleet, requests at the target, and all, over the time."""
+    fleet = Fleet(nodes)
+    exposed = request = 0
+    begun_s = fleet.clock.now_s
+    while fleet.clock.now_s - begun_s < ORDER.duration_s:
+        fleet.clock.now_s += 1 / requests_per_s
+        request += 1
+        is_bad = fleet.clock.now_s - begun_s >= bad_from_s
+        exposed += fleet.serve(request % nodes, request, is_bad)
+        if request % 15 == 0:
+            fleet.tick()
+    return fleet, exposed, request
+
+
+@hypothesis.given(
+    nodes=strategies.integers(1, 9),
+    bad_from_s=strategies.sampled_from([0.0, 3.0, 8.0, 12.5, 14.0]),
+)
+@hypothesis.settings(max_examples=20, deadline=None)
+def test_bad_version_stays_within_its_exposure(
+    nodes: int, bad_from_s: float
+) -> None:
+    """rollout_bad, errors and late: from the start, on trial, on the ramp."""
+    fleet, exposed, total = _play(nodes, bad_from_s)
+    assert exposed <= BOUNDS.exposure_share * total + BOUNDS.exposure_slack
+    fleet.tick()
+    assert all(each.share("m") == 0.0 for each in fleet.rollouts)
+
+
+def test_good_version_has_everything_well_before_its_time() -> None:
+    fleet, _, _ = _play(4, math.inf)
+    assert all(each.share("m") == 1.0 for each in fleet.rollouts)
+
+
+def test_requests_with_one_prompt_move_together_on_the_ramp() -> None:
+    """scale: each shared prompt is read in at the new upstreams once."""
+    fleet = Fleet(2)
+    begun_s = fleet.clock.now_s
+    for request in range(600):
+        fleet.clock.now_s = begun_s + request * 0.02
+        fleet.serve(request % 2, request, False)
+    fleet.tick()
+    fleet.clock.now_s = begun_s + 12.1
+    fleet.rollouts[0].share("m")
+    fleet.clock.now_s += 2.0
+    wants_by_prompt: dict[str, list[bool]] = {}
+    for request in range(4000):
+        prompt = f"p{request % 40}"
+        wants = fleet.rollouts[0].wants_target("m", f"x{request}", prompt)
+        wants_by_prompt.setdefault(prompt, []).append(bool(wants))
+    shares = [sum(each) / len(each) for each in wants_by_prompt.values()]
+    assert all(share < 0.25 or share == 1.0 for share in shares)
+    assert 0.2 < sum(share == 1.0 for share in shares) / 40 < 0.8
+
+
+@hypothesis.given(
+    keys=strategies.lists(strategies.text(max_size=5), min_size=1)
+)
+def test_requests_that_went_to_the_target_still_do_later(
+    keys: list[str],
+) -> None:
+    """A session on the new version is not sent back to the old one."""
+    fleet = Fleet(1)
+    rollout = fleet.rollouts[0]
+    for request in range(400):
+        fleet.serve(0, request, False)
+    before: set[str] = set()
+    for _ in range(20):
+        fleet.clock.now_s += 1.0
+        now = {key for key in keys if rollout.wants_target("m", key, key)}
+        assert before <= now
+        before = now
+
+
+def test_one_failing_upstream_does_not_condemn_its_version() -> None:
+    """srv_grey: the others of the version answer well."""
+    others = tallies.Totals(200, 200, 2, 0, 0.0, 0, frozenset())
+    one = tallies.Totals(60, 60, 10, 0, 0.0, 0, frozenset({"u1"}))
+    two = one._replace(failing_upstreams=frozenset({"u1", "u2"}))
+    assert fleet_rollouts.is_bad(one, others) is None
+    assert fleet_rollouts.is_bad(two, others) == "failures"
+
+
+def test_failures_that_all_versions_have_condemn_none() -> None:
+    """error_share: a service that fails one request in seven, old and new."""
+    others = tallies.Totals(400, 400, 56, 0, 0.0, 0, frozenset({"u1", "u2"}))
+    target = tallies.Totals(60, 60, 10, 0, 0.0, 0, frozenset({"u3", "u4"}))
+    assert fleet_rollouts.is_bad(target, others) is None
+
+
+def test_slow_version_is_condemned() -> None:
+    """rollout_bad, slow: eight times as long, sizes as they come."""
+    times = [0.05, 0.1, 0.2, 0.4, 1.0] * 4
+    logs = sum(math.log(each) for each in times)
+    slow = sum(math.log(8 * each) for each in times)
+    others = tallies.Totals(20, 20, 0, 20, logs, 0, frozenset())
+    target = tallies.Totals(20, 20, 0, 20, slow, 0, frozenset())
+    assert fleet_rollouts.is_bad(target, others) == "slow"
+    assert fleet_rollouts.is_bad(others, others) is None
