--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -78,9 +78,7 @@
     assert _larger(53_000, 40, 0.6) is None
 
 
-def test_late_answer_is_asked_for_only_where_the_first_is_worthless() -> (
-    None
-):
+def test_late_answer_is_asked_for_only_where_the_first_is_worthless() -> None:
     assert _larger(17_000, 40, 2.7) is None
     assert _larger(17_000, 10, 2.7) == "large"
     assert _larger(17_000, 10, 11.5) is None
