A node that goes down serves what is short; silent upstreams speak for their zone

With nodes stopped every two seconds, most of a zone goes down together, the balancer then uses all of its nodes, and the listener closed three seconds after SIGTERM (seen at 12.74 s, drain at 9.00 s). Upstreams were given up for silent at half of the time left, however long their prompt took, and the next one began anew. In a zone cut each upstream cost a time-out of its own. Change: the listener stays open to the end, short requests are served and streams refused with a time to return; silence is limited by the usual time of the size, and not at all where another attempt could not end; two silent upstreams speak for their zone for two seconds.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -8,6 +8,7 @@
 from lycheegw.coordination import directory
 from lycheegw.coordination import fleet_rollouts
 from lycheegw.coordination import rendezvous
+from lycheegw.coordination import zone_reach
 from lycheegw.state import forwarded
 from lycheegw.state import node_state
 from lycheegw.state import requests
@@ -55,12 +56,14 @@
         rollouts: fleet_rollouts.FleetRollouts,
         rates: cold_rates.ColdRates,
         has_connection: Callable[[upstreams.Upstream], bool],
+        reach: zone_reach.ZoneReach,
     ):
         self._state = state
         self._directory = known
         self._rollouts = rollouts
         self._rates = rates
         self._has_connection = has_connection
+        self._reach = reach
 
     def choose(
         self,
@@ -119,7 +122,9 @@
         untried = [each for each in pool if each.entry.host_id not in tried]
         reachable = [each for each in untried if not each.is_out(now_s)]
         listed = [each for each in reachable if each.is_listed]
-        return listed or reachable or untried
+        away = self._reach.unreachable()
+        near = [each for each in listed if each.entry.zone not in away]
+        return near or listed or reachable or untried
 
     def _by_version(
         self,
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -16,6 +16,7 @@
 from lycheegw.coordination import seams
 from lycheegw.coordination import shared_budgets
 from lycheegw.coordination import suspects
+from lycheegw.coordination import zone_reach
 from lycheegw.state import errors
 from lycheegw.state import forwarded
 from lycheegw.state import node_state
@@ -45,14 +46,12 @@
 _MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 1.0
 # An upstream is given up for silent after this many times the usual time to
-# the head, but not before a share of the objective, and leaves half of the
-# time to the next one.
+# the head, but not before a share of the objective.
 _SILENT_FACTOR = 6.0
 _SILENT_SHARE_OF_TARGET = {
     routing.RequestKind.IDEMPOTENT: 2.5,
     routing.RequestKind.STREAM: 0.8,
 }
-_TIME_SHARE = 0.5
 # A stream that pauses for this many times the longest good pause has lost its
 # upstream; shorter ones come from preemption.
 _GAP_FACTOR = 2.5
@@ -112,6 +111,8 @@
     rollouts: fleet_rollouts.FleetRollouts
     suspects: suspects.Suspects
     client: seams.ForwardClient
+    reach: zone_reach.ZoneReach
+    is_closing: Callable[[], bool]
     members: Callable[[], int]
     note: Callable[..., None]
     observe: Callable[[str, str, float], None]
@@ -229,6 +230,13 @@
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
         kind = route.kind
+        if kind is _STREAM and self._parts.is_closing():
+            # It could not end before the process does.
+            raise errors.RefusalError(
+                reasons.RefusalReason.SHUTTING_DOWN,
+                "the node goes down",
+                retry_after_s=_MIN_RETRY_AFTER_S,
+            )
         request = requests.Request(
             traits.request_id,
             organisation.name if organisation is not None else "",
@@ -575,6 +583,7 @@
                 reasons.RetryReason.HEAD_TIMEOUT,
                 f"no head in {limit_s:.2f} s",
                 _MAY_HAVE_RUN,
+                is_silence=True,
             ) from None
 
     def _head_limit_s(
@@ -595,7 +604,10 @@
             choice.service.name, progress.model, work.traits.prompt_tokens
         )
         limit_s = max(least_s, _SILENT_FACTOR * (usual_s or 0.0))
-        return min(limit_s, _TIME_SHARE * self._left_s(request))
+        # Another upstream begins anew; it needs the usual time, too.
+        if limit_s + (usual_s or least_s) > self._left_s(request):
+            return None
+        return limit_s
 
     def _take_load(
         self, upstream: upstreams.Upstream, head: forwarded.AnswerHead
@@ -603,6 +615,7 @@
         """Takes what an answer tells of its upstream."""
         now_s = self._now_s()
         upstream.note_reachable()
+        self._parts.reach.note_answer(upstream.entry.zone)
         if head.cold_s is not None:
             upstream.cold_until_s = now_s + head.cold_s
         if head.running is None or head.waiting is None:
@@ -747,6 +760,7 @@
                     reasons.RetryReason.TOKEN_GAP,
                     f"no event in {gap_s:.2f} s",
                     _MAY_HAVE_RUN,
+                    is_silence=True,
                 ) from None
             if data is None:
                 break
@@ -844,6 +858,8 @@
             )
         if error.reason in _SILENT_REASONS:
             upstream.note_unreachable(now_s)
+        if error.is_silence:
+            self._parts.reach.note_silent(upstream.entry.zone, host_id)
         if error.reason is reasons.RetryReason.CONNECT_FAILED:
             upstream.take_out(now_s)
             upstream.doubted_s = now_s
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -19,6 +19,7 @@
 from lycheegw.coordination import suspects
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_readers
+from lycheegw.coordination import zone_reach
 from lycheegw.protocol import rollout_codec
 from lycheegw.protocol import suspect_codec
 from lycheegw.protocol import topic_codec
@@ -41,8 +42,9 @@
 __all__ = ["Adapter", "EdgeNode"]
 
 # The balancer asks once a second and takes a node out after two misses, so
-# new connections come for a little over two seconds.
-_LISTEN_ON_S = 3.0
+# new connections come for a little over two seconds; streams that begin later
+# could not end within the grace time.
+_TAKE_STREAMS_S = 3.0
 # Left of the grace time when what still runs is cut off.
 _CUT_BEFORE_KILL_S = 0.7
 _DRAIN_POLL_S = 0.05
@@ -87,6 +89,7 @@
         state: What the node knows of peers and upstreams.
         settings: The settings in force.
         is_draining: Whether the node is going down.
+        is_closing: Whether streams can't end any more before it is down.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
     ):
         self.settings = settings
         self.is_draining = False
+        self.is_closing = False
         self.application = lifecycle.Application()
         self._adapter = adapter
         self._log = log
@@ -208,12 +212,14 @@
         rates = cold_rates.ColdRates(
             self.state, self._bounds, self.registry.members
         )
+        reach = zone_reach.ZoneReach(self.state.environment)
         balancer = balancing.Balancer(
             self.state,
             self.directory,
             self.rollouts,
             rates,
             self._has_connection,
+            reach,
         )
         self.forwarder = forwarding.Forwarder(
             self.state,
@@ -228,6 +234,8 @@
                 self.rollouts,
                 self.suspects,
                 self.client,
+                reach,
+                lambda: self.is_closing,
                 self.registry.count,
                 self._log.note,
                 self.histograms.observe,
@@ -389,9 +397,12 @@
         self._log.note("drain", running=self.server.running)
         await self.peers.leave()
         await self.state.environment.sleep(
-            min(_LISTEN_ON_S, self.settings.bounds.grace_s / 2)
+            min(_TAKE_STREAMS_S, self.settings.bounds.grace_s / 2)
         )
-        self.server.stop_listening()
+        # The balancer goes on sending where most nodes of a zone go down
+        # together, so the listener stays open; what is short is served.
+        self.is_closing = True
+        self.server.close_idle()
         end_s = begun_s + self.settings.bounds.grace_s - _CUT_BEFORE_KILL_S
         while self.server.running:
             if self.state.environment.monotonic_s() >= end_s:
@@ -399,6 +410,7 @@
                 break
             await self.state.environment.sleep(_DRAIN_POLL_S)
             self.server.close_idle()
+        self.server.stop_listening()
 
     async def stop(self) -> None:
         """Drains, then stops all parts."""
--- a/src/lycheegw/state/errors.py
+++ b/src/lycheegw/state/errors.py
@@ -111,6 +111,8 @@
         reason: Why, as counted.
         verdict: Whether this attempt may have run the request.
         retry_after_s: What the upstream asked for, None where it did not.
+        is_silence: Whether nothing at all was heard, where an upstream that
+            had died would have been heard of at once.
     """
 
     def __init__(
@@ -119,8 +121,10 @@
         message: str,
         verdict: verdicts.RunVerdict,
         retry_after_s: float | None = None,
+        is_silence: bool = False,
     ):
         super().__init__(message)
         self.reason = reason
         self.verdict = verdict
         self.retry_after_s = retry_after_s
+        self.is_silence = is_silence
--- a/src/lycheegw/transport/exchange_client.py
+++ b/src/lycheegw/transport/exchange_client.py
@@ -69,9 +69,12 @@
         return None
 
 
-def _lost(message: str) -> errors.UpstreamError:
+def _lost(message: str, is_silence: bool = False) -> errors.UpstreamError:
     return errors.UpstreamError(
-        reasons.RetryReason.CONNECTION_LOST, message, _MAY_HAVE_RUN
+        reasons.RetryReason.CONNECTION_LOST,
+        message,
+        _MAY_HAVE_RUN,
+        is_silence=is_silence,
     )
 
 
@@ -215,7 +218,8 @@
     async def _more(self) -> None:
         """Waits for bytes, or for the end of the connection."""
         if self._is_lost and self._error is not None:
-            raise _lost(f"the connection was reset: {self._error}")
+            is_silence = isinstance(self._error, TimeoutError)
+            raise _lost(f"the connection broke: {self._error}", is_silence)
         if self._is_eof or self._is_lost:
             # An orderly end is the end of an answer without a length.
             self._http.receive_data(b"")
@@ -402,6 +406,7 @@
                     reasons.RetryReason.CONNECT_FAILED,
                     f"no connection to {address}: {error!r}",
                     _NOT_RUN,
+                    is_silence=isinstance(error, TimeoutError),
                 ) from error
             raise
         self.opened += 1
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -368,3 +368,33 @@
         node.is_draining = True
         ready = await authority.ask(node.settings.ready, "/v1/readyz")
         assert ready is not None and ready.status == 503
+
+
+async def test_node_that_goes_down_serves_what_is_short() -> None:
+    """roll_term: where most nodes of a zone go down, callers still come."""
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        node.is_draining = node.is_closing = True
+        node.server.is_closing = True
+        reply = await authority.ask(node.settings.front, "/look/1")
+        assert reply is not None and reply.status == 200
+        assert reply.header_by_name["connection"] == "close"
+        reply = await authority.ask(
+            node.settings.front, "/ask/1", "POST", b"q", PROMPT
+        )
+        assert reply is not None and reply.status == 503
+        assert float(reply.header_by_name["retry-after"]) > 0
+
+
+async def test_shutdown_cuts_no_running_request() -> None:
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 1.0
+        running = asyncio.create_task(
+            authority.ask(node.settings.front, "/book/1", "POST", b"crew")
+        )
+        await rig.until(lambda: node.server.running == 1)
+        await node.drain()
+        reply = await running
+        assert reply is not None and reply.status == 200
