Doubt of an upstream ends with its answer; no connection is not run

A failure to connect made an upstream count as cold until a fresh entry came, and none came. Besides, 12 unsafe requests that had found no connection ended in 502 or 504, so that their callers could not come again. Change: an answer ends the doubt and the upstream counts as cold for the service's time from there; a request is held to be out only once it is written. Silence is told at half of the objective or five times the usual time.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -47,10 +47,10 @@
 _MAX_RETRY_AFTER_S = 1.0
 # An upstream is given up for silent after this many times the usual time to
 # the head, but not before a share of the objective.
-_SILENT_FACTOR = 6.0
+_SILENT_FACTOR = 5.0
 _SILENT_SHARE_OF_TARGET = {
     routing.RequestKind.IDEMPOTENT: 2.5,
-    routing.RequestKind.STREAM: 0.8,
+    routing.RequestKind.STREAM: 0.5,
 }
 # A stream that pauses for this many times the longest good pause has lost its
 # upstream; shorter ones come from preemption.
@@ -481,9 +481,11 @@
             call = await self._parts.client.send(
                 self._encode(request, work, progress, choice)
             )
+            # Before this the request was on no connection.
+            progress.is_out = True
             head = await self._head(request, work, progress, call, choice)
             progress.head_s = self._now_s() - progress.begun_s
-            self._take_load(upstream, head)
+            self._take_load(choice, head)
             await self._check(head, call)
             larger = self._larger_model(request, work, service, progress, head)
             self._note_answer(request, work, choice, progress, larger)
@@ -511,7 +513,6 @@
     ) -> None:
         upstream, service = choice.upstream, choice.service
         progress.sends += 1
-        progress.is_out = True
         progress.begun_s = self._now_s()
         progress.upstream = upstream.entry.host_id
         if progress.sends > 1:
@@ -610,11 +611,13 @@
         return limit_s
 
     def _take_load(
-        self, upstream: upstreams.Upstream, head: forwarded.AnswerHead
+        self, choice: balancing.Choice, head: forwarded.AnswerHead
     ) -> None:
         """Takes what an answer tells of its upstream."""
+        upstream = choice.upstream
         now_s = self._now_s()
         upstream.note_reachable()
+        upstream.end_doubt(now_s, choice.service.cold_s)
         self._parts.reach.note_answer(upstream.entry.zone)
         if head.cold_s is not None:
             upstream.cold_until_s = now_s + head.cold_s
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -84,8 +84,8 @@
         report: The last load report or None.
         in_flight: Requests of this node that run there now.
         cold_until_s: Monotonic second until which it is cold.
-        doubted_s: Monotonic second of a failure that no later entry has
-            explained yet, None where there is none.
+        doubted_s: Monotonic second of a failure to connect, None once a later
+            answer or entry came.
         is_listed: Whether the list has it; one that vanished without
             leaving is kept for a while, as the last choice.
     """
@@ -153,6 +153,16 @@
             weight * reported + self._sent_since_report,
         )
 
+    def end_doubt(self, now_s: float, cold_s: float) -> None:
+        """Takes note of an answer after a failure to connect.
+
+        The process may have started anew meanwhile, and is then cold for
+        `cold_s` at most.
+        """
+        if self.doubted_s is not None:
+            self.doubted_s = None
+            self.cold_until_s = max(self.cold_until_s, now_s + cold_s)
+
     def is_cold(self, now_s: float) -> bool:
         """Returns whether it bears only few requests a second."""
         return now_s < self.cold_until_s or self.doubted_s is not None
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -398,3 +398,46 @@
         await node.drain()
         reply = await running
         assert reply is not None and reply.status == 200
+
+
+async def test_upstreams_that_were_away_are_used_without_the_store() -> None:
+    """srv_crash while the store is down: no entry tells that they are back."""
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        fleet.store.fault = "busy"
+        table = node.state.upstreams.by_id
+        now_s = node.state.environment.monotonic_s()
+        for name in ("m1", "m2"):
+            table[name].doubted_s = now_s
+        await authority.ask(node.settings.front, "/ask/1", "POST", b"q", PROMPT)
+        assert len(fleet.seen) == 1
+        answered = table[fleet.seen[0].upstream]
+        assert answered.doubted_s is None
+        now_s = node.state.environment.monotonic_s()
+        assert answered.is_cold(now_s)
+        assert not answered.is_cold(now_s + 3.1)
+
+
+async def test_request_that_found_no_connection_is_not_run() -> None:
+    """zone_cut: given up while connecting, an unsafe request may come again."""
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        manifest = authority.manifest(2)
+        manifest["routes"][1]["timeout_ms"] = 300
+        await fleet.store.put("keyed.op", "config", manifest)
+        await rig.until(
+            lambda: (
+                node.directory.manifest is not None
+                and node.directory.manifest.version == 2
+            )
+        )
+
+        async def hang(*_: object) -> None:
+            await asyncio.sleep(10)
+
+        node.pool._connect = hang  # type: ignore[assignment,method-assign]
+        reply = await authority.ask(
+            node.settings.front, "/book/1", "POST", b"crew"
+        )
+        assert reply is not None and reply.status == 503
+        assert not fleet.seen
