Unsafe requests take connections that were alive of late; confidence is logged

Change: such a request takes a connection that idled half a second at most, else opens one. The attempt and answered lines carry the prompt's key, its tokens and the model's confidence.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -155,6 +155,7 @@
         answer: The failure of an upstream that was passed on.
         begun_s: Monotonic second at which the last attempt went out.
         head_s: Seconds from there to the head of its answer.
+        confidence: What the last model said of its answer.
     """
 
     def __init__(self, work: forwarded.ForwardedWork) -> None:
@@ -172,6 +173,7 @@
         self.answer: _Answer | None = None
         self.begun_s = 0.0
         self.head_s = 0.0
+        self.confidence: float | None = None
 
     def verdict_now(self) -> verdicts.RunVerdict:
         """Returns the verdict, an attempt that is out included."""
@@ -475,7 +477,7 @@
             errors.UpstreamError: It failed.
         """
         upstream, service = choice.upstream, choice.service
-        self._note_attempt(request, progress, choice)
+        self._note_attempt(request, work, progress, choice)
         call: seams.ForwardCall | None = None
         try:
             call = await self._parts.client.send(
@@ -485,6 +487,7 @@
             progress.is_out = True
             head = await self._head(request, work, progress, call, choice)
             progress.head_s = self._now_s() - progress.begun_s
+            progress.confidence = head.confidence
             self._take_load(choice, head)
             await self._check(head, call)
             larger = self._larger_model(request, work, service, progress, head)
@@ -508,6 +511,7 @@
     def _note_attempt(
         self,
         request: requests.Request,
+        work: forwarded.ForwardedWork,
         progress: _Progress,
         choice: balancing.Choice,
     ) -> None:
@@ -528,6 +532,8 @@
             model=progress.model,
             number=progress.sends,
             why=choice.why,
+            prompt=balancing.affinity_key(work.traits)[0],
+            tokens=work.traits.prompt_tokens,
             load=round(upstream.estimated_load(self._now_s()), 1),
             load_age_s=round(
                 min(999.0, upstream.report_age_s(self._now_s())), 2
@@ -719,6 +725,7 @@
                 request_id=request.request_id,
                 model=progress.model,
                 instead=larger,
+                confidence=progress.confidence,
                 head_s=round(head_s, 3),
             )
 
@@ -941,6 +948,7 @@
             fields["upstream"] = progress.upstream
             fields["model"] = progress.model
             fields["head_s"] = round(progress.head_s, 3)
+            fields["confidence"] = progress.confidence
             fields["events"] = progress.events
         if isinstance(error, errors.RefusalError):
             fields["reason"] = error.reason.value
--- a/src/lycheegw/transport/exchange_client.py
+++ b/src/lycheegw/transport/exchange_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import math
 import socket
 import struct
 from typing import Any
@@ -91,6 +92,7 @@
         self.transport: Any = None
         self.is_fresh = True
         self.idle_until_s = 0.0
+        self.idle_since_s = 0.0
         self.is_busy = False
         self.is_spoilt = False
         self._http = self._new_parser()
@@ -366,23 +368,32 @@
         key: str,
         address: str,
         request: ClientRequest,
-        is_reuse_allowed: bool = True,
+        max_idle_s: float = math.inf,
     ) -> Call:
         """Sends a request on a kept or a new connection.
 
+        Args:
+            key: What names the server's process.
+            address: Where it listens.
+            request: What to send.
+            max_idle_s: Longest time for which a kept connection may have
+                idled; one that idled longer may have fallen silent.
+
         Raises:
             errors.UpstreamError: No connection; the request is not sent.
         """
-        connection = self._take_idle(key) if is_reuse_allowed else None
+        connection = self._take_idle(key, max_idle_s)
         if connection is None:
             connection = await self._connect(key, address)
         connection.send(request)
         return Call(self, connection)
 
-    def _take_idle(self, key: str) -> _Connection | None:
+    def _take_idle(self, key: str, max_idle_s: float) -> _Connection | None:
         server = self._server_by_key.get(key)
         now_s = self._environment.monotonic_s()
         while server is not None and server.idle:
+            if now_s - server.idle[-1].idle_since_s > max_idle_s:
+                return None
             connection = server.idle.pop()
             if connection.is_open and now_s < connection.idle_until_s:
                 return connection
@@ -431,6 +442,7 @@
         if key is None or not connection.finish():
             return
         now_s = self._environment.monotonic_s()
+        connection.idle_since_s = now_s
         connection.idle_until_s = now_s + idle_s
         self._server_by_key[key].idle.append(connection)
 
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -1,18 +1,23 @@
 """Passes requests on to upstreams over kept connections."""
 
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 
 from lycheegw.coordination import seams
 from lycheegw.state import errors
 from lycheegw.state import forwarded
 from lycheegw.state import reasons
+from lycheegw.state import routing
 from lycheegw.state import upstreams
 from lycheegw.state import verdicts
 from lycheegw.transport import exchange_client
 
 __all__ = ["Codec", "ForwardClient", "HealthReports", "connection_key"]
 
+# A request that must not run twice goes on a connection that was alive this
+# lately; on one that fell silent its outcome would stay unknown.
+_MAX_IDLE_ONCE_S = 0.5
 # Longest wait for a health check, which waits for a slot like any request.
 _HEALTH_TIMEOUT_S = 1.0
 
@@ -99,7 +104,10 @@
             self._codec.encode_attempt(attempt),
             incoming.body,
         )
-        call = await self._pool.send(key, entry.address, request)
+        max_idle_s = math.inf
+        if attempt.work.route.kind is routing.RequestKind.ONCE:
+            max_idle_s = _MAX_IDLE_ONCE_S
+        call = await self._pool.send(key, entry.address, request, max_idle_s)
         return _ForwardCall(call, self._codec, attempt.work.traits.request_id)
 
     async def check_health(
--- a/tests/test_exchange_client.py
+++ b/tests/test_exchange_client.py
@@ -217,3 +217,25 @@
             call.finish()
             await asyncio.sleep(0.02)
         assert pool.opened == 2
+
+
+async def test_connection_that_idled_is_not_taken_where_it_matters() -> None:
+    """zone_cut: it may have fallen silent; a new one shows itself."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await _read_request(reader)
+            writer.write(OK % b"1")
+
+    async with _server(serve) as address:
+        pool = _pool()
+        for max_idle_s in (9.0, 9.0, 0.05):
+            call = await pool.send("k", address, REQUEST, max_idle_s)
+            await call.head()
+            await _body(call)
+            call.finish()
+            await asyncio.sleep(0.1)
+        assert pool.opened == 2
+        pool.close()
