--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -114,6 +114,16 @@
         upstream, reason = self._pick(work, service, model, sendable)
         return Choice(upstream, service, f"{why}, {reason}" if why else reason)
 
+    def is_scarce(self, service: routing.Service) -> bool:
+        """Returns whether all upstreams of a service bear few requests now."""
+        now_s = self._state.environment.monotonic_s()
+        pool = [
+            each
+            for each in self._state.upstreams.pool(service.name)
+            if each.entry.zone not in self._directory.closed_zones
+        ]
+        return all(each.is_cold(now_s) for each in self._usable(pool, set()))
+
     def _usable(
         self, pool: Sequence[upstreams.Upstream], tried: set[str]
     ) -> list[upstreams.Upstream]:
--- a/src/lycheegw/coordination/cold_rates.py
+++ b/src/lycheegw/coordination/cold_rates.py
@@ -20,9 +20,11 @@
 # Rate for a service whose configuration does not say what a cold upstream
 # bears; the slack of the bound alone allows for it.
 _DEFAULT_PER_S = 2.0
-# Share of the rate that is handed out; the rest is for nodes that do not
+# Share of the bound that is handed out; the rest is for nodes that do not
 # know the same members.
-_RATE_SHARE = 0.9
+_BOUND_SHARE = 0.95
+# Most of what an upstream bears that it gets; it falls over well above that.
+_MAX_OVERLOAD = 1.15
 
 
 class _Bucket:
@@ -51,7 +53,7 @@
     ) -> bool:
         """Returns whether an upstream may get a request now."""
         now_s = self._state.environment.monotonic_s()
-        if not upstream.is_cold(now_s):
+        if not _is_bounded(upstream, service, now_s):
             return True
         if self._rate(upstream, service) <= 0:
             return False
@@ -63,7 +65,7 @@
     ) -> None:
         """Takes a request out of the bucket."""
         now_s = self._state.environment.monotonic_s()
-        if not upstream.is_cold(now_s):
+        if not _is_bounded(upstream, service, now_s):
             self._bucket_by_id.pop(upstream.entry.host_id, None)
             return
         rate = max(self._rate(upstream, service), 0.01)
@@ -84,4 +86,18 @@
         order = rendezvous.order(f"cold {upstream.entry.host_id}", members)
         if own_id not in order[:senders]:
             return 0.0
-        return _RATE_SHARE * borne / senders
+        # A full bucket of each sender comes on top of the rate.
+        rate = min(_MAX_OVERLOAD * borne, _BOUND_SHARE * bound - senders)
+        return max(rate, 0.5 * borne) / senders
+
+
+def _is_bounded(
+    upstream: upstreams.Upstream, service: routing.Service, now_s: float
+) -> bool:
+    """Returns whether an upstream bears few requests now.
+
+    One of a service that is never cold only where it says so itself.
+    """
+    if service.cold_s <= 0:
+        return now_s < upstream.cold_until_s
+    return upstream.is_cold(now_s)
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -16,6 +16,7 @@
 from lycheegw.coordination import seams
 from lycheegw.coordination import shared_budgets
 from lycheegw.coordination import suspects
+from lycheegw.coordination import waiting_lines
 from lycheegw.coordination import zone_reach
 from lycheegw.state import errors
 from lycheegw.state import forwarded
@@ -188,6 +189,7 @@
         self._codec = codec
         self._parts = parts
         self._times = head_times.HeadTimes()
+        self._lines = waiting_lines.WaitingLines()
 
     async def handle(self, sink: Sink) -> None:
         """Answers one request."""
@@ -424,22 +426,20 @@
         Raises:
             errors.RefusalError: There is none.
         """
-        hold_s = _HOLD_SHARE * work.route.target_s
-        until_s = self._now_s() + min(hold_s, self._left_s(request))
-        while True:
-            choice = self._parts.balancer.choose(
-                request,
-                work,
-                service,
-                progress.model,
-                progress.tried,
-                progress.version,
-            )
-            if isinstance(choice, balancing.Choice):
-                return choice
-            if not choice.known or self._now_s() >= until_s:
-                break
-            await self._state.environment.sleep(_HOLD_POLL_S)
+        choice = self._try_to_choose(request, work, service, progress, None)
+        if isinstance(choice, balancing.NoUpstream) and choice.known:
+            hold_s = _HOLD_SHARE * work.route.target_s
+            until_s = self._now_s() + min(hold_s, self._left_s(request))
+            with self._lines.wait(service.name, request.priority) as ticket:
+                while self._now_s() < until_s:
+                    await self._state.environment.sleep(_HOLD_POLL_S)
+                    choice = self._try_to_choose(
+                        request, work, service, progress, ticket
+                    )
+                    if isinstance(choice, balancing.Choice):
+                        break
+        if isinstance(choice, balancing.Choice):
+            return choice
         if progress.tried:
             # All that were left failed it; one of them may do better now.
             progress.tried.clear()
@@ -463,6 +463,26 @@
             self._retry_after_s(work),
         )
 
+    def _try_to_choose(
+        self,
+        request: requests.Request,
+        work: forwarded.ForwardedWork,
+        service: routing.Service,
+        progress: _Progress,
+        ticket: waiting_lines.Ticket | None,
+    ) -> balancing.Choice | balancing.NoUpstream:
+        """Returns an upstream unless others in line go first."""
+        if not self._lines.may_try(service.name, request.priority, ticket):
+            return balancing.NoUpstream(1, True)
+        return self._parts.balancer.choose(
+            request,
+            work,
+            service,
+            progress.model,
+            progress.tried,
+            progress.version,
+        )
+
     async def _attempt(
         self,
         request: requests.Request,
@@ -701,6 +721,9 @@
         )
         if larger is None or not self._parts.budgets.has_room(service.name):
             return None
+        if self._parts.balancer.is_scarce(service):
+            # The place serves another request better.
+            return None
         return larger
 
     def _note_answer(
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -93,3 +93,18 @@
                     extras += 1
     total = sum(requests for requests, _ in loads)
     assert extras <= BOUNDS.retry_ratio * total + BOUNDS.retry_slack
+
+
+def test_service_that_is_never_cold_is_not_held_back_by_doubt() -> None:
+    """zone_cut: a plain service that was out of reach is used at once."""
+    clock = fakes.Clock()
+    state = fakes.node(clock, "n1")
+    upstream = fakes.add_upstream(state, "u")
+    upstream.doubted_s = clock.now_s
+    rates = cold_rates.ColdRates(state, _bounds, lambda: ["n1"])
+    plain = SERVICE._replace(cold_s=0.0, cold_per_s=0.0)
+    for _ in range(5):
+        assert rates.may_send(upstream, plain)
+        rates.note_sent(upstream, plain)
+    rates.note_sent(upstream, SERVICE)
+    assert not rates.may_send(upstream, SERVICE)
