--- a/src/lycheegw/coordination/cascades.py
+++ b/src/lycheegw/coordination/cascades.py
@@ -3,8 +3,8 @@
 The smallest model answers first. Its own confidence, which comes with the
 head of its answer, tells whether the largest one is asked instead; the middle
 ones seldom know better where the smallest does not. Nothing is asked for that
-can't arrive in time: a long prompt takes the largest model several seconds,
-and delays whatever runs beside it.
+can't arrive in time: a long prompt or a long answer takes the largest model
+many seconds, and delays whatever runs beside it.
 """
 
 from collections.abc import Callable
@@ -12,7 +12,13 @@
 
 from lycheegw.state import forwarded
 
-__all__ = ["Clock", "first_model", "larger_model", "model_after_failure"]
+__all__ = [
+    "Clock",
+    "Duration",
+    "first_model",
+    "larger_model",
+    "model_after_failure",
+]
 
 # Confidence (0 to 100) from which an answer of the smallest model is kept.
 # Trials on two deployments had their best mean worth at 50; 30 and 70 lost
@@ -25,7 +31,23 @@
 # its events and for what the expectation misses.
 _LATE_SHARE = 0.5
 
-Expected = Callable[[str], float | None]
+# Part of the time left that the whole of an expected answer may take.
+_WHOLE_SHARE = 0.9
+
+
+class Duration(NamedTuple):
+    """How long an answer usually takes.
+
+    Attributes:
+        head_s: Seconds to its head, 0 where unknown.
+        rest_s: Seconds from there to its end, 0 where unknown.
+    """
+
+    head_s: float
+    rest_s: float
+
+
+Expected = Callable[[str], Duration]
 
 
 class Clock(NamedTuple):
@@ -69,19 +91,21 @@
         model: Model that answered.
         confidence: What it says of its answer (0 to 100).
         clock: The time that is left.
-        expected: Returns the usual time to the head of a model's answer.
+        expected: Returns how long a model's answer usually takes.
     """
     if model is None or confidence is None or not _is_open(work):
         return None
     largest = work.route.models[-1]
     if model == largest or confidence >= _MIN_CONFIDENCE:
         return None
-    expected_s = expected(largest) or 0.0
-    if expected_s <= clock.target_left_s:
+    usual = expected(largest)
+    if usual.head_s + usual.rest_s > _WHOLE_SHARE * clock.left_s:
+        return None
+    if usual.head_s <= clock.target_left_s:
         return largest
     if confidence >= _MIN_CONFIDENCE_LATE:
         return None
-    return largest if expected_s <= _LATE_SHARE * clock.left_s else None
+    return largest if usual.head_s <= _LATE_SHARE * clock.left_s else None
 
 
 def model_after_failure(
@@ -93,7 +117,8 @@
     """Returns the model for another attempt after one failed."""
     if model is None or not _is_open(work):
         return model
-    expected_s = expected(model) or 0.0
-    if expected_s <= _LATE_SHARE * clock.left_s:
+    usual = expected(model)
+    is_whole = usual.head_s + usual.rest_s <= _WHOLE_SHARE * clock.left_s
+    if is_whole and usual.head_s <= _LATE_SHARE * clock.left_s:
         return model
     return work.route.models[0]
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -358,12 +358,17 @@
     def _expected(
         self, work: forwarded.ForwardedWork, service: routing.Service
     ) -> cascades.Expected:
-        """Returns what tells the usual time to the head of an answer."""
+        """Returns what tells how long an answer usually takes."""
 
-        def expected(model: str) -> float | None:
-            return self._times.expected_s(
-                service.name, model, work.traits.prompt_tokens
+        def expected(model: str) -> cascades.Duration:
+            traits = work.traits
+            head_s = self._times.expected_s(
+                service.name, model, traits.prompt_tokens
             )
+            rest_s = self._times.expected_rest_s(
+                service.name, model, traits.max_tokens
+            )
+            return cascades.Duration(head_s or 0.0, rest_s)
 
         return expected
 
@@ -517,6 +522,7 @@
                 return larger
             await self._deliver(work, sink, progress, call, head, upstream)
             call.finish()
+            self._note_whole(work, service, progress)
             return None
         except BaseException:
             if call is not None:
@@ -752,6 +758,19 @@
                 head_s=round(head_s, 3),
             )
 
+    def _note_whole(
+        self,
+        work: forwarded.ForwardedWork,
+        service: routing.Service,
+        progress: _Progress,
+    ) -> None:
+        """Takes the time of a stream that ended whole."""
+        if work.route.kind is _STREAM and work.traits.max_tokens:
+            rest_s = self._now_s() - progress.begun_s - progress.head_s
+            self._times.note_rest(
+                service.name, progress.model, work.traits.max_tokens, rest_s
+            )
+
     async def _deliver(
         self,
         work: forwarded.ForwardedWork,
--- a/src/lycheegw/coordination/head_times.py
+++ b/src/lycheegw/coordination/head_times.py
@@ -1,4 +1,4 @@
-"""How long upstreams take to the first bytes of their answers."""
+"""How long upstreams take to the head and to the end of their answers."""
 
 import math
 from typing import NamedTuple
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._mean_s_by_size_by_key: dict[_Key, dict[int, float]] = {}
+        self._rest_rate_by_key: dict[_Key, float] = {}
 
     def note(
         self, service: str, model: str | None, tokens: int, seconds: float
@@ -46,6 +47,23 @@
         if expected is None or seconds > expected:
             self.note(service, model, tokens, seconds)
 
+    def note_rest(
+        self, service: str, model: str | None, max_tokens: int, seconds: float
+    ) -> None:
+        """Takes the time of a stream from its head to its end."""
+        key = _Key(service, model)
+        rate = seconds / max(1, max_tokens)
+        known = self._rest_rate_by_key.get(key, rate)
+        self._rest_rate_by_key[key] = known + _WEIGHT * (rate - known)
+
+    def expected_rest_s(
+        self, service: str, model: str | None, max_tokens: int
+    ) -> float:
+        """Returns about how long a stream takes after its head."""
+        return (
+            self._rest_rate_by_key.get(_Key(service, model), 0.0) * max_tokens
+        )
+
     def expected_s(
         self, service: str, model: str | None, tokens: int
     ) -> float | None:
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -52,19 +52,31 @@
     times = head_times.HeadTimes()
     for _ in range(20):
         for tokens in (1000, 3000, 9000, 17000):
-            for model in PACE:
+            for model, pace in PACE.items():
                 times.note("m", model, tokens, _head_s(model, tokens))
+                times.note_rest("m", model, 200, 200 * pace * 0.006)
     return times
 
 
-def _larger(tokens: int, confidence: float, passed_s: float) -> str | None:
+def _larger(
+    tokens: int, confidence: float, passed_s: float, answer_tokens: int = 100
+) -> str | None:
     times = _learnt()
     return cascades.larger_model(
         _work(tokens),
         "small",
         confidence,
         cascades.Clock(ROUTE.target_s - passed_s, ROUTE.timeout_s - passed_s),
-        lambda model: times.expected_s("m", model, tokens),
+        lambda model: _duration(times, model, tokens, answer_tokens),
+    )
+
+
+def _duration(
+    times: head_times.HeadTimes, model: str, tokens: int, answer_tokens: int
+) -> cascades.Duration:
+    return cascades.Duration(
+        times.expected_s("m", model, tokens) or 0.0,
+        times.expected_rest_s("m", model, answer_tokens),
     )
 
 
@@ -78,6 +90,12 @@
     assert _larger(53_000, 40, 0.6) is None
 
 
+def test_long_answer_is_not_begun_where_it_could_not_end() -> None:
+    """A reply of 600 tokens takes the largest model eleven seconds."""
+    assert _larger(1000, 20, 0.5, 300) == "large"
+    assert _larger(1000, 20, 0.5, 600) is None
+
+
 def test_late_answer_is_asked_for_only_where_the_first_is_worthless() -> None:
     assert _larger(17_000, 40, 2.7) is None
     assert _larger(17_000, 10, 2.7) == "large"
@@ -106,7 +124,7 @@
             _work(tokens),
             "large",
             cascades.Clock(0.0, left_s),
-            lambda model: times.expected_s("m", model, tokens),
+            lambda model: _duration(times, model, tokens, 100),
         )
 
     assert after(9000, 9.0) == "large"
