Requests wait for a node that has just started; no grace before a first read

A test found besides that a process took its first read for the return of the store and kept entries that went in its first 2.2 s. Change: a request waits 0.3 s at most for a process without a configuration; a read that fails is repeated after 0.1 s at first; a first read is no return.

--- a/src/lycheegw/coordination/directory.py
+++ b/src/lycheegw/coordination/directory.py
@@ -198,7 +198,10 @@
         """Notices a read after a time in which nobody could read."""
         known = self._state_by_topic[topics.Topic.UPSTREAMS]
         confirmed_s = known.confirmed_s
-        if confirmed_s - self._last_confirmed_s > _STORE_AWAY_S:
+        is_first = self._last_confirmed_s == -math.inf
+        if not is_first and (
+            confirmed_s - self._last_confirmed_s > _STORE_AWAY_S
+        ):
             self._returned_s = confirmed_s
         self._last_confirmed_s = max(self._last_confirmed_s, confirmed_s)
 
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -42,6 +42,9 @@
 # a share of its objective; beyond this a refusal serves the caller better.
 _HOLD_SHARE = 0.125
 _HOLD_POLL_S = 0.02
+# How long a request may wait for a process that has just started; it reads the
+# store in some ten milliseconds, and a refusal uses up the caller's next try.
+_START_HOLD_S = 0.3
 # When to come back after a refusal, as a share of the objective, and bounds.
 _RETRY_AFTER_SHARE = 0.25
 _MIN_RETRY_AFTER_S = 0.1
@@ -113,6 +116,7 @@
     suspects: suspects.Suspects
     client: seams.ForwardClient
     reach: zone_reach.ZoneReach
+    is_known: Callable[[], bool]
     is_closing: Callable[[], bool]
     members: Callable[[], int]
     note: Callable[..., None]
@@ -197,6 +201,7 @@
         request: requests.Request | None = None
         progress: _Progress | None = None
         try:
+            await self._wait_until_known()
             request, work = self._accept(incoming)
             progress = _Progress(work)
             await self._serve_in_time(request, work, sink, progress)
@@ -208,6 +213,12 @@
         else:
             self._note_end(incoming, request, progress, "answered", None)
 
+    async def _wait_until_known(self) -> None:
+        """Holds requests that come before a process has read anything."""
+        until_s = self._now_s() + _START_HOLD_S
+        while not self._parts.is_known() and self._now_s() < until_s:
+            await self._state.environment.sleep(_HOLD_POLL_S)
+
     def _accept(
         self, incoming: forwarded.IncomingRequest
     ) -> tuple[requests.Request, forwarded.ForwardedWork]:
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -34,7 +34,7 @@
 _WATCH_WAIT_S = 20.0
 # A watcher that is replaced stops its open read within this time.
 _ROLE_CHECK_S = 0.5
-_RETRY_S = 0.25
+_RETRY_S = 0.1
 _MAX_RETRY_S = 1.0
 _TICK_S = 0.05
 
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -235,6 +235,7 @@
                 self.suspects,
                 self.client,
                 reach,
+                self._is_known,
                 lambda: self.is_closing,
                 self.registry.count,
                 self._log.note,
@@ -300,11 +301,13 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node takes new work."""
-        upstreams_known = self.state_by_topic[topics.Topic.UPSTREAMS].is_known
+        return not self.is_draining and self._is_known()
+
+    def _is_known(self) -> bool:
+        """Returns whether the configuration and upstreams were ever read."""
         return (
-            not self.is_draining
-            and self.directory.manifest is not None
-            and upstreams_known
+            self.directory.manifest is not None
+            and self.state_by_topic[topics.Topic.UPSTREAMS].is_known
         )
 
     async def _answer_ready(self, exchange: ingress.Exchange) -> None:
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -441,3 +441,28 @@
         )
         assert reply is not None and reply.status == 503
         assert not fleet.seen
+
+
+async def test_request_waits_for_a_node_that_has_just_started() -> None:
+    """kill_all, power_off_all: callers are back before the store was read."""
+    async with rig.fleet() as fleet:
+        fleet.store.fault = "busy"
+        node = await fleet.add_node()
+        asking = asyncio.create_task(
+            authority.ask(node.settings.front, "/look/1")
+        )
+        await asyncio.sleep(0.05)
+        fleet.store.fault = ""
+        reply = await asking
+        assert reply is not None and reply.status == 200
+
+
+async def test_node_that_never_read_anything_refuses() -> None:
+    async with rig.fleet() as fleet:
+        fleet.store.fault = "busy"
+        node = await fleet.add_node()
+        node.peers.take_entries([])
+        reply = await authority.ask(node.settings.front, "/look/1")
+        assert reply is not None and reply.status == 503
+        ready = await authority.ask(node.settings.ready, "/v1/readyz")
+        assert ready is not None and ready.status == 503
