--- a/tests/platform/authority.py
+++ b/tests/platform/authority.py
@@ -20,6 +20,8 @@
 from lycheegw.transport import ingress
 
 KEY = "key-of-acme"
+# A body that crashes the upstream which begins to run it.
+POISON = b"poison"
 HOST = "desk.example"
 
 
@@ -265,6 +267,9 @@
     async def _run(
         self, exchange: ingress.Exchange, headers: dict[str, str]
     ) -> None:
+        if exchange.incoming.body == POISON:
+            await self._server.stop()
+            return
         if self.is_answer_lost:
             exchange.abort()
             return
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -468,3 +468,49 @@
         assert reply is not None and reply.status == 503
         ready = await authority.ask(node.settings.ready, "/v1/readyz")
         assert ready is not None and ready.status == 503
+
+
+async def test_request_that_crashes_its_upstreams_ends_at_two() -> None:
+    """A poison request, sent again at another node by the same caller."""
+    async with rig.fleet(nodes=2) as fleet:
+        for name in ("m3", "m4"):
+            await fleet.add_upstream(name, "llm")
+        first, second = fleet.nodes
+        await rig.until(
+            lambda: all(
+                len(node.state.upstreams.by_id) == 6
+                and len(node.peers.live_nodes()) == 2
+                for node in fleet.nodes
+            )
+        )
+        reply = await authority.ask(
+            first.settings.front, "/ask/1", "POST", authority.POISON, PROMPT
+        )
+        assert reply is not None and reply.status == 502
+        assert len({each.upstream for each in fleet.seen}) == 2
+        for node in (second, first):
+            reply = await authority.ask(
+                node.settings.front, "/ask/1", "POST", authority.POISON, PROMPT
+            )
+            assert reply is not None and reply.status == 503
+        assert len(fleet.seen) == 2
+        reply = await authority.ask(
+            second.settings.front, "/ask/1", "POST", b"q", PROMPT
+        )
+        assert reply is not None and reply.status == 200
+
+
+async def test_node_with_an_old_configuration_denies_nothing() -> None:
+    """platform_down, node_cut: a route or a key may be new since."""
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        known = node.state_by_topic[topics.Topic.UPSTREAMS]
+        fleet.store.fault = "busy"
+        known.confirmed_s -= 60
+        for path, key in (("/new/1", authority.KEY), ("/look/1", "new-key")):
+            reply = await authority.ask(
+                node.settings.front, path, headers={"Api-Key": key}
+            )
+            assert reply is not None and reply.status == 503
+        reply = await authority.ask(node.settings.front, "/look/1")
+        assert reply is not None and reply.status == 200
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,7 +7,15 @@
 
 ROOT = pathlib.Path(lycheegw.__file__).parent
 LAYERS = ("transport", "protocol", "coordination", "state")
-ABOVE = ("standins", "measure", "app", "cli", "demo")
+ABOVE = (
+    "standins",
+    "measure",
+    "app",
+    "edge_app",
+    "platform",
+    "cli",
+    "demo",
+)
 NAMES_ALLOWED_FROM = ("typing", "collections.abc", "__future__")
 
 
