Forwarding split by what it does; each last line bears the request's id

OPERATIONS.md's first step finds a request by its id, and the line of a refusal before the route was known did not bear it. Change: pending (what is served), forward_attempts (attempts and failures), answer_delivery (checks and streams), forwarding (accept, refuse, tell). No behaviour changes but the id in the line; its test fails before.

--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -12,6 +12,7 @@
 from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import fleet_rollouts
+from lycheegw.coordination import forward_attempts
 from lycheegw.coordination import forwarding
 from lycheegw.coordination import node_registry
 from lycheegw.coordination import seams
@@ -32,6 +33,7 @@
 from lycheegw.state import orders
 from lycheegw.state import routing
 from lycheegw.state import topics
+from lycheegw.state import upstreams
 from lycheegw.transport import event_log
 from lycheegw.transport import exchange_client
 from lycheegw.transport import forward_client
@@ -224,7 +226,7 @@
         self.forwarder = forwarding.Forwarder(
             self.state,
             self._adapter.callers,
-            forwarding.Parts(
+            forward_attempts.Parts(
                 self.directory,
                 balancer,
                 rates,
@@ -255,13 +257,13 @@
         known = manifest.service_by_name.get(service) if manifest else None
         return known.health_path if known is not None else "/"
 
-    def _has_connection(self, upstream: "balancing.upstreams.Upstream") -> bool:
+    def _has_connection(self, upstream: upstreams.Upstream) -> bool:
         manifest = self.directory.manifest
         pool = upstream.entry.pool
         service = manifest.service_by_name.get(pool) if manifest else None
         if service is None:
             return False
-        limit = self.forwarder.connection_limit(service)
+        limit = self.forwarder.attempts.connection_limit(service)
         return self.client.has_connection(upstream.entry, limit)
 
     def _build_servers(self) -> None:
--- a/tests/platform/rig.py
+++ b/tests/platform/rig.py
@@ -74,7 +74,19 @@
         self.seen: list[authority.Seen] = []
         self.upstream_by_name: dict[str, authority.Upstream] = {}
         self.nodes: list[edge_app.EdgeNode] = []
-        self.events: list[dict[str, Any]] = []
+
+    def lines_of(self, node: edge_app.EdgeNode) -> list[dict[str, Any]]:
+        """Returns a list that takes the node's further lines on requests."""
+        lines: list[dict[str, Any]] = []
+
+        def note(event: str, **fields: Any) -> None:
+            lines.append({"event": event, **fields})
+
+        forwarder = node.forwarder
+        forwarder._parts = forwarder._parts._replace(note=note)
+        attempts = forwarder.attempts
+        attempts._parts = attempts._parts._replace(note=note)
+        return lines
 
     async def add_upstream(
         self, name: str, service: str, **changes: Any
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -50,8 +50,14 @@
 async def test_unknown_route_and_key_are_refused() -> None:
     async with rig.fleet() as fleet:
         front = fleet.nodes[0].settings.front
-        reply = await authority.ask(front, "/nowhere/")
+        lines = fleet.lines_of(fleet.nodes[0])
+        reply = await authority.ask(
+            front, "/nowhere/", headers={"X-Lycheegw-Attempt-Id": "lost-1"}
+        )
         assert reply is not None and reply.status == 404
+        (line,) = [each for each in lines if each["event"] == "refused"]
+        assert line["request_id"] == "lost-1"
+        assert line["reason"] == "unknown_route"
         reply = await authority.ask(
             front, "/look/1", headers={"Api-Key": "wrong"}
         )
