A version on trial takes the place of others within its exposure alone

Cause: read in the balancer: where all old upstreams are cold or away, every request went to the version on trial. Change: it stands in for the others up to 0.65 of its share and half of the slack. Its test fails before.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -84,11 +84,7 @@
             tried: Upstreams that failed it.
             version: Version that began its answer; others are a last resort.
         """
-        pool = [
-            each
-            for each in self._state.upstreams.pool(service.name)
-            if each.entry.zone not in self._directory.closed_zones
-        ]
+        pool = self._open_pool(service)
         options = self._usable(pool, tried)
         grouped, why = self._by_version(
             request, work, service, options, version
@@ -117,12 +113,16 @@
     def is_scarce(self, service: routing.Service) -> bool:
         """Returns whether all upstreams of a service bear few requests now."""
         now_s = self._state.environment.monotonic_s()
-        pool = [
+        options = self._usable(self._open_pool(service), set())
+        return all(each.is_cold(now_s) for each in options)
+
+    def _open_pool(self, service: routing.Service) -> list[upstreams.Upstream]:
+        """Returns the upstreams of a service in zones that may get work."""
+        return [
             each
             for each in self._state.upstreams.pool(service.name)
             if each.entry.zone not in self._directory.closed_zones
         ]
-        return all(each.is_cold(now_s) for each in self._usable(pool, set()))
 
     def _usable(
         self, pool: Sequence[upstreams.Upstream], tried: set[str]
--- a/src/lycheegw/coordination/fleet_rollouts.py
+++ b/src/lycheegw/coordination/fleet_rollouts.py
@@ -33,6 +33,9 @@
 # Part of the exposure bound that a version on trial gets; the rest is for
 # what is on its way when it is found bad.
 _TRIAL_SHARE_OF_BOUND = 0.65
+# Part of the slack that requests may use for which no other version has an
+# upstream; nodes hear of each other's with some delay.
+_SLACK_SHARE = 0.5
 # Part of the time that a version stays on trial. A session may change its
 # version in the second half only.
 _TRIAL_PART = 0.5
@@ -213,7 +216,20 @@
             return is_target
         if outcome is orders.RolloutState.ROLLED_BACK:
             return not is_target
-        return not (is_target and self._run(known).is_condemned)
+        if not is_target:
+            return True
+        run = self._run(known)
+        return not run.is_condemned and self._has_exposure_left(run)
+
+    def _has_exposure_left(self, run: _Run) -> bool:
+        """Returns whether a version on trial may get more than its share."""
+        if self._running_share(run) > self._trial_share():
+            return True
+        target, others = self._totals(run.known)
+        bounds = self._bounds()
+        allowed = bounds.exposure_share * (target.sent + others.sent)
+        slack = _SLACK_SHARE * bounds.exposure_slack
+        return target.sent < _TRIAL_SHARE_OF_BOUND * allowed + slack
 
     def note_sent(self, service: str, version: str) -> None:
         """Counts a request sent."""
--- a/tests/test_fleet_rollouts.py
+++ b/tests/test_fleet_rollouts.py
@@ -194,3 +194,18 @@
     target = tallies.Totals(20, 20, 0, 20, slow, 0, frozenset())
     assert fleet_rollouts.is_bad(target, others) == "slow"
     assert fleet_rollouts.is_bad(others, others) is None
+
+
+def test_version_on_trial_does_not_stand_in_for_all_others() -> None:
+    """cold_return of the old upstreams: the target has free places."""
+    fleet = Fleet(1)
+    rollout = fleet.rollouts[0]
+    sent = 0
+    while rollout.may_use("m", "v2") and sent < 1000:
+        rollout.note_sent("m", "v2")
+        sent += 1
+    assert 0 < sent <= BOUNDS.exposure_slack
+    for _ in range(2000):
+        rollout.note_sent("m", "v1")
+    assert rollout.may_use("m", "v2")
+    assert rollout.may_use("m", "v1")
