--- a/tests/platform/rig.py
+++ b/tests/platform/rig.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import contextlib
 import os
-import socket
 from typing import Any
 
 from lycheegw import edge_app
@@ -33,23 +32,16 @@
 """
 
 
-def free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
 def settings_text(store: str, number: int = 1, zone: str = "z-a") -> str:
-    """Returns the settings file of a node on free ports."""
-    front, ready, peer = free_port(), free_port(), free_port()
+    """Returns the settings file of a node on ports that binding chooses."""
     return f"""node_name=node-{number}
 role=router
 ip=127.0.0.1
 zone={zone}
 region=r
-listeners_map.front=127.0.0.1:{front}
-listeners_map.ready=127.0.0.1:{ready}
-internal_ports={peer},{peer + 10}
+listeners_map.front=127.0.0.1:0
+listeners_map.ready=127.0.0.1:0
+internal_ports=0,10
 heartbeat_ms=1200
 platform.address={store}
 platform.writes_per_s=400
@@ -63,7 +55,7 @@
 ) -> edge_settings.EdgeSettings:
     """Returns the settings of a node; its metrics page is anywhere."""
     parsed = settings_file.parse(settings_text(store, number, zone))
-    return parsed._replace(metrics=f"127.0.0.1:{free_port()}")
+    return parsed._replace(metrics="127.0.0.1:0")
 
 
 class Fleet:
@@ -120,6 +112,11 @@
             log,
         )
         await node.start()
+        node.settings = node.settings._replace(
+            front=node.server.address,
+            ready=node.ready_server.address,
+            metrics=node.metrics_server.address,
+        )
         self.nodes.append(node)
         return node
 
