Streams that may run once have one model; unused bounds may be missing; fewer open reads

A stream on a route that is not resumable may run once, and a cascade ran it twice. A settings file without the bounds of a contract that is not in force ended the program. Change: such a stream goes to the largest model alone; bounds have the defaults of the platform's example, while names and addresses are still asked for; one node of a zone holds a read open, and hears of the others' by its peers. Both new tests fail before.

--- a/src/lycheegw/coordination/cascades.py
+++ b/src/lycheegw/coordination/cascades.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from lycheegw.state import forwarded
+from lycheegw.state import routing
 
 __all__ = [
     "Clock",
@@ -70,13 +71,21 @@
     """Returns the model to begin with, None where the caller named one."""
     if not _is_open(work):
         return None
-    if work.traits.last_event is not None:
+    if work.traits.last_event is not None or not _may_run_again(work):
         # A stream that goes on was begun by a model that answered well
-        # enough; the largest one is never worse.
+        # enough, and one that may run once has no second model; the largest
+        # one is never worse.
         return work.route.models[-1]
     return work.route.models[0]
 
 
+def _may_run_again(work: forwarded.ForwardedWork) -> bool:
+    return (
+        work.route.kind is routing.RequestKind.IDEMPOTENT
+        or work.route.is_resumable
+    )
+
+
 def larger_model(
     work: forwarded.ForwardedWork,
     model: str | None,
@@ -98,6 +107,8 @@
     largest = work.route.models[-1]
     if model == largest or confidence >= _MIN_CONFIDENCE:
         return None
+    if not _may_run_again(work):
+        return None
     usual = expected(largest)
     if usual.head_s + usual.rest_s > _WHOLE_SHARE * clock.left_s:
         return None
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -27,8 +27,9 @@
 # the way of news between zones.
 _RANK_STEP_S = 0.12
 _MAX_RANK = 6
-# Nodes of a zone that wait for orders; two, so that one may fail.
-_WATCHERS_PER_ZONE = 2
+# Nodes of a zone that wait for orders; where one fails, news come from those
+# of the other zones until it is replaced.
+_WATCHERS_PER_ZONE = 1
 # Longest wait of an open read; a connection that fell silent is noticed by
 # its own probes before.
 _WATCH_WAIT_S = 20.0
--- a/src/lycheegw/platform/settings_file.py
+++ b/src/lycheegw/platform/settings_file.py
@@ -47,9 +47,9 @@
         peer=f"{ip}:{low}",
         metrics=f"{ip}:{edge_settings.METRICS_PORT}",
         store=fields.get("platform.address", _address),
-        store_reads_per_s=fields.get("platform.reads_per_s", float),
-        store_writes_per_s=fields.get("platform.writes_per_s", float),
-        heartbeat_s=fields.get("heartbeat_ms", _seconds),
+        store_reads_per_s=fields.get("platform.reads_per_s", float, "2000"),
+        store_writes_per_s=fields.get("platform.writes_per_s", float, "400"),
+        heartbeat_s=fields.get("heartbeat_ms", _seconds, "1200"),
         bounds=_bounds(fields),
     )
     if high < low:
@@ -61,19 +61,21 @@
 
 def _bounds(fields: "_Fields") -> edge_settings.Bounds:
     return edge_settings.Bounds(
-        drain_s=fields.get("bounds.drain_ms", _seconds),
-        grace_s=fields.get("bounds.grace_s", float),
-        config_apply_s=fields.get("bounds.config_apply_ms", _seconds),
-        retry_ratio=fields.get("bounds.retry_budget_ratio", float),
-        retry_window_s=fields.get("bounds.budget_window_s", float),
-        retry_slack=fields.get("bounds.retry_slack", float),
-        exposure_share=fields.get("bounds.exposure_share", float),
-        exposure_slack=fields.get("bounds.exposure_slack", float),
-        rollback_s=fields.get("bounds.rollback_ms", _seconds),
-        cold_overage=fields.get("bounds.cold_overage", float),
-        cold_slack=fields.get("bounds.cold_slack", float),
-        event_deadline_s=fields.get("bounds.event_deadline_ms", _seconds),
-        session_s=fields.get("bounds.session_s", float),
+        drain_s=fields.get("bounds.drain_ms", _seconds, "2000"),
+        grace_s=fields.get("bounds.grace_s", float, "8"),
+        config_apply_s=fields.get("bounds.config_apply_ms", _seconds, "2000"),
+        retry_ratio=fields.get("bounds.retry_budget_ratio", float, "0.9"),
+        retry_window_s=fields.get("bounds.budget_window_s", float, "10"),
+        retry_slack=fields.get("bounds.retry_slack", float, "54"),
+        exposure_share=fields.get("bounds.exposure_share", float, "0.15"),
+        exposure_slack=fields.get("bounds.exposure_slack", float, "30"),
+        rollback_s=fields.get("bounds.rollback_ms", _seconds, "5000"),
+        cold_overage=fields.get("bounds.cold_overage", float, "1.5"),
+        cold_slack=fields.get("bounds.cold_slack", float, "5"),
+        event_deadline_s=fields.get(
+            "bounds.event_deadline_ms", _seconds, "120"
+        ),
+        session_s=fields.get("bounds.session_s", float, "5"),
     )
 
 
@@ -93,9 +95,18 @@
         self.faults: list[str] = []
         self._value_by_name = value_by_name
 
-    def get(self, name: str, convert: Callable[[str], _Value]) -> _Value:
-        """Returns a field; on a fault it is noted and a blank returned."""
-        text = self._value_by_name.get(name)
+    def get(
+        self,
+        name: str,
+        convert: Callable[[str], _Value],
+        default: str | None = None,
+    ) -> _Value:
+        """Returns a field; on a fault it is noted and a blank returned.
+
+        A deployment leaves out the bounds of what it does not use; they have
+        a default.
+        """
+        text = self._value_by_name.get(name) or default
         if not text:
             self.faults.append(f"{name}: is missing")
         else:
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -204,3 +204,11 @@
     assert traits.is_model_open
     assert (traits.prompt_tokens, traits.max_tokens) == (1460, 80)
     assert [part.tokens for part in traits.prompt] == [800, 410, 250]
+
+
+def test_bounds_that_a_deployment_does_not_use_may_be_missing() -> None:
+    lines = rig.settings_text("10.0.0.9:70").splitlines()
+    kept = [line for line in lines if not line.startswith("bounds.")]
+    settings = settings_file.parse("\n".join(kept))
+    assert settings.bounds.grace_s == 8.0
+    assert settings.bounds.retry_ratio == 0.9
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -165,3 +165,18 @@
     times.note_at_least("m", "large", 17_000, before * 4)
     after = times.expected_s("m", "large", 17_000)
     assert after is not None and after > before
+
+
+def test_stream_that_may_run_once_is_asked_of_one_model() -> None:
+    """A route that is not resumable: a second model would be a second run."""
+    work = _work(1000)
+    once = work._replace(route=ROUTE._replace(is_resumable=False))
+    assert cascades.first_model(once) == "large"
+    larger = cascades.larger_model(
+        once,
+        "small",
+        5.0,
+        cascades.Clock(3.0, 12.0),
+        lambda _: cascades.Duration(0.1, 0.1),
+    )
+    assert larger is None
