A slow version is judged by its pace and its silence, too

On trial the slow version had little beside its requests, so its heads took 0.09 s where those of the loaded old one took 0.2; after the trial 117 of its attempts were given up for silence and counted nowhere. Its events came 4 times slower all the while. Ruled out: tallies that did not reach the others (sums agree). Change: the time between the first events is counted by version and compared from 5 streams on; an attempt without a head counts as the time that it was waited for; a trial lasts until there are such streams. Tests fail before.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -1,6 +1,7 @@
 """Passes answers of upstreams on: whole ones at once, streams by event."""
 
 import asyncio
+from collections.abc import Callable
 
 from lycheegw.coordination import event_streams
 from lycheegw.coordination import pending
@@ -11,7 +12,7 @@
 from lycheegw.state import routing
 from lycheegw.state import verdicts
 
-__all__ = ["check", "deliver", "is_stream"]
+__all__ = ["PACE_EVENTS", "check", "deliver", "is_stream"]
 
 _MAY_HAVE_RUN = verdicts.RunVerdict.MAY_HAVE_RUN
 
@@ -19,6 +20,9 @@
 # upstream; shorter ones come from preemption.
 _GAP_FACTOR = 2.5
 _MIN_GAP_S = 2.0
+# Events of an attempt after which its pace is told; a few are enough, and the
+# pace of a slow upstream is known before its streams end.
+PACE_EVENTS = 4
 # Bodies of answers that are not streams are read whole before they go out, so
 # that a broken one can be asked for again.
 _MAX_WHOLE_BYTES = 8 * 1024 * 1024
@@ -64,6 +68,7 @@
     call: seams.ForwardCall,
     head: forwarded.AnswerHead,
     version: str,
+    note_pace: Callable[[], None],
 ) -> None:
     """Passes an answer on to its end.
 
@@ -72,12 +77,13 @@
         call: Where the answer is read.
         head: Its head, checked.
         version: Version of the upstream.
+        note_pace: Called after the first few events of a stream.
 
     Raises:
         errors.UpstreamError: The answer broke off.
     """
     if is_stream(served.work) and head.status < 300:
-        await _deliver_stream(served, call, head, version)
+        await _deliver_stream(served, call, head, version, note_pace)
         return
     body = await _read_whole(call)
     served.progress.is_out = False
@@ -105,12 +111,17 @@
     call: seams.ForwardCall,
     head: forwarded.AnswerHead,
     version: str,
+    note_pace: Callable[[], None],
 ) -> None:
     reader = event_streams.EventReader()
+    events = 0
     gap_s = max(_MIN_GAP_S, _GAP_FACTOR * served.work.route.gap_s)
     while (data := await _read_within(call, gap_s)) is not None:
         for event in reader.feed(data):
             await _pass_on(served, event, head, version)
+            events += 1
+            if events == PACE_EVENTS:
+                note_pace()
         if reader.is_oversized:
             raise errors.UpstreamError(
                 reasons.RetryReason.MALFORMED,
--- a/src/lycheegw/coordination/fleet_rollouts.py
+++ b/src/lycheegw/coordination/fleet_rollouts.py
@@ -55,6 +55,12 @@
 # times of single answers spread by about a factor of three.
 _LEAST_TIMED = 12
 _SLOW_FACTOR = 3.0
+# Streams from which the time between events is compared, at the target and at
+# the others, and the factor that is too slow. It spreads less than the time to
+# the head, and a version that gets little is, if anything, faster.
+_LEAST_PACED = 5
+_LEAST_PACED_OTHERS = 12
+_SLOW_PACE_FACTOR = 1.8
 # How long the old versions must have run dry before they are given up.
 _SETTLED_S = 0.6
 # What is left of the time when a good version is completed although some
@@ -100,9 +106,21 @@
         )
         if difference > math.log(_SLOW_FACTOR):
             return "slow"
+    if _has_pace(target, others):
+        difference = (
+            target.log_pace_sum / target.paced
+            - others.log_pace_sum / others.paced
+        )
+        if difference > math.log(_SLOW_PACE_FACTOR):
+            return "slow pace"
     return None
 
 
+def _has_pace(target: tallies.Totals, others: tallies.Totals) -> bool:
+    """Returns whether enough streams ran to compare their pace."""
+    return target.paced >= _LEAST_PACED and others.paced >= _LEAST_PACED_OTHERS
+
+
 class _Run:
     """One roll-out as this node carries it out."""
 
@@ -264,6 +282,30 @@
             )
         self._put(tally)
 
+    def note_silent(self, service: str, version: str, seconds: float) -> None:
+        """Counts an attempt that had no head after some seconds."""
+        tally = self._own_tally(service, version)
+        if tally is not None:
+            self._put(
+                tally._replace(
+                    timed=tally.timed + 1,
+                    log_time_sum=tally.log_time_sum
+                    + math.log(max(seconds, 0.001)),
+                )
+            )
+
+    def note_pace(self, service: str, version: str, seconds: float) -> None:
+        """Counts a stream by the time between its events."""
+        tally = self._own_tally(service, version)
+        if tally is not None:
+            self._put(
+                tally._replace(
+                    paced=tally.paced + 1,
+                    log_pace_sum=tally.log_pace_sum
+                    + math.log(max(seconds, 0.0001)),
+                )
+            )
+
     def note_failed(self, service: str, version: str, upstream: str) -> None:
         """Counts an answer that is the version's own failure."""
         tally = self._own_tally(service, version)
@@ -325,8 +367,11 @@
         if now_s - run.first_seen_s < half_s:
             return self._trial_share()
         if run.ramp_s is None:
-            target, _ = self._totals(run.known)
-            if target.answered - target.failed < _TRIAL_ANSWERS:
+            target, others = self._totals(run.known)
+            has_streams = others.paced >= _LEAST_PACED_OTHERS
+            if target.answered - target.failed < _TRIAL_ANSWERS or (
+                has_streams and target.paced < _LEAST_PACED
+            ):
                 return self._trial_share()
             run.ramp_s = now_s
         ramp_s = max(_RAMP_PART * run.known.order.duration_s, 0.001)
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -253,7 +253,7 @@
             call = await self._parts.client.send(self._encode(served, choice))
             # Before this the request was on no connection.
             progress.is_out = True
-            head = await self._head(served, call)
+            head = await self._head(served, call, version)
             progress.head_s = self._now_s() - progress.begun_s
             progress.confidence = head.confidence
             self._take_load(choice, head)
@@ -263,7 +263,13 @@
             if larger is not None:
                 call.abort()
                 return larger
-            await answer_delivery.deliver(served, call, head, version)
+            await answer_delivery.deliver(
+                served,
+                call,
+                head,
+                version,
+                lambda: self._note_pace(served, version),
+            )
             call.finish()
             self._note_whole(served)
             return None
@@ -322,7 +328,7 @@
         )
 
     async def _head(
-        self, served: pending.Pending, call: seams.ForwardCall
+        self, served: pending.Pending, call: seams.ForwardCall, version: str
     ) -> forwarded.AnswerHead:
         """Returns the head of the answer; raises errors.UpstreamError."""
         limit_s = self._head_limit_s(served)
@@ -336,6 +342,10 @@
                 served.work.traits.prompt_tokens,
                 limit_s or 0.0,
             )
+            # A slow version would else be judged by its fast answers alone.
+            self._parts.rollouts.note_silent(
+                served.service.name, version, limit_s or 0.0
+            )
             raise errors.UpstreamError(
                 reasons.RetryReason.HEAD_TIMEOUT,
                 f"no head in {limit_s:.2f} s",
@@ -449,6 +459,16 @@
                 head_s=round(progress.head_s, 3),
             )
 
+    def _note_pace(self, served: pending.Pending, version: str) -> None:
+        """Takes the time between the first events of a stream."""
+        progress = served.progress
+        passed_s = self._now_s() - progress.begun_s - progress.head_s
+        self._parts.rollouts.note_pace(
+            served.service.name,
+            version,
+            passed_s / (answer_delivery.PACE_EVENTS - 1),
+        )
+
     def _note_whole(self, served: pending.Pending) -> None:
         """Takes the time of a stream that ended whole."""
         max_tokens = served.work.traits.max_tokens
--- a/src/lycheegw/protocol/rollout_codec.py
+++ b/src/lycheegw/protocol/rollout_codec.py
@@ -22,6 +22,8 @@
                 log_time_sum=each.log_time_sum,
                 in_flight=each.in_flight,
                 failing_upstreams=sorted(each.failing_upstreams),
+                paced=each.paced,
+                log_pace_sum=each.log_pace_sum,
             )
             for each in news.tallies
         ],
@@ -48,6 +50,8 @@
                 each.log_time_sum,
                 each.in_flight,
                 frozenset(each.failing_upstreams),
+                each.paced,
+                each.log_pace_sum,
             )
             for each in message.tallies
         ),
--- a/src/lycheegw/state/tallies.py
+++ b/src/lycheegw/state/tallies.py
@@ -28,6 +28,8 @@
         log_time_sum: Sum of the logarithms of these times in seconds.
         in_flight: Requests that run now.
         failing_upstreams: Upstreams that failed requests.
+        paced: Streams whose time between events was taken.
+        log_pace_sum: Sum of the logarithms of these times in seconds.
     """
 
     key: TallyKey
@@ -41,6 +43,8 @@
     log_time_sum: float = 0.0
     in_flight: int = 0
     failing_upstreams: frozenset[str] = frozenset()
+    paced: int = 0
+    log_pace_sum: float = 0.0
 
 
 class Stance(NamedTuple):
@@ -77,6 +81,8 @@
     log_time_sum: float
     in_flight: int
     failing_upstreams: frozenset[str]
+    paced: int = 0
+    log_pace_sum: float = 0.0
 
 
 class Tallies:
@@ -120,6 +126,8 @@
             sum(each.log_time_sum for each in chosen),
             sum(each.in_flight for each in chosen),
             frozenset().union(*(each.failing_upstreams for each in chosen)),
+            sum(each.paced for each in chosen),
+            sum(each.log_pace_sum for each in chosen),
         )
 
     def forget(self, service: str, but_offset: int) -> None:
--- a/tests/test_fleet_rollouts.py
+++ b/tests/test_fleet_rollouts.py
@@ -209,3 +209,43 @@
         rollout.note_sent("m", "v1")
     assert rollout.may_use("m", "v2")
     assert rollout.may_use("m", "v1")
+
+
+def test_version_that_is_slow_only_under_load_shows_in_its_pace() -> None:
+    """rollout_bad, slow: on trial little runs beside its requests.
+
+    Its heads come as fast as those of the old version under load; its events
+    do not.
+    """
+    logs = 100 * math.log(0.2)
+    others = tallies.Totals(
+        100, 100, 0, 100, logs, 0, frozenset(), 60, 60 * math.log(0.035)
+    )
+    target = tallies.Totals(
+        16,
+        12,
+        0,
+        12,
+        12 * math.log(0.16),
+        0,
+        frozenset(),
+        5,
+        5 * math.log(0.13),
+    )
+    assert fleet_rollouts.is_bad(target, others) == "slow pace"
+    good = target._replace(log_pace_sum=5 * math.log(0.03))
+    assert fleet_rollouts.is_bad(good, others) is None
+
+
+def test_silence_counts_as_time() -> None:
+    """A slow version whose answers are given up is not judged by the rest."""
+    fleet = Fleet(1)
+    rollout = fleet.rollouts[0]
+    for _ in range(30):
+        rollout.note_sent("m", "v1")
+        rollout.note_answer("m", "v1", 0.2)
+        rollout.note_sent("m", "v2")
+        rollout.note_silent("m", "v2", 1.5)
+    fleet.tick()
+    rollout._judge("m")
+    assert rollout.share("m") == 0.0
