--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 from typing import Any
 
 from grpclib import exceptions
@@ -122,6 +123,8 @@
         self._last_call_id = 0
         self._handlers: set[asyncio.Task[None]] = set()
         self._nudged = asyncio.Event()
+        # Of its own, so that how often links beat changes no other choice.
+        self._random = random.Random(peer.node_id)
         self._writer: asyncio.Task[None] | None = None
         self._reader: asyncio.Task[None] | None = None
 
@@ -199,7 +202,7 @@
         beat_s = _CALL_LINK_BEAT_S
         if self.is_neighbour:
             beat_s = self._hooks.beat_s()
-        jitter = 1 + _BEAT_JITTER * self._state.environment.random.random()
+        jitter = 1 + _BEAT_JITTER * self._random.random()
         return self._now_s() + beat_s * jitter
 
     async def _wait(self, until_s: float) -> bool:
