Entries from a peer are counted when they are taken

The record is in force after the first round with a peer, the counter grew only after the last one, and the test reads it in between. Change: the counter grows with the first round.

--- a/src/lycheegw/coordination/config_exchange.py
+++ b/src/lycheegw/coordination/config_exchange.py
@@ -150,9 +150,10 @@
                 return await self._fetch_snapshot(node_id, after, reply)
             if not self._intake.take_tail(after, reply.entries):
                 break
+            if not is_changed:
+                # Before the next round, which may fail or take a while.
+                self._state.counters.add("exchange.entries_taken")
             is_changed = True
-        if is_changed:
-            self._state.counters.add("exchange.entries_taken")
         return is_changed
 
     async def _fetch_snapshot(
