A missing settings variable is named

Cause: tried as a newcomer, the program without its variable said '.: Is a directory'. Change: the fault names the variable; its test fails before.

--- a/src/lycheegw/platform/main.py
+++ b/src/lycheegw/platform/main.py
@@ -87,8 +87,11 @@
 
 def main() -> None:
     """Entry point; exits with 2 and a line for each fault of the settings."""
-    path = pathlib.Path(os.environ.get(settings_file.ENVIRONMENT_VARIABLE, ""))
+    variable = settings_file.ENVIRONMENT_VARIABLE
+    path = pathlib.Path(os.environ.get(variable, ""))
     try:
+        if not os.environ.get(variable):
+            raise errors.SettingsError([f"{variable}: is not set"])
         settings = settings_file.read(path)
     except errors.SettingsError as error:
         for fault in error.faults:
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lycheegw.platform import headers
+from lycheegw.platform import main
 from lycheegw.platform import records
 from lycheegw.platform import settings_file
 from lycheegw.state import errors
@@ -206,6 +207,16 @@
     assert [part.tokens for part in traits.prompt] == [800, 410, 250]
 
 
+def test_missing_settings_file_is_named_by_its_variable(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.delenv("LYCHEEGW_BOOT", raising=False)
+    with pytest.raises(SystemExit) as raised:
+        main.main()
+    assert raised.value.code == 2
+    assert "LYCHEEGW_BOOT: is not set" in capsys.readouterr().err
+
+
 def test_bounds_that_a_deployment_does_not_use_may_be_missing() -> None:
     lines = rig.settings_text("10.0.0.9:70").splitlines()
     kept = [line for line in lines if not line.startswith("bounds.")]
