Prompts go by the time that upstreams still read, short ones first

The load told by answers counts requests and is some seconds old, so no choice by it could avoid that.

Now nodes tell each other the reading time of the prompts that they have sent, the balancer weighs the wait against reading a shared part again, and what is read soon is more urgent at its upstream.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -4,9 +4,11 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from lycheegw.coordination import backlogs
 from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import fleet_rollouts
+from lycheegw.coordination import head_times
 from lycheegw.coordination import rendezvous
 from lycheegw.coordination import zone_reach
 from lycheegw.state import forwarded
@@ -20,18 +22,30 @@
 # Shared tokens from which the same upstream is worth a way into another zone:
 # reading them again takes longer and costs more than moving the request.
 _FAR_AFFINITY_TOKENS = 8000
-# An upstream that has more than this many times the mean load, and so many
-# requests besides, is passed over although it has the prompt in memory.
-_AFFINITY_LOAD_FACTOR = 1.3
-_AFFINITY_LOAD_SLACK = 3.0
+# Waiting time that a request in memory at an upstream stands for: each makes
+# the steps of all others a little longer.
+_LOAD_S = 0.01
+# Waiting time that makes up for the way into another zone, whose bytes are
+# priced.
+_FAR_S = 0.1
 
 
 class Choice(NamedTuple):
-    """An upstream and why it was taken."""
+    """An upstream and why it was taken.
+
+    Attributes:
+        upstream: Where the attempt goes.
+        service: The service that it belongs to.
+        why: What decided, for the log.
+        read_s: How long it should take to read the prompt.
+        wait_s: How long it should take for the prompts before this one.
+    """
 
     upstream: upstreams.Upstream
     service: routing.Service
     why: str
+    read_s: float = 0.0
+    wait_s: float = 0.0
 
 
 class NoUpstream(NamedTuple):
@@ -57,8 +71,12 @@
         rates: cold_rates.ColdRates,
         has_connection: Callable[[upstreams.Upstream], bool],
         reach: zone_reach.ZoneReach,
+        times: head_times.HeadTimes,
+        queued: backlogs.Backlogs,
     ):
         self._state = state
+        self._times = times
+        self._backlogs = queued
         self._directory = known
         self._rollouts = rollouts
         self._rates = rates
@@ -107,8 +125,10 @@
             why = "other version"
         if not sendable:
             return NoUpstream(len(pool), bool(grouped))
-        upstream, reason = self._pick(work, service, model, sendable)
-        return Choice(upstream, service, f"{why}, {reason}" if why else reason)
+        choice = self._pick(work, service, model, sendable)
+        if why:
+            choice = choice._replace(why=f"{why}, {choice.why}")
+        return choice
 
     def is_scarce(self, service: routing.Service) -> bool:
         """Returns whether all upstreams of a service bear few requests now."""
@@ -171,31 +191,55 @@
         service: routing.Service,
         model: str | None,
         options: list[upstreams.Upstream],
-    ) -> tuple[upstreams.Upstream, str]:
-        key, tokens = affinity_key(work.traits)
-        if service.engine is None or key is None:
-            return self._least_loaded(options), "least loaded"
-        near = options
-        if tokens < _FAR_AFFINITY_TOKENS:
-            near = self._in_zone(options) or options
-        now_s = self._state.environment.monotonic_s()
-        load_by_id = {
-            each.entry.host_id: each.estimated_load(now_s) for each in near
+    ) -> Choice:
+        """Returns the upstream with the prompt in memory, or a shorter wait."""
+        if service.engine is None:
+            upstream = self._least_loaded(options)
+            return Choice(upstream, service, "least loaded")
+        traits = work.traits
+        key, shared = affinity_key(traits)
+        name = model or traits.model
+        read_s = self._times.read_s(service.name, name, traits.prompt_tokens)
+        again_s = self._times.read_again_s(
+            service.name, name, traits.prompt_tokens, shared
+        )
+        wait_s_by_id = {
+            each.entry.host_id: self._wait_s(each) for each in options
         }
-        mean = sum(load_by_id.values()) / len(load_by_id)
-        bound = mean * _AFFINITY_LOAD_FACTOR + _AFFINITY_LOAD_SLACK
-        by_id = {each.entry.host_id: each for each in near}
-        name = model or work.traits.model or ""
-        for host_id in rendezvous.order(f"{name} {key}", by_id):
-            if load_by_id[host_id] <= bound:
-                return by_id[host_id], "affinity"
-        return self._least_loaded(near), "least loaded"
-
-    def _in_zone(
-        self, options: Sequence[upstreams.Upstream]
-    ) -> list[upstreams.Upstream]:
-        zone = self._state.identity.zone
-        return [each for each in options if each.entry.zone == zone]
+        far_s = 0.0 if shared >= _FAR_AFFINITY_TOKENS else _FAR_S
+        cost_s_by_id = {
+            each.entry.host_id: wait_s_by_id[each.entry.host_id]
+            + (0.0 if self._is_near(each) else far_s)
+            for each in options
+        }
+        bound_s = min(cost_s_by_id.values()) + again_s
+        by_id = {each.entry.host_id: each for each in options}
+        order = rendezvous.order(f"{name or ''} {key}", by_id)
+        if far_s:
+            order = sorted(
+                order, key=lambda each: not self._is_near(by_id[each])
+            )
+        rank, host_id = next(
+            (rank, each)
+            for rank, each in enumerate(order)
+            if cost_s_by_id[each] <= bound_s
+        )
+        return Choice(
+            by_id[host_id],
+            service,
+            "affinity" if rank == 0 and key is not None else "shorter wait",
+            read_s + (again_s if rank else 0.0),
+            wait_s_by_id[host_id],
+        )
+
+    def _wait_s(self, upstream: upstreams.Upstream) -> float:
+        """Returns how long a new request should wait at an upstream."""
+        now_s = self._state.environment.monotonic_s()
+        backlog_s = self._backlogs.wait_s(upstream.entry.host_id)
+        return backlog_s + _LOAD_S * upstream.estimated_load(now_s)
+
+    def _is_near(self, upstream: upstreams.Upstream) -> bool:
+        return upstream.entry.zone == self._state.identity.zone
 
     def _least_loaded(
         self, options: Sequence[upstreams.Upstream]
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from lycheegw.coordination import answer_delivery
+from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
 from lycheegw.coordination import cascades
 from lycheegw.coordination import cold_rates
@@ -55,6 +56,13 @@
 _DEFAULT_CONNECTIONS = 64
 # Part of the bound on connections that all nodes together use.
 _CONNECTION_SHARE = 0.9
+# Urgency (0 first) of requests to the smallest of several models, and to the
+# others, where each of these lengths makes a prompt less urgent. On the first
+# deployment an upstream needs a quarter of a second and more than one second
+# for prompts of these lengths.
+_SMALLEST_URGENCY = 2
+_USUAL_URGENCY = 5
+_LONG_PROMPT_TOKENS = (8_000, 25_000)
 # Age of a load that was never told, in the log.
 _NO_LOAD_AGE_S = 999.0
 
@@ -81,6 +89,8 @@
     Attributes:
         directory: The orders in force.
         balancer: Chooses upstreams.
+        times: How long upstreams take.
+        queued: Prompts that upstreams have not read yet.
         rates: Bounds what cold upstreams get.
         budgets: Bounds further attempts.
         rollouts: Which version gets a request.
@@ -96,6 +106,8 @@
 
     directory: directory.Directory
     balancer: balancing.Balancer
+    times: head_times.HeadTimes
+    queued: backlogs.Backlogs
     rates: cold_rates.ColdRates
     budgets: shared_budgets.RetryBudgets
     rollouts: fleet_rollouts.FleetRollouts
@@ -115,7 +127,7 @@
     def __init__(self, state: node_state.NodeState, parts: Parts):
         self._state = state
         self._parts = parts
-        self._times = head_times.HeadTimes()
+        self._times = parts.times
         self._lines = waiting_lines.WaitingLines()
 
     async def serve(self, served: pending.Pending) -> None:
@@ -250,10 +262,15 @@
         self._note_attempt(served, choice)
         call: seams.ForwardCall | None = None
         try:
-            call = await self._parts.client.send(self._encode(served, choice))
-            # Before this the request was on no connection.
-            progress.is_out = True
-            head = await self._head(served, call, version)
+            with self._parts.queued.hold(
+                choice.upstream.entry.host_id, choice.read_s
+            ):
+                call = await self._parts.client.send(
+                    self._encode(served, choice)
+                )
+                # Before this the request was on no connection.
+                progress.is_out = True
+                head = await self._head(served, call, version)
             progress.head_s = self._now_s() - progress.begun_s
             progress.confidence = head.confidence
             self._take_load(choice, head)
@@ -308,6 +325,7 @@
             tokens=served.work.traits.prompt_tokens,
             load=round(upstream.estimated_load(now_s), 1),
             load_age_s=round(load_age_s, 2),
+            wait_s=round(choice.wait_s, 2),
             left_s=round(self._left_s(served.request), 3),
             last_event=progress.last_event,
         )
@@ -323,7 +341,7 @@
             progress.model,
             self._left_s(served.request),
             progress.last_event if progress.events else None,
-            None,
+            _urgency(served.work, progress.model),
             self.connection_limit(served.service),
         )
 
@@ -596,6 +614,22 @@
         return self._state.environment.monotonic_s()
 
 
+def _urgency(work: forwarded.ForwardedWork, model: str | None) -> int | None:
+    """Returns how urgent an attempt is at its upstream, None for the usual.
+
+    What is read soon goes first. The smallest model reads a prompt in a tenth
+    of the time of the largest: it delays the others little, and behind a long
+    prompt of theirs it would lose the time for an answer by another model.
+    """
+    if not work.route.models:
+        return None
+    if model == work.route.models[0]:
+        return _SMALLEST_URGENCY
+    tokens = work.traits.prompt_tokens
+    longer_than = sum(tokens > bound for bound in _LONG_PROMPT_TOKENS)
+    return _USUAL_URGENCY + longer_than
+
+
 async def _pass_on_failure(
     served: pending.Pending, answer: pending.WholeAnswer
 ) -> None:
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -8,12 +8,14 @@
 from absl import logging
 
 from lycheegw import lifecycle
+from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
 from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import fleet_rollouts
 from lycheegw.coordination import forward_attempts
 from lycheegw.coordination import forwarding
+from lycheegw.coordination import head_times
 from lycheegw.coordination import node_registry
 from lycheegw.coordination import seams
 from lycheegw.coordination import shared_budgets
@@ -21,6 +23,7 @@
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_readers
 from lycheegw.coordination import zone_reach
+from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import rollout_codec
 from lycheegw.protocol import suspect_codec
 from lycheegw.protocol import topic_codec
@@ -215,6 +218,11 @@
             self.state, self._bounds, self.registry.members
         )
         reach = zone_reach.ZoneReach(self.state.environment)
+        times = head_times.HeadTimes()
+        queued = backlogs.Backlogs(
+            self.state, self.peers, backlog_codec.CODEC, self.peers.nudge
+        )
+        self.peers.on_connect(queued.forget_neighbour)
         balancer = balancing.Balancer(
             self.state,
             self.directory,
@@ -222,6 +230,8 @@
             rates,
             self._has_connection,
             reach,
+            times,
+            queued,
         )
         self.forwarder = forwarding.Forwarder(
             self.state,
@@ -229,6 +239,8 @@
             forward_attempts.Parts(
                 self.directory,
                 balancer,
+                times,
+                queued,
                 rates,
                 shared_budgets.RetryBudgets(
                     self.state, self._bounds, self.registry.count
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 
+from lycheegw.coordination import seams
 from lycheegw.state import clocks
 from lycheegw.state import limits
 from lycheegw.state import node_state
@@ -76,3 +77,33 @@
         completed,
         clock.now_s,
     )
+
+
+class Bus:
+    """The links of one node: deltas go to all others when told to."""
+
+    def __init__(self, node_id: str):
+        self.node_id = node_id
+        self.source: seams.DeltaSource = lambda _: None
+        self.target: seams.DeltaTarget = lambda *_: None
+        self.others: list[Bus] = []
+
+    def on_delta(
+        self,
+        topic: str,
+        source: seams.DeltaSource,
+        target: seams.DeltaTarget,
+    ) -> None:
+        """Keeps what makes and takes deltas."""
+        self.source, self.target = source, target
+
+    def live_nodes(self, zone: str | None = None) -> list[str]:
+        """Returns all nodes."""
+        return [self.node_id, *(each.node_id for each in self.others)]
+
+    def tell(self) -> None:
+        """Sends each other node what it lacks."""
+        for other in self.others:
+            payload = self.source(other.node_id)
+            if payload is not None:
+                other.target(self.node_id, payload)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -169,6 +169,27 @@
         assert models == ["small", "large"]
 
 
+async def test_what_is_read_soon_is_more_urgent_at_its_upstream() -> None:
+    """Long prompts under load: those of the smallest model go first."""
+    async with rig.fleet() as fleet:
+        for name in ("m1", "m2"):
+            fleet.upstream_by_name[name].confidence = {"small": 20}
+        for tokens in (1_000, 10_000, 40_000):
+            usage = {"X-Lycheegw-Token-Usage": f"{tokens},50"}
+            await authority.ask(
+                fleet.nodes[0].settings.front,
+                "/ask/1",
+                "POST",
+                b"q",
+                {**PROMPT, **usage, "X-Lycheegw-Request-Urgency": "0"},
+            )
+        urgencies = [
+            int(each.header_by_name["x-lycheegw-request-urgency"])
+            for each in fleet.seen
+        ]
+        assert urgencies == [2, 5, 2, 6, 2, 7]
+
+
 @pytest.mark.parametrize("broken_event", [1, 3, 5])
 async def test_broken_stream_goes_on_elsewhere(broken_event: int) -> None:
     """srv_crash: a stream stops within an event, its rest comes once."""
--- /dev/null
+++ b/tests/test_backlogs.py
@@ -0,0 +1,322 @@
+"""Where prompts go under load: few long prompts among many short ones.
+
+Pattern: one request in ten has a prompt that takes an upstream fifty times as
+long to read. Requests are alike in number, so that a choice by their count
+puts short prompts behind long ones; all nodes choose at once, each by what it
+was last told.
+"""
+
+import collections
+import heapq
+import random
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lycheegw.coordination import backlogs
+from lycheegw.coordination import balancing
+from lycheegw.coordination import head_times
+from lycheegw.coordination import rendezvous
+from lycheegw.protocol import backlog_codec
+from lycheegw.state import forwarded
+from lycheegw.state import requests
+from lycheegw.state import routing
+from tests import fakes
+
+SERVICE = routing.Service("m", "/", 100, 0.0, 0.0, routing.Engine(64, 1, {}))
+ROUTE = routing.Route(
+    "ask",
+    "h",
+    "/",
+    routing.RequestKind.STREAM,
+    12.0,
+    3.0,
+    0.8,
+    0,
+    3,
+    True,
+    True,
+    (),
+    (routing.Backend("m", 1.0),),
+)
+SHORT_TOKENS, LONG_TOKENS = 400, 40_000
+READ_S = {SHORT_TOKENS: 0.008, LONG_TOKENS: 0.4}
+# Half of a prompt is shared; reading that, too, takes longer.
+WHOLE_FACTOR = 3.0
+SUBJECTS, MEMORY_TOKENS = 16, 240_000
+TELL_S = 0.1
+REQUESTS_PER_S = 30.0
+LATE_S = 0.5
+
+
+class _OpenFleet:
+    """Directory, roll-outs and rates of a fleet without orders."""
+
+    closed_zones: frozenset[str] = frozenset()
+
+    def wants_target(self, *_: object) -> None:
+        return None
+
+    def may_use(self, *_: object) -> bool:
+        return True
+
+    def may_send(self, *_: object) -> bool:
+        return True
+
+    def unreachable(self) -> frozenset[str]:
+        return frozenset()
+
+
+class _Node:
+    """A node that chooses upstreams, and what it knows."""
+
+    def __init__(self, clock: fakes.Clock, node_id: str, upstream_count: int):
+        self.state = fakes.node(clock, node_id)
+        self.bus = fakes.Bus(node_id)
+        for number in range(upstream_count):
+            zone = "z" if number % 2 else "y"
+            fakes.add_upstream(self.state, f"u{number}", zone)
+        self.times = head_times.HeadTimes()
+        for tokens, seconds in READ_S.items():
+            self.times.note("m", None, tokens, seconds)
+        self.backlogs = backlogs.Backlogs(
+            self.state, self.bus, backlog_codec.CODEC, lambda: None
+        )
+        fleet = _OpenFleet()
+        self.balancer = balancing.Balancer(
+            self.state,
+            fleet,  # type: ignore[arg-type]
+            fleet,  # type: ignore[arg-type]
+            fleet,  # type: ignore[arg-type]
+            lambda _: True,
+            fleet,  # type: ignore[arg-type]
+            self.times,
+            self.backlogs,
+        )
+
+    def choose(self, number: int, tokens: int) -> balancing.Choice:
+        parts = (
+            forwarded.PromptPart(f"s{number % SUBJECTS}", tokens // 2),
+            forwarded.PromptPart(f"own{number}", tokens // 2),
+        )
+        incoming = forwarded.IncomingRequest(b"POST", b"/", (), b"", 0, True)
+        traits = forwarded.Traits(
+            "r", "h", "/", None, 9, "m", False, parts, tokens, 50, None, None
+        )
+        work = forwarded.ForwardedWork(incoming, traits, ROUTE)
+        request = requests.Request(
+            "r", "", "ask", work, None, None, 9.0, 0, None, True, ""
+        )
+        choice = self.balancer.choose(request, work, SERVICE, None, set())
+        assert isinstance(choice, balancing.Choice)
+        return choice
+
+
+def _nodes(clock: fakes.Clock, count: int, upstream_count: int) -> list[_Node]:
+    nodes = [_Node(clock, f"n{each}", upstream_count) for each in range(count)]
+    for node in nodes:
+        node.bus.others = [other.bus for other in nodes if other is not node]
+    return nodes
+
+
+class _Upstream:
+    """Reads prompts one after the other, in the order of arrival."""
+
+    def __init__(self, now_s: float) -> None:
+        self.free_s = now_s
+        self.tokens_by_subject: dict[tuple[int, int], int] = {}
+
+    def read(self, now_s: float, subject: int, tokens: int) -> float:
+        """Returns how long the prompt waits before it is read."""
+        wait_s = max(0.0, self.free_s - now_s)
+        is_whole = not self._is_in_memory((subject, tokens), tokens // 2)
+        read_s = READ_S[tokens] * (WHOLE_FACTOR if is_whole else 1.0)
+        self.free_s = now_s + wait_s + read_s
+        return wait_s
+
+    def _is_in_memory(self, key: tuple[int, int], tokens: int) -> bool:
+        """Brings a shared part into memory; the oldest ones yield."""
+        kept = self.tokens_by_subject
+        was_kept = kept.pop(key, None) is not None
+        kept[key] = tokens
+        while sum(kept.values()) > MEMORY_TOKENS:
+            del kept[next(iter(kept))]
+        return was_kept
+
+
+class _Run:
+    """A fleet under a stream of requests."""
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.clock = fakes.Clock()
+        self.nodes = _nodes(self.clock, 4, 6)
+        ids = self.nodes[0].state.upstreams.by_id
+        self.by_id = {each: _Upstream(self.clock.now_s) for each in ids}
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.told: collections.Counter[str] = collections.Counter()
+        self._answers: list[tuple[float, int, str]] = []
+        self._hold_by_number: dict[int, Any] = {}
+        self._told_s = self.clock.now_s
+
+    def _advance(self) -> None:
+        self.clock.now_s += self.rng.expovariate(REQUESTS_PER_S)
+        while self._answers and self._answers[0][0] <= self.clock.now_s:
+            _, number, host_id = heapq.heappop(self._answers)
+            self.sent[host_id] -= 1
+            self._hold_by_number.pop(number).__exit__(None, None, None)
+        if self.clock.now_s - self._told_s > TELL_S:
+            self._told_s = self.clock.now_s
+            self.told = self.sent.copy()
+            for node in self.nodes:
+                node.bus.tell()
+
+    def _choose(
+        self, node: _Node, number: int, tokens: int, way: str
+    ) -> tuple[str, float]:
+        """Returns an upstream and how long it should take."""
+        if way == "backlog":
+            choice = node.choose(number, tokens)
+            return choice.upstream.entry.host_id, choice.read_s
+        # By count: the one with the prompt in memory unless it has many more
+        # requests than the others.
+        mean = sum(self.told.values()) / len(self.by_id)
+        order = rendezvous.order(f"{tokens} {number % SUBJECTS}", self.by_id)
+        host_id = next(
+            (each for each in order if self.told[each] <= 1.3 * mean + 3),
+            order[0],
+        )
+        return host_id, 0.0
+
+    def play(self, way: str) -> list[float]:
+        """Returns how long short prompts waited."""
+        waits = []
+        for number in range(1200):
+            self._advance()
+            is_long = self.rng.random() < 0.1
+            tokens = LONG_TOKENS if is_long else SHORT_TOKENS
+            node = self.rng.choice(self.nodes)
+            host_id, read_s = self._choose(node, number, tokens, way)
+            hold = node.backlogs.hold(host_id, read_s)
+            hold.__enter__()
+            self._hold_by_number[number] = hold
+            self.sent[host_id] += 1
+            upstream = self.by_id[host_id]
+            wait_s = upstream.read(self.clock.now_s, number % SUBJECTS, tokens)
+            heapq.heappush(self._answers, (upstream.free_s, number, host_id))
+            if not is_long:
+                waits.append(wait_s)
+        return waits
+
+
+def test_short_prompts_wait_less_than_by_the_count_of_requests() -> None:
+    late = late_by_count = 0
+    for seed in range(1, 5):
+        late += sum(each > LATE_S for each in _Run(seed).play("backlog"))
+        late_by_count += sum(each > LATE_S for each in _Run(seed).play("count"))
+    assert late_by_count > 300
+    assert late < 0.8 * late_by_count
+
+
+def test_prompt_goes_where_it_is_in_memory_unless_the_wait_is_longer() -> None:
+    clock = fakes.Clock()
+    (node,) = _nodes(clock, 1, 6)
+    home = node.choose(1, LONG_TOKENS).upstream.entry.host_id
+    again_s = node.times.read_again_s("m", "m", LONG_TOKENS, LONG_TOKENS // 2)
+    with node.backlogs.hold(home, 0.9 * again_s):
+        assert node.choose(1, LONG_TOKENS).upstream.entry.host_id == home
+    with node.backlogs.hold(home, 1.5 * again_s):
+        choice = node.choose(1, LONG_TOKENS)
+        assert choice.upstream.entry.host_id != home
+        assert choice.read_s > node.times.read_s("m", "m", LONG_TOKENS)
+
+
+def test_backlog_of_a_node_that_is_gone_ends() -> None:
+    clock = fakes.Clock()
+    first, second = _nodes(clock, 2, 3)
+    with first.backlogs.hold("u1", 4.0):
+        first.bus.tell()
+        assert second.backlogs.wait_s("u1") == 4.0
+        clock.now_s += 2.0
+        first.bus.tell()
+        clock.now_s += 2.0
+        assert second.backlogs.wait_s("u1") == 4.0
+        clock.now_s += 2.0
+        assert second.backlogs.wait_s("u1") == 0.0
+
+
+class BacklogMachine(stateful.RuleBasedStateMachine):
+    """Nodes that send, tell each other, lose links and start anew."""
+
+    NODES, UPSTREAMS = 3, 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = fakes.Clock()
+        self.nodes = _nodes(self.clock, self.NODES, self.UPSTREAMS)
+        self.holds: list[tuple[int, str, float, Any]] = []
+
+    @stateful.rule(
+        node=strategies.integers(0, NODES - 1),
+        upstream=strategies.integers(0, UPSTREAMS - 1),
+        seconds=strategies.floats(0.01, 3.0),
+    )
+    def send(self, node: int, upstream: int, seconds: float) -> None:
+        hold = self.nodes[node].backlogs.hold(f"u{upstream}", seconds)
+        hold.__enter__()
+        self.holds.append((node, f"u{upstream}", seconds, hold))
+
+    @stateful.precondition(lambda self: self.holds)
+    @stateful.rule(data=strategies.data())
+    def answer(self, data: strategies.DataObject) -> None:
+        place = data.draw(strategies.integers(0, len(self.holds) - 1))
+        self.holds.pop(place)[3].__exit__(None, None, None)
+
+    @stateful.rule(
+        node=strategies.integers(0, NODES - 1),
+        step=strategies.floats(0.0, 0.5),
+    )
+    def tell(self, node: int, step: float) -> None:
+        self.clock.now_s += step
+        self.nodes[node].bus.tell()
+
+    @stateful.rule(
+        node=strategies.integers(0, NODES - 1),
+        other=strategies.integers(0, NODES - 1),
+    )
+    def link_anew(self, node: int, other: int) -> None:
+        self.nodes[node].backlogs.forget_neighbour(f"n{other}")
+
+    @stateful.invariant()
+    def own_backlog_is_what_was_sent(self) -> None:
+        for number, node in enumerate(self.nodes):
+            for upstream in range(self.UPSTREAMS):
+                own = sum(
+                    seconds
+                    for sender, host_id, seconds, _ in self.holds
+                    if (sender, host_id) == (number, f"u{upstream}")
+                )
+                assert node.backlogs.wait_s(f"u{upstream}") >= own - 1e-6
+
+    @stateful.rule()
+    def all_told_agree(self) -> None:
+        self.clock.now_s += 0.5
+        for node in self.nodes:
+            node.bus.tell()
+        for upstream in range(self.UPSTREAMS):
+            total = sum(
+                seconds
+                for _, host_id, seconds, _ in self.holds
+                if host_id == f"u{upstream}"
+            )
+            for node in self.nodes:
+                # Milliseconds are told.
+                assert abs(node.backlogs.wait_s(f"u{upstream}") - total) < 0.05
+
+
+TestBacklogMachine = BacklogMachine.TestCase
+TestBacklogMachine.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
--- a/tests/test_fleet_rollouts.py
+++ b/tests/test_fleet_rollouts.py
@@ -19,33 +19,12 @@
 ORDER = orders.RolloutOrder("m", "v2", 24.0)
 
 
-class _Peers:
-    """The peers of one node: messages go through a codec to all others."""
-
-    def __init__(self, node_id: str):
-        self.node_id = node_id
-        self.source = self.target = None
-        self.others: list[_Peers] = []
-
-    def on_delta(self, topic, source, target) -> None:  # type: ignore[no-untyped-def]
-        self.source, self.target = source, target
-
-    def live_nodes(self, zone: str | None = None) -> list[str]:
-        return [self.node_id, *(each.node_id for each in self.others)]
-
-    def tell(self) -> None:
-        for other in self.others:
-            payload = self.source(other.node_id)
-            if payload is not None:
-                other.target(self.node_id, payload)
-
-
 class Fleet:
     """Nodes that carry out one roll-out under a clock moved by hand."""
 
     def __init__(self, count: int):
         self.clock = fakes.Clock()
-        self.peers = [_Peers(f"n{number}") for number in range(count)]
+        self.peers = [fakes.Bus(f"n{number}") for number in range(count)]
         self.rollouts = []
         self.directories = []
         for peer in self.peers:
