Store calls keep to the rates of the store over all nodes

Cause: the client kept to its pace alone; a fleet whose reads fail, or that starts at once, had no bound. Each node now takes its part of the rate by the registered nodes, without a message. Limit: the bound of one call a node that rests is above the rate where more nodes than writes a second call in one second; stated in the test's range (76 nodes, 400 writes a second).

Before and after: no call waits in normal service (tests of the platform's stand-in unchanged); 76 nodes that call as often as they may stay within 400 writes in any second, unbounded before.

--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -1,6 +1,7 @@
 """The application object of a node that passes opaque requests on."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import pathlib
 from typing import NamedTuple
@@ -10,6 +11,7 @@
 from lycheegw import lifecycle
 from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
+from lycheegw.coordination import call_rates
 from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import fleet_rollouts
@@ -67,7 +69,8 @@
     """What translates between a platform and the node.
 
     Attributes:
-        open_store: Returns the client of the store at an address.
+        open_store: Returns the client of the store at an address; before each
+            call it waits for what the third argument returns.
         records: How records of the store are read and written.
         upstream_digest: Returns what of an upstream's entry is news.
         callers: How callers' headers are read and refusals written.
@@ -77,7 +80,12 @@
     """
 
     open_store: Callable[
-        [exchange_client.ConnectionPool, str], seams.KeyedStore
+        [
+            exchange_client.ConnectionPool,
+            str,
+            Callable[[bool], Awaitable[float]],
+        ],
+        seams.KeyedStore,
     ]
     records: orders.Codec
     upstream_digest: Callable[[bytes], object]
@@ -117,11 +125,22 @@
         self.histograms = metrics_page.Histograms()
         self.pool = exchange_client.ConnectionPool(environment)
         self._store_pool = exchange_client.ConnectionPool(environment)
-        self.store = adapter.open_store(self._store_pool, settings.store)
+        rates = call_rates.CallRates(
+            environment,
+            settings.store_reads_per_s,
+            settings.store_writes_per_s,
+            self._member_count,
+        )
+        self.store = adapter.open_store(
+            self._store_pool, settings.store, rates.wait
+        )
         self._build_knowledge()
         self._build_routing()
         self._build_servers()
 
+    def _member_count(self) -> int:
+        return self.registry.count()
+
     def _bounds(self) -> edge_settings.Bounds:
         return self.settings.bounds
 
--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+from collections.abc import Awaitable
+from collections.abc import Callable
 import json
 import struct
 import urllib.parse
@@ -34,9 +36,15 @@
 class Store:
     """The keyed topics of the store."""
 
-    def __init__(self, pool: exchange_client.ConnectionPool, address: str):
+    def __init__(
+        self,
+        pool: exchange_client.ConnectionPool,
+        address: str,
+        wait_for_call: Callable[[bool], Awaitable[float]],
+    ):
         self._pool = pool
         self._address = address
+        self._wait_for_call = wait_for_call
 
     async def newest(self, topic: topics.Topic) -> topics.TopicPage:
         """Returns the newest record of every key; raises errors.StoreError."""
@@ -114,6 +122,7 @@
             errors.StoreError: There was none.
         """
         is_write = method == b"POST"
+        await self._wait_for_call(is_write)
         request = exchange_client.ClientRequest(
             method,
             f"{path}?{urllib.parse.urlencode(query)}".encode(),
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -1,10 +1,12 @@
 """Bounds over all nodes hold whatever the nodes know of each other."""
 
+import asyncio
 import collections
 
 import hypothesis
 from hypothesis import strategies
 
+from lycheegw.coordination import call_rates
 from lycheegw.coordination import cold_rates
 from lycheegw.coordination import shared_budgets
 from lycheegw.state import edge_settings
@@ -108,3 +110,55 @@
         rates.note_sent(upstream, plain)
     rates.note_sent(upstream, SERVICE)
     assert not rates.may_send(upstream, SERVICE)
+
+
+@hypothesis.given(
+    nodes=strategies.integers(1, 76),
+    steps=strategies.lists(strategies.floats(0.0, 0.5), max_size=25),
+)
+def test_store_calls_of_all_nodes_stay_within_its_rate(
+    nodes: int, steps: list[float]
+) -> None:
+    """platform_down, herd_kill: every node calls as often as it may."""
+    writes_per_s = 400.0
+    clock = fakes.Clock()
+    waits: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        waits.append(seconds)
+
+    environment = clock.environment()._replace(sleep=sleep)
+    rates = [
+        call_rates.CallRates(environment, 2000.0, writes_per_s, lambda: nodes)
+        for _ in range(nodes)
+    ]
+    sent: list[float] = []
+
+    async def call_all() -> None:
+        for rate in rates:
+            waits.clear()
+            waited_s = await rate.wait(True)
+            assert waited_s == sum(waits)
+            sent.append(clock.now_s + waited_s)
+
+    for step in [0.0, *steps]:
+        clock.now_s += step
+        for _ in range(4):
+            asyncio.run(call_all())
+    sent.sort()
+    window: collections.deque[float] = collections.deque()
+    for at_s in sent:
+        window.append(at_s)
+        while window[0] <= at_s - 1.0:
+            window.popleft()
+        assert len(window) <= writes_per_s
+
+
+def test_store_call_after_a_pause_goes_out_at_once() -> None:
+    clock = fakes.Clock()
+    rates = call_rates.CallRates(
+        clock.environment(), 2000.0, 400.0, lambda: 370
+    )
+    assert asyncio.run(rates.wait(False)) == 0.0
+    clock.now_s += 1.0
+    assert asyncio.run(rates.wait(False)) == 0.0
