State machine of the outcome's writers

Cause: the condition under which outcomes are written was shown by single cases. Nodes now decide differently, are paused before the call, lose answers, land writes late and start anew; the store must hold one outcome for an order. Found by it: a pause of the roll-outs slept by the loop's clock, not by the node's.

--- a/src/lycheegw/coordination/fleet_rollouts.py
+++ b/src/lycheegw/coordination/fleet_rollouts.py
@@ -8,7 +8,6 @@
 store holds nothing newer.
 """
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 import math
@@ -639,7 +638,7 @@
             page = await store.newest(topics.Topic.OUTCOMES)
         except errors.StoreError as error:
             self._note("outcomes_not_read", message=str(error))
-            await asyncio.sleep(_TICK_S)
+            await self._state.environment.sleep(_TICK_S)
             return
         exchange.take(topics.Topic.OUTCOMES, page, begun_s)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -84,9 +84,9 @@
 
     def __init__(self, node_id: str):
         self.node_id = node_id
-        self.source: seams.DeltaSource = lambda _: None
-        self.target: seams.DeltaTarget = lambda *_: None
         self.others: list[Bus] = []
+        self._source_by_topic: dict[str, seams.DeltaSource] = {}
+        self._target_by_topic: dict[str, seams.DeltaTarget] = {}
 
     def on_delta(
         self,
@@ -95,7 +95,8 @@
         target: seams.DeltaTarget,
     ) -> None:
         """Keeps what makes and takes deltas."""
-        self.source, self.target = source, target
+        self._source_by_topic[topic] = source
+        self._target_by_topic[topic] = target
 
     def live_nodes(self, zone: str | None = None) -> list[str]:
         """Returns all nodes."""
@@ -104,6 +105,7 @@
     def tell(self) -> None:
         """Sends each other node what it lacks."""
         for other in self.others:
-            payload = self.source(other.node_id)
-            if payload is not None:
-                other.target(self.node_id, payload)
+            for topic, source in self._source_by_topic.items():
+                payload = source(other.node_id)
+                if payload is not None:
+                    other._target_by_topic[topic](self.node_id, payload)
--- /dev/null
+++ b/tests/test_outcome_machine.py
@@ -0,0 +1,276 @@
+"""Who writes the outcome of a roll-out, under every race at the store.
+
+Writers are paused between decision and write, answers are lost, writes come
+late, nodes start anew, and nodes differ in what they saw of the versions. The
+store must never hold two outcomes of one order.
+"""
+
+import asyncio
+from collections.abc import Generator
+import contextlib
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from lycheegw.coordination import directory
+from lycheegw.coordination import fleet_rollouts
+from lycheegw.coordination import topic_exchange
+from lycheegw.platform import records
+from lycheegw.protocol import rollout_codec
+from lycheegw.protocol import topic_codec
+from lycheegw.state import edge_settings
+from lycheegw.state import errors
+from lycheegw.state import orders
+from lycheegw.state import topics
+from lycheegw.state import upstreams
+from tests import fakes
+
+BOUNDS = edge_settings.Bounds(
+    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
+)
+ORDER = orders.RolloutOrder("m", "v2", 10.0)
+NODES = 3
+_OUTCOMES = topics.Topic.OUTCOMES
+Write = Any
+
+
+class _Pause:
+    """Stops a coroutine until it is sent how its call fares."""
+
+    def __await__(self) -> Generator[None, str, str]:
+        fate = yield
+        return fate
+
+
+class _Store:
+    """The topic of outcomes; each write stops until its fate is told."""
+
+    def __init__(self) -> None:
+        self.log: list[tuple[str, bytes]] = []
+        self.late: list[tuple[str, bytes, int]] = []
+        self.fate = "answered"
+
+    def _append(self, key: str, value: bytes, expected_end: int) -> int:
+        if expected_end != len(self.log):
+            raise errors.StoreConflictError("another end")
+        self.log.append((key, value))
+        return len(self.log) - 1
+
+    async def put(
+        self,
+        topic: topics.Topic,
+        key: str,
+        value: bytes,
+        expected_end: int | None,
+    ) -> int:
+        """Writes a key as the test has it."""
+        assert topic is _OUTCOMES and expected_end is not None
+        self.fate = await _Pause()
+        if self.fate == "down":
+            raise errors.StoreError("down")
+        if self.fate == "late":
+            self.late.append((key, value, expected_end))
+            raise errors.StoreError("no answer", True)
+        offset = self._append(key, value, expected_end)
+        if self.fate == "lost":
+            raise errors.StoreError("no answer", True)
+        return offset
+
+    def land_late_write(self) -> None:
+        """Carries out a write that was given up for lost."""
+        key, value, expected_end = self.late.pop(0)
+        if expected_end == len(self.log):
+            self.log.append((key, value))
+
+    async def newest(self, topic: topics.Topic) -> topics.TopicPage:
+        """Returns the newest outcome of each key."""
+        if self.fate == "down":
+            raise errors.StoreError("down")
+        newest = {
+            key: topics.TopicRecord(key, offset, value)
+            for offset, (key, value) in enumerate(self.log)
+        }
+        return topics.TopicPage(list(newest.values()), len(self.log), True)
+
+
+class _Node:
+    """One process, with what it knows of the topic and of the order."""
+
+    def __init__(self, clock: fakes.Clock, bus: fakes.Bus, store: _Store):
+        self.state = fakes.node(clock, bus.node_id)
+        fakes.add_upstream(self.state, "u2")
+        upstream = self.state.upstreams.by_id["u2"]
+        entry = upstream.entry._replace(version=ORDER.version)
+        self.state.upstreams.by_id["u2"] = upstreams.Upstream(entry)
+        self.store = store
+        known = {topic: topics.TopicState(topic) for topic in topics.Topic}
+        self.directory = directory.Directory(
+            self.state, records.CODEC, known, 1.2, lambda *_, **__: None
+        )
+        self.known = directory.KnownRollout(ORDER, 7, clock.now_s)
+        self.directory.rollout_by_service["m"] = self.known
+        self.exchange = topic_exchange.TopicExchange(
+            self.state,
+            bus,  # type: ignore[arg-type]
+            topic_codec.CODEC,
+            known,
+            self.directory.apply,
+            lambda: None,
+        )
+        self.rollouts = fleet_rollouts.FleetRollouts(
+            self.state,
+            self.directory,
+            bus,  # type: ignore[arg-type]
+            rollout_codec.CODEC,
+            lambda: BOUNDS,
+            lambda: None,
+            lambda *_, **__: None,
+        )
+
+    @property
+    def outcome(self) -> orders.RolloutOutcome | None:
+        return self.directory.outcome_by_service.get("m")
+
+    def decide(self) -> orders.RolloutState | None:
+        """Returns what is due, None where the store has the outcome."""
+        if self.outcome is not None:
+            return None
+        self.rollouts._judge("m")
+        decision = self.rollouts._decide(self.known)
+        self.rollouts._tell(self.known)
+        return decision
+
+    def begin_write(self, decision: orders.RolloutState) -> Write:
+        """Goes up to the call of the store, where the process is paused."""
+        write = self.rollouts._write(
+            self.store,  # type: ignore[arg-type]
+            self.exchange,
+            records.encode_outcome,
+            self.known,
+            decision,
+        )
+        write.send(None)
+        return write
+
+
+def _end_write(write: Write, fate: str) -> None:
+    """Wakes a process that was paused before its call."""
+    with contextlib.suppress(StopIteration):
+        write.send(fate)
+
+
+class OutcomeMachine(stateful.RuleBasedStateMachine):
+    """Nodes that carry out one roll-out against one store."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = fakes.Clock()
+        self.store = _Store()
+        self.buses = [fakes.Bus(f"n{number}") for number in range(NODES)]
+        for bus in self.buses:
+            bus.others = [each for each in self.buses if each is not bus]
+        self.nodes = [_Node(self.clock, bus, self.store) for bus in self.buses]
+        self.write_by_node: dict[int, Write] = {}
+
+    node = strategies.integers(0, NODES - 1)
+
+    @stateful.rule(step=strategies.floats(0.1, 4.0))
+    def pass_time(self, step: float) -> None:
+        self.clock.now_s += step
+
+    @stateful.rule(number=node, is_good=strategies.booleans())
+    def serve(self, number: int, is_good: bool) -> None:
+        rollouts = self.nodes[number].rollouts
+        for count in range(15):
+            version = "v2" if count % 2 else "v1"
+            rollouts.note_sent("m", version)
+            if version == "v2" and not is_good:
+                rollouts.note_failed("m", version, f"u{count % 4}")
+            else:
+                rollouts.note_answer("m", version, 0.1)
+                rollouts.note_pace("m", version, 0.02)
+            rollouts.note_ended("m", version)
+
+    @stateful.rule(number=node)
+    def tell(self, number: int) -> None:
+        self.buses[number].tell()
+
+    @stateful.rule(number=node)
+    def decide(self, number: int) -> None:
+        decision = self.nodes[number].decide()
+        if decision is not None and number not in self.write_by_node:
+            self.write_by_node[number] = self.nodes[number].begin_write(
+                decision
+            )
+
+    @stateful.rule(
+        number=node,
+        decision=strategies.sampled_from(
+            [orders.RolloutState.COMPLETED, orders.RolloutState.ROLLED_BACK]
+        ),
+    )
+    def decide_by_another_view(
+        self, number: int, decision: orders.RolloutState
+    ) -> None:
+        """A node that saw something else of the versions decides."""
+        node = self.nodes[number]
+        if node.outcome is None and number not in self.write_by_node:
+            self.write_by_node[number] = node.begin_write(decision)
+
+    @stateful.precondition(lambda self: self.write_by_node)
+    @stateful.rule(
+        data=strategies.data(),
+        fate=strategies.sampled_from(["answered", "lost", "late", "down"]),
+    )
+    def end_write(self, data: strategies.DataObject, fate: str) -> None:
+        number = data.draw(strategies.sampled_from(sorted(self.write_by_node)))
+        _end_write(self.write_by_node.pop(number), fate)
+        self.store.fate = "answered"
+
+    @stateful.precondition(lambda self: self.store.late)
+    @stateful.rule()
+    def land_late_write(self) -> None:
+        self.store.land_late_write()
+
+    @stateful.rule(number=node)
+    def start_anew(self, number: int) -> None:
+        write = self.write_by_node.pop(number, None)
+        if write is not None:
+            write.close()
+        self.clock.now_s += 0.2
+        node = _Node(self.clock, self.buses[number], self.store)
+        self.nodes[number] = node
+        page = asyncio.run(self.store.newest(_OUTCOMES))
+        node.exchange.take(_OUTCOMES, page, self.clock.now_s)
+
+    @stateful.invariant()
+    def store_has_one_outcome(self) -> None:
+        assert len({value for _, value in self.store.log}) <= 1
+
+    @stateful.invariant()
+    def nodes_know_no_other_outcome(self) -> None:
+        written = {value for _, value in self.store.log}
+        for node in self.nodes:
+            if node.outcome is not None:
+                assert records.encode_outcome(node.outcome)[1] in written
+
+
+TestOutcomeMachine = OutcomeMachine.TestCase
+TestOutcomeMachine.settings = hypothesis.settings(
+    max_examples=80, stateful_step_count=40, deadline=None
+)
+
+
+def test_paused_writer_does_not_overwrite_the_outcome() -> None:
+    """node_freeze, leader: decided, frozen, woken after another one wrote."""
+    machine = OutcomeMachine()
+    first, second = machine.nodes[:2]
+    machine.serve(1, False)
+    paused = first.begin_write(orders.RolloutState.COMPLETED)
+    _end_write(second.begin_write(orders.RolloutState.ROLLED_BACK), "answered")
+    _end_write(paused, "answered")
+    assert len(machine.store.log) == 1
+    assert first.outcome is not None
+    assert first.outcome.state is orders.RolloutState.ROLLED_BACK
