explain walks the collected lines of many nodes; settings can be checked

Cause: docs/OPERATIONS.md told the steps, and each had to be done by hand with a search for every upstream of a request.

--- a/src/lycheegw/cli.py
+++ b/src/lycheegw/cli.py
@@ -79,8 +79,26 @@
     return asyncio.run(commands.watch(node, key, seconds))
 
 
-def explain(request_id: str, node: str, key: str, json: bool = False) -> int:
-    """Prints each decision on a request, in order, with its reason."""
+def explain(
+    request_id: str,
+    node: str = "",
+    key: str = "",
+    json: bool = False,
+    log: str = "",
+) -> int:
+    """Prints each decision on a request, in order, with its reason.
+
+    Args:
+        request_id: The request.
+        node: "ip:port" of the node that had it.
+        key: The operators' key.
+        json: Whether to print JSON.
+        log: File with the collected lines of all nodes, instead of a node.
+    """
+    if log:
+        return commands.explain_log(str(request_id), pathlib.Path(log))
+    if not node or not key:
+        raise errors.ConfigurationError(["explain: --log, or --node and --key"])
     return asyncio.run(commands.explain(str(request_id), node, key, json))
 
 
--- a/src/lycheegw/commands.py
+++ b/src/lycheegw/commands.py
@@ -7,6 +7,7 @@
 import sys
 from typing import Any
 
+from lycheegw import explaining
 from lycheegw.coordination import follower
 from lycheegw.coordination import seams
 from lycheegw.protocol import record_codec
@@ -15,7 +16,7 @@
 from lycheegw.transport import http_client
 from lycheegw.transport import platform
 
-__all__ = ["check", "explain", "publish", "status", "watch"]
+__all__ = ["check", "explain", "explain_log", "publish", "status", "watch"]
 
 _TIMEOUT_S = 5.0
 _WATCH_INTERVAL_S = 1.0
@@ -195,3 +196,19 @@
         at_ms = (event["at_s"] - begin_s) * 1000
         print(f"{at_ms:10.1f} ms  {event['name']:16} {details}")
     return 0
+
+
+def explain_log(request_id: str, path: pathlib.Path) -> int:
+    """Prints what the lines of many nodes tell of a request.
+
+    Raises:
+        errors.ConfigurationError: The file can't be read.
+        errors.PlatformError: No line is about the request.
+    """
+    try:
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            for line in explaining.walk(lines, request_id):
+                print(line)
+    except OSError as error:
+        raise errors.ConfigurationError([f"{path}: {error}"]) from error
+    return 0
--- a/src/lycheegw/platform/main.py
+++ b/src/lycheegw/platform/main.py
@@ -1,6 +1,7 @@
 """The program that runs on the platform: a node behind this adapter."""
 
 import asyncio
+from collections.abc import Sequence
 import gc
 import os
 import pathlib
@@ -26,6 +27,7 @@
 __all__ = ["ADAPTER", "main"]
 
 _EXIT_USAGE = 2
+_CHECK = "--check"
 
 ADAPTER = edge_app.Adapter(
     store_client.Store,
@@ -85,18 +87,33 @@
     await node.stop()
 
 
-def main() -> None:
-    """Entry point; exits with 2 and a line for each fault of the settings."""
+def _settings_path(arguments: Sequence[str]) -> pathlib.Path:
+    """Returns where the settings are; raises errors.SettingsError."""
+    if arguments:
+        return pathlib.Path(arguments[0])
     variable = settings_file.ENVIRONMENT_VARIABLE
-    path = pathlib.Path(os.environ.get(variable, ""))
+    if not os.environ.get(variable):
+        raise errors.SettingsError([f"{variable}: is not set"])
+    return pathlib.Path(os.environ[variable])
+
+
+def main() -> None:
+    """Entry point; exits with 2 and a line for each fault of the settings.
+
+    With `--check` and perhaps a file, the settings are checked only.
+    """
+    arguments = sys.argv[1:]
+    is_check = arguments[:1] == [_CHECK]
     try:
-        if not os.environ.get(variable):
-            raise errors.SettingsError([f"{variable}: is not set"])
+        path = _settings_path(arguments[1:] if is_check else arguments)
         settings = settings_file.read(path)
     except errors.SettingsError as error:
         for fault in error.faults:
             print(f"lycheegw: {fault}", file=sys.stderr)
         sys.exit(_EXIT_USAGE)
+    if is_check:
+        print(f"{path}: settings are valid")
+        return
     with asyncio.Runner(loop_factory=_BootTimeLoop) as runner:
         runner.run(_run(path, settings))
 
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,87 @@
+"""From a request's id to its cause, over the lines of two nodes."""
+
+import json
+import pathlib
+
+import pytest
+
+from lycheegw import explaining
+from lycheegw.state import errors
+from tests import test_cli
+
+
+def _line(at_s: float, node: str, event: str, **fields: object) -> str:
+    return json.dumps({"at_s": at_s, "node": node, "event": event, **fields})
+
+
+LINES = [
+    "built in 0.2 s",
+    _line(95.0, "n1", "upstream_gone", upstream="u9"),
+    _line(97.0, "n1", "upstream", upstream="u1", cold_s=3.0),
+    _line(98.0, "n2", "dependency_lost", name="store"),
+    _line(99.0, "n1", "dependency_lost", name="store", why="timeout"),
+    "  8.12 n1 "
+    + _line(100.0, "n1", "attempt", request_id="r1", upstream="u1", number=1),
+    _line(100.2, "n1", "attempt", request_id="r2", upstream="u1", number=1),
+    _line(
+        100.5,
+        "n1",
+        "attempt_failed",
+        request_id="r1",
+        upstream="u1",
+        reason="connection_lost",
+        run="may_have_run",
+    ),
+    _line(
+        100.6,
+        "n1",
+        "refused",
+        request_id="r1",
+        reason="may_have_run",
+        run="may_have_run",
+        taken_s=0.6,
+        attempts=1,
+    ),
+    _line(100.9, "n1", "answered", request_id="r2", taken_s=0.7, attempts=1),
+    _line(101.0, "n1", "attempt", request_id="r3", upstream="u1", number=1),
+]
+
+
+def test_story_has_what_the_node_believed_of_its_upstream() -> None:
+    story = list(explaining.walk(reversed(LINES), "r1"))
+    events = [text.split()[3] for text in story[:-1]]
+    assert events == [
+        "upstream",
+        "dependency_lost",
+        "attempt",
+        "attempt_failed",
+        "refused",
+    ]
+    assert story[-1].startswith("refused (may_have_run), it may have run")
+
+
+@pytest.mark.parametrize(
+    ("request_id", "said"),
+    [("r2", "answered after 0.7 s"), ("r3", "the node died under it")],
+)
+def test_end_of_a_request_is_told(request_id: str, said: str) -> None:
+    assert said in list(explaining.walk(LINES, request_id))[-1]
+
+
+def test_unknown_request_is_told_as_such() -> None:
+    with pytest.raises(errors.PlatformError, match="none of 10 lines"):
+        list(explaining.walk(LINES, "r9"))
+
+
+def test_command_reads_a_file(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "nodes.log"
+    path.write_text("\n".join(LINES))
+    arguments = ("explain", "r1", "--log", str(path))
+    assert test_cli.run(monkeypatch, *arguments) == 0
+    assert "attempt_failed" in capsys.readouterr().out
+    assert test_cli.run(monkeypatch, "explain", "r1") == 2
+    assert "--log" in capsys.readouterr().err
