Claims of backlogs are bounded for large fleets

Cause: at 76 nodes each frame could carry every node's claim ten times a second, some 9 kB a frame by the size of a claim. Frames now carry 16 claims, and a node makes one in 15 ms for each node of the fleet (0.1 s at seven). Test at 76 nodes: each claim arrives within six frames, each below 1 kB.

--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/backlogs.py
@@ -21,9 +21,13 @@
 # Changes below this wait for the next heartbeat: some prompts of the smallest
 # model, or half a long one of the largest.
 _TOLD_STEP_S = 0.05
-# Least time between two claims that do not wait for a heartbeat; each is a
-# frame on every link.
-_TOLD_GAP_S = 0.1
+# Least time between two claims of a node that do not wait for a heartbeat,
+# for each node of the fleet, and its least value: each is a frame on every
+# link, and passed on by all.
+_TOLD_GAP_S_PER_NODE = 0.015
+_LEAST_TOLD_GAP_S = 0.1
+# Most claims in a frame; the others go with the next ones.
+_MAX_CLAIMS = 16
 # A claim that is not empty is told again after this long, and one of a node
 # that was not heard of for longer is dropped.
 _REFRESH_S = 1.0
@@ -114,7 +118,10 @@
         else:
             self._own_by_upstream[upstream_id] = total_s
         heard = self._heard_by_node.get(self._own_id)
-        if heard is not None and self._now_s() - heard.made_s < _TOLD_GAP_S:
+        gap_s = max(
+            _LEAST_TOLD_GAP_S, _TOLD_GAP_S_PER_NODE * len(self._heard_by_node)
+        )
+        if heard is not None and self._now_s() - heard.made_s < gap_s:
             return
         if self._difference_s() >= _TOLD_STEP_S:
             self._make_claim()
@@ -153,8 +160,10 @@
         if self._difference_s() > 0 or (is_due and not is_empty):
             self._make_claim()
         told = self._told_by_neighbour.setdefault(neighbour, {})
-        claims = []
-        for node_id, heard in list(self._heard_by_node.items()):
+        claims: list[Claim] = []
+        for node_id, heard in self._oldest_first():
+            if len(claims) >= _MAX_CLAIMS:
+                break
             age_s = now_s - heard.made_s
             if age_s > _EXPIRES_S and node_id != self._own_id:
                 del self._heard_by_node[node_id]
@@ -163,6 +172,13 @@
                 claims.append(heard.claim._replace(age_s=age_s))
         return self._codec.encode(claims) if claims else None
 
+    def _oldest_first(self) -> list[tuple[str, _Heard]]:
+        """Returns the own claim and then the others, the oldest first."""
+        return sorted(
+            self._heard_by_node.items(),
+            key=lambda item: (item[0] != self._own_id, item[1].made_s),
+        )
+
     def _merge(self, neighbour: str, payload: bytes) -> None:
         told = self._told_by_neighbour.setdefault(neighbour, {})
         now_s = self._now_s()
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import contextlib
 import heapq
 import random
 from typing import Any
@@ -247,6 +248,33 @@
         assert second.backlogs.wait_s("u1") == 0.0
 
 
+def test_frames_of_a_large_fleet_are_bounded() -> None:
+    """At 76 nodes a frame has 16 claims; each claim comes in some frames."""
+    clock = fakes.Clock()
+    nodes = _nodes(clock, 76, 2)
+    first, last = nodes[0], nodes[-1]
+    payloads: list[bytes] = []
+    encode = first.backlogs._codec.encode
+
+    def count(claims: list[backlogs.Claim]) -> bytes:
+        payloads.append(encode(claims))
+        assert len(claims) <= 16
+        return payloads[-1]
+
+    first.backlogs._codec = first.backlogs._codec._replace(encode=count)
+    with contextlib.ExitStack() as holds:
+        for node in nodes:
+            holds.enter_context(node.backlogs.hold("u1", 1.0))
+            node.bus.tell()
+        for node in nodes:
+            node.backlogs.forget_neighbour("n75")
+        last.backlogs._heard_by_node.clear()
+        for _ in range(6):
+            first.bus.tell()
+        assert last.backlogs.wait_s("u1") >= 75.0 - 1e-6
+    assert max(map(len, payloads)) < 1000
+
+
 class BacklogMachine(stateful.RuleBasedStateMachine):
     """Nodes that send, tell each other, lose links and start anew."""
 
