Nodes read the list of upstreams each second, and fewer topics at the start

Each node read the outcomes of roll-outs although none was ordered, and held a read open before it knew its peers. Ranks followed each other by 0.12 s, below two hops of news, so that two nodes read in one turn.

Turns are 1.0 s, ranks 0.2 s, a node that hears nothing reads after 1.5 s, below the 2 s in which a leaving upstream gets no more work.

--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/backlogs.py
@@ -111,6 +111,11 @@
         )
         return self._own_by_upstream.get(upstream_id, 0.0) + others_s
 
+    def longest_s(self) -> float:
+        """Returns the longest backlog of the upstreams that are listed."""
+        ids = self._state.upstreams.by_id
+        return max((self.wait_s(each) for each in ids), default=0.0)
+
     def _add(self, upstream_id: str, seconds: float) -> None:
         total_s = self._own_by_upstream.get(upstream_id, 0.0) + seconds
         if total_s < 1e-6:
--- a/src/lycheegw/coordination/call_rates.py
+++ b/src/lycheegw/coordination/call_rates.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 import math
 
-from lycheegw.state import clocks
+from lycheegw.state import node_state
 
 __all__ = ["CallRates"]
 
@@ -25,12 +25,12 @@
 
     def __init__(
         self,
-        environment: clocks.Environment,
+        state: node_state.NodeState,
         reads_per_s: float,
         writes_per_s: float,
         members: Callable[[], int],
     ):
-        self._environment = environment
+        self._state = state
         self._rate_by_is_write = {False: reads_per_s, True: writes_per_s}
         self._members = members
         self._due_s_by_is_write = {False: -math.inf, True: -math.inf}
@@ -43,12 +43,13 @@
         step_s = 1.0 / (_STEADY_SHARE * part)
         # One call at least, or a node that rests for a while could make none.
         burst = max(1.0, _BURST_SHARE * part)
-        now_s = self._environment.monotonic_s()
+        now_s = self._state.environment.monotonic_s()
         due_s = max(
             self._due_s_by_is_write[is_write], now_s - (burst - 1.0) * step_s
         )
         self._due_s_by_is_write[is_write] = due_s + step_s
         wait_s = max(0.0, due_s - now_s)
         if wait_s:
-            await self._environment.sleep(wait_s)
+            self._state.counters.add("store.paced")
+            await self._state.environment.sleep(wait_s)
         return wait_s
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -25,7 +25,7 @@
 
 # How far two nodes that follow each other in turn are apart; several times
 # the way of news between zones.
-_RANK_STEP_S = 0.12
+_RANK_STEP_S = 0.2
 _MAX_RANK = 6
 # Nodes of a zone that wait for orders; where one fails, news come from those
 # of the other zones until it is replaced.
@@ -130,6 +130,8 @@
     async def watch(self, topic: topics.Topic) -> None:
         """Waits for changes of a topic while this node is one that does."""
         await self.load_until_known(topic)
+        # Until the peers are known each node would hold a read open.
+        await self._sleep(_ROLE_CHECK_S)
         failures = 0
         while True:
             if not self._is_watcher(topic):
@@ -226,9 +228,8 @@
         await self._state.environment.sleep(seconds)
 
     async def run(self) -> None:
-        """Follows all topics until cancelled."""
+        """Follows the topics of others until cancelled."""
         await asyncio.gather(
             self.poll(topics.Topic.UPSTREAMS),
             self.watch(topics.Topic.ORDERS),
-            self.load_until_known(topics.Topic.OUTCOMES),
         )
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -57,12 +57,14 @@
 _DRAIN_POLL_S = 0.05
 _HOUSEKEEPING_S = 0.5
 _SETTINGS_POLL_S = 1.0
+# How often a node that starts looks whether the orders were read.
+_START_POLL_S = 0.05
 # Age at which the next node in turn reads the list of upstreams; with the
 # way of news it is well below the time in which a leaving upstream has to
 # get no more work.
-_TURN_S = 0.7
+_TURN_S = 1.0
 # Share of that time after which a node that hears nothing reads by itself.
-_ALONE_SHARE = 0.6
+_ALONE_SHARE = 0.75
 
 
 class Adapter(NamedTuple):
@@ -126,7 +128,7 @@
         self.pool = exchange_client.ConnectionPool(environment)
         self._store_pool = exchange_client.ConnectionPool(environment)
         rates = call_rates.CallRates(
-            environment,
+            self.state,
             settings.store_reads_per_s,
             settings.store_writes_per_s,
             self._member_count,
@@ -192,6 +194,18 @@
         self.application.spawn(self.readers.run)
         self.application.spawn(self.peers.run)
         self.application.spawn(self._register)
+        self.application.spawn(self._load_outcomes)
+
+    async def _load_outcomes(self) -> None:
+        """Reads what became of the roll-outs ordered before the start.
+
+        Of later ones the peers tell, and who writes is told of a conflict.
+        """
+        known = self.state_by_topic[topics.Topic.ORDERS]
+        while not known.is_known:
+            await self.state.environment.sleep(_START_POLL_S)
+        if self.directory.rollout_by_service:
+            await self.readers.load_until_known(topics.Topic.OUTCOMES)
 
     async def _register(self) -> None:
         await self.registry.run(self.peers.address)
@@ -238,10 +252,10 @@
         )
         reach = zone_reach.ZoneReach(self.state.environment)
         times = head_times.HeadTimes()
-        queued = backlogs.Backlogs(
+        self.queued = backlogs.Backlogs(
             self.state, self.peers, backlog_codec.CODEC, self.peers.nudge
         )
-        self.peers.on_connect(queued.forget_neighbour)
+        self.peers.on_connect(self.queued.forget_neighbour)
         balancer = balancing.Balancer(
             self.state,
             self.directory,
@@ -250,7 +264,7 @@
             self._has_connection,
             reach,
             times,
-            queued,
+            self.queued,
         )
         self.forwarder = forwarding.Forwarder(
             self.state,
@@ -259,7 +273,7 @@
                 self.directory,
                 balancer,
                 times,
-                queued,
+                self.queued,
                 rates,
                 shared_budgets.RetryBudgets(
                     self.state, self._bounds, self.registry.count
@@ -366,6 +380,7 @@
             "requests_running": float(self.server.running),
             "connections_opened": float(self.pool.opened),
             "is_ready": float(self.is_ready),
+            "longest_backlog_s": self.queued.longest_s(),
         }
         for topic in topics.Topic:
             gauges[f"topic_{topic.value}_age_s"] = self.readers.age_s(topic)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -313,6 +313,29 @@
             assert node.readers.age_s(topics.Topic.UPSTREAMS) < 1.2
 
 
+async def test_start_of_a_fleet_makes_few_calls_of_the_store() -> None:
+    """Four calls a node, and few reads besides until all know each other."""
+    async with rig.fleet(nodes=4) as fleet:
+        await rig.until(
+            lambda: all(
+                len(node.peers.live_nodes()) == 4 for node in fleet.nodes
+            )
+        )
+        await asyncio.sleep(1.0)
+        assert sum(fleet.store.calls.values()) <= 4 * 4 + 6
+
+
+async def test_node_that_starts_knows_what_became_of_a_roll_out() -> None:
+    async with rig.fleet(nodes=1) as fleet:
+        order = {"service": "llm", "target": "v2", "duration_s": 5}
+        await fleet.store.put("keyed.op", "rollout/llm", order)
+        outcome = {"state": "rolled_back", "target": "v2"}
+        await fleet.store.put("keyed.status", "rollout/llm", outcome)
+        late = await fleet.add_node()
+        await rig.until(lambda: "llm" in late.directory.outcome_by_service, 2.0)
+        assert not late.rollouts.may_use("llm", "v2")
+
+
 async def test_good_version_is_rolled_out() -> None:
     async with rig.fleet(nodes=2) as fleet:
         for name in ("m3", "m4"):
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -127,9 +127,10 @@
     async def sleep(seconds: float) -> None:
         waits.append(seconds)
 
-    environment = clock.environment()._replace(sleep=sleep)
+    state = fakes.node(clock, "n")
+    state = state._replace(environment=state.environment._replace(sleep=sleep))
     rates = [
-        call_rates.CallRates(environment, 2000.0, writes_per_s, lambda: nodes)
+        call_rates.CallRates(state, 2000.0, writes_per_s, lambda: nodes)
         for _ in range(nodes)
     ]
     sent: list[float] = []
@@ -157,7 +158,7 @@
 def test_store_call_after_a_pause_goes_out_at_once() -> None:
     clock = fakes.Clock()
     rates = call_rates.CallRates(
-        clock.environment(), 2000.0, 400.0, lambda: 370
+        fakes.node(clock, "n"), 2000.0, 400.0, lambda: 370
     )
     assert asyncio.run(rates.wait(False)) == 0.0
     clock.now_s += 1.0
