Upstreams that are not there: no budget, an early read, a later return

Connections that nobody accepted used up the budget for further attempts, the list with the new process was up to a second old, and callers were told to come back, once, after 0.1 s. Later the same zone was cut off: its nodes held requests for two connection time-outs although they had no way to serve.

Three tests failed before (budget, another id at the same address, time to come back). A node without a way to a service now refuses at once and is not ready.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import http
 
 from lycheegw.coordination import event_streams
 from lycheegw.coordination import pending
@@ -44,8 +45,11 @@
         # Reading to the end keeps the connection.
         await _read_whole(call)
         call.finish()
+        is_other = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
         raise errors.UpstreamError(
-            reasons.RetryReason.REFUSED,
+            reasons.RetryReason.MISDIRECTED
+            if is_other
+            else reasons.RetryReason.REFUSED,
             f"turned down with status {head.status}",
             verdicts.RunVerdict.NOT_RUN,
             head.retry_after_s,
--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -136,6 +136,23 @@
         options = self._usable(self._open_pool(service), set())
         return all(each.is_cold(now_s) for each in options)
 
+    def unreachable_services(self, without_peers: set[str]) -> list[str]:
+        """Returns the services of which no upstream can be reached.
+
+        Args:
+            without_peers: Zones of which no node is heard.
+        """
+        manifest = self._directory.manifest
+        if manifest is None:
+            return []
+        cut_off = self._reach.cut_off(without_peers)
+        names = []
+        for name, service in sorted(manifest.service_by_name.items()):
+            zones = {each.entry.zone for each in self._open_pool(service)}
+            if zones and zones <= cut_off:
+                names.append(name)
+        return names
+
     def _open_pool(self, service: routing.Service) -> list[upstreams.Upstream]:
         """Returns the upstreams of a service in zones that may get work."""
         return [
@@ -154,7 +171,11 @@
         listed = [each for each in reachable if each.is_listed]
         away = self._reach.unreachable()
         near = [each for each in listed if each.entry.zone not in away]
-        return near or listed or reachable or untried
+        if near or not away:
+            return near or listed or reachable or untried
+        # What is left is in zones that were silent to others just now: a
+        # refusal that comes at once serves the caller better than a time-out.
+        return [each for each in pool if each.entry.zone not in away]
 
     def _by_version(
         self,
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -43,6 +43,9 @@
 _RETRY_AFTER_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.1
 _MAX_RETRY_AFTER_S = 1.0
+# The same where no upstream is there. One that crashed is back after some
+# seconds, and callers come back once.
+_ABSENT_RETRY_AFTER_S = 1.0
 # An upstream is given up for silent after this many times the usual time to
 # the head, but not before a share of the objective.
 _SILENT_FACTOR = 5.0
@@ -74,6 +77,20 @@
         reasons.RetryReason.UNSIGNED,
     }
 )
+# Nothing of the request reached an upstream.
+_UNSENT_REASONS = frozenset(
+    {
+        reasons.RetryReason.CONNECT_FAILED,
+        reasons.RetryReason.NO_FREE_CONNECTION,
+    }
+)
+# The process that the list has at an address is not there.
+_ABSENT_REASONS = frozenset(
+    {
+        reasons.RetryReason.CONNECT_FAILED,
+        reasons.RetryReason.MISDIRECTED,
+    }
+)
 _SILENT_REASONS = frozenset(
     {
         reasons.RetryReason.CONNECTION_LOST,
@@ -100,6 +117,7 @@
         is_known: Returns whether the store was ever read.
         is_closing: Returns whether the process goes down.
         members: Returns how many nodes share a bound.
+        want_list: Has the list of upstreams read soon.
         note: Writes a line to the log of events.
         observe: Adds a time to a histogram, by name and label.
     """
@@ -117,6 +135,7 @@
     is_known: Callable[[], bool]
     is_closing: Callable[[], bool]
     members: Callable[[], int]
+    want_list: Callable[[], None]
     note: Callable[..., None]
     observe: Callable[[str, str, float], None]
 
@@ -208,7 +227,7 @@
             reason,
             f"none of {choice.known} upstreams of {service.name}",
             progress.verdict,
-            self._retry_after_s(served.work),
+            self._retry_after_s(served.work, not choice.is_cold),
         )
 
     async def _wait_in_line(
@@ -307,8 +326,9 @@
         progress.sends += 1
         progress.begun_s = now_s
         progress.upstream = upstream.entry.host_id
-        if progress.sends > 1:
+        if progress.arrivals:
             self._parts.budgets.note_extra(service.name)
+        progress.arrivals += 1
         self._parts.rates.note_sent(upstream, service)
         self._parts.rollouts.note_sent(service.name, upstream.entry.version)
         upstream.note_sent()
@@ -528,7 +548,9 @@
                 reason,
                 f"{progress.sends} attempts, the last: {error}",
                 progress.verdict,
-                self._retry_after_s(served.work),
+                self._retry_after_s(
+                    served.work, error.reason in _ABSENT_REASONS
+                ),
             ) from error
 
     def _choose_model_anew(self, served: pending.Pending) -> None:
@@ -561,6 +583,10 @@
             run=error.verdict.value,
             message=str(error),
         )
+        if error.reason in _UNSENT_REASONS:
+            self._take_arrival_back(served)
+        if error.reason in _ABSENT_REASONS:
+            self._parts.want_list()
         if error.reason in _OWN_FAILURES:
             self._parts.rollouts.note_failed(
                 served.service.name, version, host_id
@@ -580,6 +606,12 @@
             served.progress.begun_s,
         )
 
+    def _take_arrival_back(self, served: pending.Pending) -> None:
+        """Takes back the count of an attempt that reached no upstream."""
+        served.progress.arrivals -= 1
+        if served.progress.arrivals:
+            self._parts.budgets.forget_extra(served.service.name)
+
     def _end_reason(
         self, served: pending.Pending, error: errors.UpstreamError
     ) -> reasons.RefusalReason | None:
@@ -599,11 +631,20 @@
             return reasons.RefusalReason.RETRY_BUDGET
         return None
 
-    def _retry_after_s(self, work: forwarded.ForwardedWork) -> float:
-        """Returns when to come back; jitter keeps callers apart."""
+    def _retry_after_s(
+        self, work: forwarded.ForwardedWork, is_absent: bool
+    ) -> float:
+        """Returns when to come back; jitter keeps callers apart.
+
+        Args:
+            work: The request.
+            is_absent: Whether there is no upstream, and not just no room.
+        """
         wanted_s = _RETRY_AFTER_SHARE * work.route.target_s
-        jitter = 0.75 + self._state.environment.random.random() / 2
         bounded_s = min(_MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wanted_s))
+        if is_absent:
+            bounded_s = _ABSENT_RETRY_AFTER_S
+        jitter = 0.75 + self._state.environment.random.random() / 2
         return bounded_s * jitter
 
     def _left_s(self, request: requests.Request) -> float:
--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -49,6 +49,10 @@
         own_id = self._state.identity.node_id
         return sorted({own_id, *(each.host_id for each in self._entries)})
 
+    def zones(self) -> set[str]:
+        """Returns the zones of all registered nodes."""
+        return {each.zone for each in self._entries}
+
     def count(self) -> int:
         """Returns how many nodes may share a budget."""
         if not self._known.is_known:
--- a/src/lycheegw/coordination/pending.py
+++ b/src/lycheegw/coordination/pending.py
@@ -66,6 +66,7 @@
         runs: Attempts that may have run.
         rejections: Attempts that upstreams turned down.
         sends: Attempts of any kind.
+        arrivals: Attempts that may have reached an upstream.
         is_out: Whether an attempt is with an upstream.
         verdict: Whether an ended attempt may have run.
         tried: Upstreams that failed it.
@@ -84,6 +85,7 @@
         self.runs = 0
         self.rejections = 0
         self.sends = 0
+        self.arrivals = 0
         self.is_out = False
         self.verdict = verdicts.RunVerdict.NOT_RUN
         self.tried: set[str] = set()
--- a/src/lycheegw/coordination/shared_budgets.py
+++ b/src/lycheegw/coordination/shared_budgets.py
@@ -29,6 +29,11 @@
         """Adds an event."""
         self._times.append(now_s)
 
+    def take_back(self) -> None:
+        """Drops the latest event."""
+        if self._times:
+            self._times.pop()
+
     def count(self, now_s: float) -> int:
         """Returns the events within the window."""
         while self._times and self._times[0] < now_s - self._seconds:
@@ -68,6 +73,10 @@
         """Counts an attempt beyond the first of its request."""
         self._window(self._extras_by_service, service).add(self._now_s())
 
+    def forget_extra(self, service: str) -> None:
+        """Takes back an attempt that reached no upstream."""
+        self._window(self._extras_by_service, service).take_back()
+
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         # Longer than asked for, since attempts arrive after they are sent.
         return windows.setdefault(
--- a/src/lycheegw/coordination/zone_reach.py
+++ b/src/lycheegw/coordination/zone_reach.py
@@ -22,6 +22,7 @@
     def __init__(self, environment: clocks.Environment):
         self._environment = environment
         self._silent_s_by_upstream_by_zone: dict[str, dict[str, float]] = {}
+        self._cut_off: set[str] = set()
 
     def note_silent(self, zone: str, upstream_id: str) -> None:
         """Takes note that an upstream of a zone did not answer."""
@@ -31,6 +32,7 @@
     def note_answer(self, zone: str) -> None:
         """Takes note that the zone was reached."""
         self._silent_s_by_upstream_by_zone.pop(zone, None)
+        self._cut_off.discard(zone)
 
     def unreachable(self) -> set[str]:
         """Returns the zones that are best avoided now."""
@@ -41,3 +43,13 @@
             if sum(now_s - at_s < _SILENT_S for at_s in silent.values())
             >= _LEAST_SILENT
         }
+
+    def cut_off(self, without_peers: set[str]) -> set[str]:
+        """Returns the zones that were silent and gave no sign of life since.
+
+        Args:
+            without_peers: Zones of which no node is heard. Where there are
+                such, a zone stays cut off without requests that find it so.
+        """
+        self._cut_off = self.unreachable() | (self._cut_off & without_peers)
+        return self._cut_off
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -117,6 +117,7 @@
         self.settings = settings
         self.is_draining = False
         self.is_closing = False
+        self._unreachable_services: list[str] = []
         self.application = lifecycle.Application()
         self._adapter = adapter
         self._log = log
@@ -256,7 +257,7 @@
             self.state, self.peers, backlog_codec.CODEC, self.peers.nudge
         )
         self.peers.on_connect(self.queued.forget_neighbour)
-        balancer = balancing.Balancer(
+        self.balancer = balancing.Balancer(
             self.state,
             self.directory,
             self.rollouts,
@@ -271,7 +272,7 @@
             self._adapter.callers,
             forward_attempts.Parts(
                 self.directory,
-                balancer,
+                self.balancer,
                 times,
                 self.queued,
                 rates,
@@ -285,6 +286,7 @@
                 self._is_known,
                 lambda: self.is_closing,
                 self.registry.count,
+                lambda: self.readers.want(topics.Topic.UPSTREAMS),
                 self._log.note,
                 self.histograms.observe,
             ),
@@ -347,8 +349,15 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the node takes new work."""
-        return not self.is_draining and self._is_known()
+        """Whether the node takes new work.
+
+        Nodes of other zones can serve what this one has no way to.
+        """
+        return (
+            not self.is_draining
+            and not self._unreachable_services
+            and self._is_known()
+        )
 
     def _is_known(self) -> bool:
         """Returns whether the configuration and upstreams were ever read."""
@@ -392,8 +401,26 @@
             await self.state.environment.sleep(_HOUSEKEEPING_S)
             self.pool.expire()
             self.directory.expire_lapsed()
+            self._look_around()
             self._log.flush()
 
+    def _look_around(self) -> None:
+        """Notices services that this node has no way to."""
+        live_zones = set(self.peers.liveness.live_by_zone())
+        without_peers = self.registry.zones() - live_zones
+        unreachable = self.balancer.unreachable_services(without_peers)
+        if unreachable == self._unreachable_services:
+            return
+        self._log.note(
+            "unreachable_services",
+            services=unreachable,
+            former=self._unreachable_services,
+            without_peers=sorted(without_peers),
+        )
+        self._unreachable_services = unreachable
+        # Callers come back on new connections, which lead to other nodes.
+        self.server.is_closing = self.is_draining or bool(unreachable)
+
     async def watch_settings(
         self, path: pathlib.Path, is_asked: asyncio.Event
     ) -> None:
--- a/src/lycheegw/state/reasons.py
+++ b/src/lycheegw/state/reasons.py
@@ -44,6 +44,7 @@
     CONNECT_FAILED = "connect_failed"
     SEND_FAILED = "send_failed"
     REFUSED = "refused"
+    MISDIRECTED = "misdirected"
     HEAD_TIMEOUT = "head_timeout"
     TOKEN_GAP = "token_gap"
     CONNECTION_LOST = "connection_lost"
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 
@@ -124,6 +125,79 @@
         assert not fleet.seen
 
 
+async def test_node_without_a_way_to_a_service_leads_callers_elsewhere() -> (
+    None
+):
+    """zone_cut beside evacuate: only other zones can serve."""
+    async with rig.fleet() as fleet:
+        node = fleet.nodes[0]
+        for name in ("d1", "d2"):
+            entry = fleet.upstream_by_name[name].entry(
+                "desk", zone="z-b", sequence=2
+            )
+            await fleet.store.put("keyed.servers", name, entry)
+        await rig.until(
+            lambda: (
+                {each.entry.zone for each in node.state.upstreams.pool("desk")}
+                == {"z-b"}
+            )
+        )
+        reach = node.balancer._reach
+        for name in ("d1", "d2"):
+            reach.note_silent("z-b", name)
+        await rig.until(lambda: not node.is_ready, 1.0)
+        begun_s = time.monotonic()
+        reply = await authority.ask(
+            node.settings.front, "/book/1", "POST", b"crew"
+        )
+        assert reply is not None and reply.status == 503
+        assert time.monotonic() - begun_s < 0.3
+        assert reply.header_by_name["connection"] == "close"
+        reach.note_answer("z-b")
+        await rig.until(lambda: node.is_ready, 1.0)
+
+
+async def test_upstream_that_started_anew_under_another_id_is_found() -> None:
+    """srv_crash: the list is old, and the request itself shows it."""
+    async with rig.fleet() as fleet:
+        await asyncio.sleep(0.3)
+        for name in ("d1", "d2"):
+            upstream = fleet.upstream_by_name[name]
+            upstream.name = f"new-{name}"
+            entry = upstream.entry("desk", born=2000)
+            await fleet.store.put("keyed.servers", upstream.name, entry)
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front, "/book/1", "POST", b"crew"
+        )
+        assert reply is not None and reply.status == 200
+        assert fleet.seen[0].upstream.startswith("new-")
+
+
+async def test_caller_comes_back_late_where_no_upstream_is_there() -> None:
+    """srv_crash, all: callers come back once, and a crash takes seconds."""
+    async with rig.fleet() as fleet:
+        for name in ("d1", "d2"):
+            await fleet.upstream_by_name[name].stop()
+        reply = await authority.ask(
+            fleet.nodes[0].settings.front, "/book/1", "POST", b"crew"
+        )
+        assert reply is not None and reply.status == 503
+        assert float(reply.header_by_name["retry-after"]) >= 0.75
+
+
+async def test_attempts_that_reach_no_upstream_use_up_no_budget() -> None:
+    """zone_cut, srv_crash: connections fail before anything was sent."""
+    async with rig.fleet() as fleet:
+        await fleet.upstream_by_name["d1"].stop()
+        await fleet.upstream_by_name["d2"].stop()
+        node = fleet.nodes[0]
+        for _ in range(5):
+            await authority.ask(node.settings.front, "/look/1")
+        budgets = node.forwarder.attempts._parts.budgets
+        extras = budgets._extras_by_service["desk"]
+        assert extras.count(node.state.environment.monotonic_s()) == 0
+
+
 async def test_request_is_given_up_at_the_time_limit_of_its_route() -> None:
     async with rig.fleet() as fleet:
         for name in ("d1", "d2"):
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -36,3 +36,17 @@
             time_outs += 1
             reach.note_silent("a", f"u{request % 6}")
     assert time_outs <= 2 * 6 / 2 + 2
+
+
+def test_zone_stays_cut_off_until_a_sign_of_life() -> None:
+    """Without requests nothing finds a zone silent anew."""
+    clock = fakes.Clock()
+    reach = zone_reach.ZoneReach(clock.environment())
+    assert reach.cut_off({"b"}) == set()
+    reach.note_silent("b", "u1")
+    reach.note_silent("b", "u2")
+    assert reach.cut_off(set()) == {"b"}
+    clock.now_s += 10
+    assert reach.cut_off({"b", "c"}) == {"b"}
+    reach.note_answer("b")
+    assert reach.cut_off({"b", "c"}) == set()
