--- a/src/lycheegw/measure/targets.py
+++ b/src/lycheegw/measure/targets.py
@@ -75,6 +75,8 @@
     "overload": (_at_least("goodput_ratio_2x", 0.9),),
     # The platform's rule: half a second after a caller left, its work is over.
     "http-edge": (_at_most("work_after_leaving_s", 0.5),),
+    # Lines never block: an event of a stream may be late by 120 ms.
+    "event-log": (_at_most("longest_unread_line_ms", 120.0),),
     "silent": (_at_most("double_runs", 0), _at_most("unanswered", 0)),
     "whole-answers": (
         _at_most("broken_passed_as_whole", 0),
