--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,10 +5,31 @@
 
 from lycheegw.coordination import seams
 from lycheegw.state import clocks
+from lycheegw.state import edge_settings
 from lycheegw.state import limits
 from lycheegw.state import node_state
+from lycheegw.state import routing
 from lycheegw.state import upstreams
 
+BOUNDS = edge_settings.Bounds(
+    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
+)
+STREAM_ROUTE = routing.Route(
+    "ask",
+    "h",
+    "/",
+    routing.RequestKind.STREAM,
+    12.0,
+    3.0,
+    0.8,
+    0,
+    3,
+    True,
+    True,
+    (),
+    (routing.Backend("m", 1.0),),
+)
+
 
 class Clock:
     """A clock that stands still until it is moved."""
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -27,21 +27,6 @@
 from tests import fakes
 
 SERVICE = routing.Service("m", "/", 100, 0.0, 0.0, routing.Engine(64, 1, {}))
-ROUTE = routing.Route(
-    "ask",
-    "h",
-    "/",
-    routing.RequestKind.STREAM,
-    12.0,
-    3.0,
-    0.8,
-    0,
-    3,
-    True,
-    True,
-    (),
-    (routing.Backend("m", 1.0),),
-)
 SHORT_TOKENS, LONG_TOKENS = 400, 40_000
 READ_S = {SHORT_TOKENS: 0.008, LONG_TOKENS: 0.4}
 # Half of a prompt is shared; reading that, too, takes longer.
@@ -106,7 +91,7 @@
         traits = forwarded.Traits(
             "r", "h", "/", None, 9, "m", False, parts, tokens, 50, None, None
         )
-        work = forwarded.ForwardedWork(incoming, traits, ROUTE)
+        work = forwarded.ForwardedWork(incoming, traits, fakes.STREAM_ROUTE)
         request = requests.Request(
             "r", "", "ask", work, None, None, 9.0, 0, None, True, ""
         )
--- a/tests/test_cascades.py
+++ b/tests/test_cascades.py
@@ -11,24 +11,10 @@
 from lycheegw.coordination import cascades
 from lycheegw.coordination import head_times
 from lycheegw.state import forwarded
-from lycheegw.state import routing
+from tests import fakes
 
 MODELS = ("small", "middle", "large")
-ROUTE = routing.Route(
-    "ask",
-    "h",
-    "/",
-    routing.RequestKind.STREAM,
-    12.0,
-    3.0,
-    0.8,
-    0,
-    3,
-    True,
-    True,
-    MODELS,
-    (routing.Backend("m", 1.0),),
-)
+ROUTE = fakes.STREAM_ROUTE._replace(models=MODELS)
 # Seconds to the head of an answer: tokens by a rate, and attention besides,
 # as the operators' sheet has it for their engines.
 PACE = {"small": 0.3, "large": 3.0}
--- a/tests/test_fleet_rollouts.py
+++ b/tests/test_fleet_rollouts.py
@@ -8,14 +8,10 @@
 from lycheegw.coordination import directory
 from lycheegw.coordination import fleet_rollouts
 from lycheegw.protocol import rollout_codec
-from lycheegw.state import edge_settings
 from lycheegw.state import orders
 from lycheegw.state import tallies
 from tests import fakes
 
-BOUNDS = edge_settings.Bounds(
-    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
-)
 ORDER = orders.RolloutOrder("m", "v2", 24.0)
 
 
@@ -43,7 +39,7 @@
                     known,
                     peer,
                     rollout_codec.CODEC,
-                    lambda: BOUNDS,
+                    lambda: fakes.BOUNDS,
                     lambda: None,
                     lambda *_, **__: None,
                 )
@@ -98,7 +94,10 @@
 ) -> None:
     """rollout_bad, errors and late: from the start, on trial, on the ramp."""
     fleet, exposed, total = _play(nodes, bad_from_s)
-    assert exposed <= BOUNDS.exposure_share * total + BOUNDS.exposure_slack
+    assert (
+        exposed
+        <= fakes.BOUNDS.exposure_share * total + fakes.BOUNDS.exposure_slack
+    )
     fleet.tick()
     assert all(each.share("m") == 0.0 for each in fleet.rollouts)
 
@@ -183,7 +182,7 @@
     while rollout.may_use("m", "v2") and sent < 1000:
         rollout.note_sent("m", "v2")
         sent += 1
-    assert 0 < sent <= BOUNDS.exposure_slack
+    assert 0 < sent <= fakes.BOUNDS.exposure_slack
     for _ in range(2000):
         rollout.note_sent("m", "v1")
     assert rollout.may_use("m", "v2")
--- a/tests/test_outcome_machine.py
+++ b/tests/test_outcome_machine.py
@@ -20,16 +20,12 @@
 from lycheegw.platform import records
 from lycheegw.protocol import rollout_codec
 from lycheegw.protocol import topic_codec
-from lycheegw.state import edge_settings
 from lycheegw.state import errors
 from lycheegw.state import orders
 from lycheegw.state import topics
 from lycheegw.state import upstreams
 from tests import fakes
 
-BOUNDS = edge_settings.Bounds(
-    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
-)
 ORDER = orders.RolloutOrder("m", "v2", 10.0)
 NODES = 3
 _OUTCOMES = topics.Topic.OUTCOMES
@@ -124,7 +120,7 @@
             self.directory,
             bus,  # type: ignore[arg-type]
             rollout_codec.CODEC,
-            lambda: BOUNDS,
+            lambda: fakes.BOUNDS,
             lambda: None,
             lambda *_, **__: None,
         )
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -13,14 +13,11 @@
 from lycheegw.state import routing
 from tests import fakes
 
-BOUNDS = edge_settings.Bounds(
-    2.0, 8.0, 2.0, 0.9, 10.0, 54.0, 0.15, 30.0, 5.0, 1.5, 5.0, 0.12, 5.0
-)
 SERVICE = routing.Service("m", "/", 100, 3.0, 8.0, None)
 
 
 def _bounds() -> edge_settings.Bounds:
-    return BOUNDS
+    return fakes.BOUNDS
 
 
 @hypothesis.given(
@@ -42,7 +39,9 @@
     for upstream in upstreams:
         upstream.cold_until_s = clock.now_s + 60
     sent: collections.deque[float] = collections.deque()
-    bound = SERVICE.cold_per_s * BOUNDS.cold_overage + BOUNDS.cold_slack
+    bound = (
+        SERVICE.cold_per_s * fakes.BOUNDS.cold_overage + fakes.BOUNDS.cold_slack
+    )
     for step in steps:
         clock.now_s += step
         for rate, upstream in zip(rates, upstreams, strict=True):
@@ -94,7 +93,7 @@
                     budget.note_extra("m")
                     extras += 1
     total = sum(requests for requests, _ in loads)
-    assert extras <= BOUNDS.retry_ratio * total + BOUNDS.retry_slack
+    assert extras <= fakes.BOUNDS.retry_ratio * total + fakes.BOUNDS.retry_slack
 
 
 def test_service_that_is_never_cold_is_not_held_back_by_doubt() -> None:
