Orders are polled in turn, too

An open read tells nobody that it is dead.

Now each node reads the orders when they are older than its turn allows, like the list of upstreams; one open read stays for speed. The test failed before. Costs one more store call a second.

--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -1,10 +1,10 @@
 """Reads the store's topics so that the fleet together makes few calls.
 
-The list of upstreams changes with every heartbeat and is polled: the nodes
-read in turn, each when the newest news that it has is older than the turn
-allows. Who comes after the last reader waits shortest, so that a reader that
-fails is replaced without anybody noticing that it failed. Orders change
-seldom and are waited for: some nodes of each zone hold a read open.
+Topics are polled: the nodes read in turn, each when the newest news that it has
+is older than the turn allows. Who comes after the last reader waits shortest,
+so that a reader that fails is replaced without anybody noticing that it failed.
+One node holds a read of the orders open besides, so that most of them are known
+at once; whether that read still lives, no other node can tell.
 """
 
 import asyncio
@@ -27,9 +27,6 @@
 # the way of news between zones.
 _RANK_STEP_S = 0.2
 _MAX_RANK = 6
-# Nodes of a zone that wait for orders; where one fails, news come from those
-# of the other zones until it is replaced.
-_WATCHERS_PER_ZONE = 1
 # Longest wait of an open read; a connection that fell silent is noticed by
 # its own probes before.
 _WATCH_WAIT_S = 20.0
@@ -131,7 +128,7 @@
             failures = 0 if is_read else failures + 1
 
     async def watch(self, topic: topics.Topic) -> None:
-        """Waits for changes of a topic while this node is one that does."""
+        """Waits for changes of a topic while this node is the one that does."""
         await self.load_until_known(topic)
         # Until the peers are known each node would hold a read open.
         await self._sleep(_ROLE_CHECK_S)
@@ -206,14 +203,9 @@
         return min(self.pace.turn_s + step_s, self.pace.alone_s)
 
     def _is_watcher(self, topic: topics.Topic) -> bool:
-        zone = self._state.identity.zone
-        ids = {*self._live_by_zone().get(zone, ()), self._own_id}
-        order = rendezvous.order(f"watch {topic.value}", ids)
-        if self._own_id in order[:_WATCHERS_PER_ZONE]:
-            return True
-        known = self._exchange.state_by_topic[topic]
-        age_s = self._now_s() - known.confirmed_s
-        return age_s > _WATCH_WAIT_S + self.pace.alone_s
+        ids = {each for ids in self._live_by_zone().values() for each in ids}
+        first = rendezvous.first(f"watch {topic.value}", {*ids, self._own_id})
+        return first == self._own_id
 
     def _succeeded(self, topic: topics.Topic) -> None:
         self._state.counters.add(f"store.read.{topic.value}")
@@ -242,6 +234,11 @@
     async def run(self) -> None:
         """Follows the topics of others until cancelled."""
         await asyncio.gather(
-            self.poll(topics.Topic.UPSTREAMS),
-            self.watch(topics.Topic.ORDERS),
+            self.poll(topics.Topic.UPSTREAMS), self._follow_orders()
+        )
+
+    async def _follow_orders(self) -> None:
+        await self.load_until_known(topics.Topic.ORDERS)
+        await asyncio.gather(
+            self.poll(topics.Topic.ORDERS), self.watch(topics.Topic.ORDERS)
         )
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -59,9 +59,9 @@
 _SETTINGS_POLL_S = 1.0
 # How often a node that starts looks whether the orders were read.
 _START_POLL_S = 0.05
-# Age at which the next node in turn reads the list of upstreams; with the
-# way of news it is well below the time in which a leaving upstream has to
-# get no more work.
+# Age at which the next node in turn reads a topic; with the way of news it is
+# well below the time in which a leaving upstream has to get no more work, and
+# in which an order has to be in force.
 _TURN_S = 1.0
 # Share of that time after which a node that hears nothing reads by itself.
 _ALONE_SHARE = 0.75
@@ -174,7 +174,8 @@
             self._on_change,
             self.peers.nudge,
         )
-        alone_s = _ALONE_SHARE * settings.bounds.drain_s
+        bounds = settings.bounds
+        alone_s = _ALONE_SHARE * min(bounds.drain_s, bounds.config_apply_s)
         self.readers = topic_readers.TopicReaders(
             self.state,
             self.store,
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lycheegw import edge_app
 from lycheegw.state import errors
 from lycheegw.state import topics
 from tests.platform import authority
@@ -320,6 +321,46 @@
         assert reply is not None and reply.status == 200
 
 
+async def test_manifest_is_in_force_where_who_waits_for_it_is_turned_away() -> (
+    None
+):
+    """platform_down, nodes reader: others read, though nobody told them."""
+    async with rig.fleet(nodes=4) as fleet:
+        await rig.until(
+            lambda: all(
+                len(node.peers.live_nodes()) == 4 for node in fleet.nodes
+            )
+        )
+        await asyncio.sleep(1.0)
+
+        async def hang(*_: object) -> topics.TopicPage:
+            await asyncio.sleep(60)
+            raise errors.StoreError("silent")
+
+        waiting = [
+            node
+            for node in fleet.nodes
+            if node.readers._is_watcher(topics.Topic.ORDERS)
+        ]
+        assert len(waiting) == 1
+        # Its open read is replaced by one that is never answered.
+        for node in waiting:
+            node.store.changes = hang  # type: ignore[method-assign]
+        await fleet.store.put("keyed.op", "config", authority.manifest(2))
+        await rig.until(
+            lambda: all(_version(node) == 2 for node in fleet.nodes), 2.0
+        )
+        await fleet.store.put("keyed.op", "config", authority.manifest(7))
+        await rig.until(
+            lambda: all(_version(node) == 7 for node in fleet.nodes), 2.0
+        )
+
+
+def _version(node: edge_app.EdgeNode) -> int:
+    manifest = node.directory.manifest
+    return -1 if manifest is None else manifest.version
+
+
 async def test_older_manifest_changes_nothing() -> None:
     async with rig.fleet(manifest=authority.manifest(5)) as fleet:
         node = fleet.nodes[0]
