Backlogs in the terms of the field: prefill, cache miss, reports

No change of behaviour: names and comments read as a newcomer would look for them, and the balancer's choice is split into costs, order and pick.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -22,12 +22,11 @@
 # Shared tokens from which the same upstream is worth a way into another zone:
 # reading them again takes longer and costs more than moving the request.
 _FAR_AFFINITY_TOKENS = 8000
-# Waiting time that a request in memory at an upstream stands for: each makes
-# the steps of all others a little longer.
-_LOAD_S = 0.01
-# Waiting time that makes up for the way into another zone, whose bytes are
-# priced.
-_FAR_S = 0.1
+# Wait that a running request counts as: each lengthens the decode steps of the
+# others in its batch.
+_WAIT_S_PER_REQUEST = 0.01
+# Wait that another zone counts as, since traffic between zones costs.
+_OTHER_ZONE_S = 0.1
 
 
 class Choice(NamedTuple):
@@ -37,14 +36,14 @@
         upstream: Where the attempt goes.
         service: The service that it belongs to.
         why: What decided, for the log.
-        read_s: How long it should take to read the prompt.
-        wait_s: How long it should take for the prompts before this one.
+        prefill_s: Expected prefill time of the request.
+        wait_s: Expected wait for the requests before it.
     """
 
     upstream: upstreams.Upstream
     service: routing.Service
     why: str
-    read_s: float = 0.0
+    prefill_s: float = 0.0
     wait_s: float = 0.0
 
 
@@ -213,51 +212,70 @@
         model: str | None,
         options: list[upstreams.Upstream],
     ) -> Choice:
-        """Returns the upstream with the prompt in memory, or a shorter wait."""
+        """Returns the first upstream in affinity order that is worth its wait.
+
+        Another one is worth it where it saves more time than prefill of the
+        shared prefix takes there.
+        """
         if service.engine is None:
             upstream = self._least_loaded(options)
             return Choice(upstream, service, "least loaded")
         traits = work.traits
         key, shared = affinity_key(traits)
         name = model or traits.model
-        read_s = self._times.read_s(service.name, name, traits.prompt_tokens)
-        again_s = self._times.read_again_s(
-            service.name, name, traits.prompt_tokens, shared
+        tokens = traits.prompt_tokens
+        prefill_s = self._times.prefill_s(service.name, name, tokens)
+        miss_penalty_s = self._times.miss_penalty_s(
+            service.name, name, tokens, shared
         )
-        wait_s_by_id = {
-            each.entry.host_id: self._wait_s(each) for each in options
-        }
-        far_s = 0.0 if shared >= _FAR_AFFINITY_TOKENS else _FAR_S
-        cost_s_by_id = {
-            each.entry.host_id: wait_s_by_id[each.entry.host_id]
-            + (0.0 if self._is_near(each) else far_s)
-            for each in options
-        }
-        bound_s = min(cost_s_by_id.values()) + again_s
-        by_id = {each.entry.host_id: each for each in options}
-        order = rendezvous.order(f"{name or ''} {key}", by_id)
-        if far_s:
-            order = sorted(
-                order, key=lambda each: not self._is_near(by_id[each])
-            )
-        rank, host_id = next(
+        is_zone_bound = shared < _FAR_AFFINITY_TOKENS
+        cost_s_by_id = self._costs(options, is_zone_bound)
+        bound_s = min(cost_s_by_id.values()) + miss_penalty_s
+        order = self._affinity_order(
+            f"{name or ''} {key}", options, is_zone_bound
+        )
+        rank, upstream = next(
             (rank, each)
             for rank, each in enumerate(order)
-            if cost_s_by_id[each] <= bound_s
+            if cost_s_by_id[each.entry.host_id] <= bound_s
         )
         return Choice(
-            by_id[host_id],
+            upstream,
             service,
             "affinity" if rank == 0 and key is not None else "shorter wait",
-            read_s + (again_s if rank else 0.0),
-            wait_s_by_id[host_id],
+            prefill_s + (miss_penalty_s if rank else 0.0),
+            self._wait_s(upstream),
         )
 
+    def _costs(
+        self, options: Sequence[upstreams.Upstream], is_zone_bound: bool
+    ) -> dict[str, float]:
+        """Returns the wait at each upstream, weighed by its zone."""
+        other_zone_s = _OTHER_ZONE_S if is_zone_bound else 0.0
+        return {
+            each.entry.host_id: self._wait_s(each)
+            + (0.0 if self._is_near(each) else other_zone_s)
+            for each in options
+        }
+
+    def _affinity_order(
+        self,
+        key: str,
+        options: Sequence[upstreams.Upstream],
+        is_zone_bound: bool,
+    ) -> list[upstreams.Upstream]:
+        """Returns the upstreams, those most likely to have a prefix first."""
+        by_id = {each.entry.host_id: each for each in options}
+        order = [by_id[each] for each in rendezvous.order(key, by_id)]
+        if is_zone_bound:
+            order.sort(key=lambda each: not self._is_near(each))
+        return order
+
     def _wait_s(self, upstream: upstreams.Upstream) -> float:
         """Returns how long a new request should wait at an upstream."""
         now_s = self._state.environment.monotonic_s()
         backlog_s = self._backlogs.wait_s(upstream.entry.host_id)
-        return backlog_s + _LOAD_S * upstream.estimated_load(now_s)
+        return backlog_s + _WAIT_S_PER_REQUEST * upstream.estimated_load(now_s)
 
     def _is_near(self, upstream: upstreams.Upstream) -> bool:
         return upstream.entry.zone == self._state.identity.zone
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -107,7 +107,7 @@
         directory: The orders in force.
         balancer: Chooses upstreams.
         times: How long upstreams take.
-        queued: Prompts that upstreams have not read yet.
+        backlogs: Prefill work that upstreams have left.
         rates: Bounds what cold upstreams get.
         budgets: Bounds further attempts.
         rollouts: Which version gets a request.
@@ -117,7 +117,7 @@
         is_known: Returns whether the store was ever read.
         is_closing: Returns whether the process goes down.
         members: Returns how many nodes share a bound.
-        want_list: Has the list of upstreams read soon.
+        refresh_upstreams: Has the list of upstreams read early.
         note: Writes a line to the log of events.
         observe: Adds a time to a histogram, by name and label.
     """
@@ -125,7 +125,7 @@
     directory: directory.Directory
     balancer: balancing.Balancer
     times: head_times.HeadTimes
-    queued: backlogs.Backlogs
+    backlogs: backlogs.Backlogs
     rates: cold_rates.ColdRates
     budgets: shared_budgets.RetryBudgets
     rollouts: fleet_rollouts.FleetRollouts
@@ -135,7 +135,7 @@
     is_known: Callable[[], bool]
     is_closing: Callable[[], bool]
     members: Callable[[], int]
-    want_list: Callable[[], None]
+    refresh_upstreams: Callable[[], None]
     note: Callable[..., None]
     observe: Callable[[str, str, float], None]
 
@@ -281,8 +281,8 @@
         self._note_attempt(served, choice)
         call: seams.ForwardCall | None = None
         try:
-            with self._parts.queued.hold(
-                choice.upstream.entry.host_id, choice.read_s
+            with self._parts.backlogs.track(
+                choice.upstream.entry.host_id, choice.prefill_s
             ):
                 call = await self._parts.client.send(
                     self._encode(served, choice)
@@ -584,9 +584,9 @@
             message=str(error),
         )
         if error.reason in _UNSENT_REASONS:
-            self._take_arrival_back(served)
+            self._refund_arrival(served)
         if error.reason in _ABSENT_REASONS:
-            self._parts.want_list()
+            self._parts.refresh_upstreams()
         if error.reason in _OWN_FAILURES:
             self._parts.rollouts.note_failed(
                 served.service.name, version, host_id
@@ -606,11 +606,11 @@
             served.progress.begun_s,
         )
 
-    def _take_arrival_back(self, served: pending.Pending) -> None:
+    def _refund_arrival(self, served: pending.Pending) -> None:
         """Takes back the count of an attempt that reached no upstream."""
         served.progress.arrivals -= 1
         if served.progress.arrivals:
-            self._parts.budgets.forget_extra(served.service.name)
+            self._parts.budgets.refund_extra(served.service.name)
 
     def _end_reason(
         self, served: pending.Pending, error: errors.UpstreamError
@@ -658,9 +658,9 @@
 def _urgency(work: forwarded.ForwardedWork, model: str | None) -> int | None:
     """Returns how urgent an attempt is at its upstream, None for the usual.
 
-    What is read soon goes first. The smallest model reads a prompt in a tenth
-    of the time of the largest: it delays the others little, and behind a long
-    prompt of theirs it would lose the time for an answer by another model.
+    Shorter prefills go first. Those of the smallest model take a tenth of the
+    time of the largest: they delay the others little, and a low confidence
+    leaves time for a larger model only if it is known early.
     """
     if not work.route.models:
         return None
--- a/src/lycheegw/coordination/head_times.py
+++ b/src/lycheegw/coordination/head_times.py
@@ -7,16 +7,16 @@
 
 # Weight of a new time in the running mean of its size.
 _WEIGHT = 0.15
-# The time that an upstream needs by itself is the one that this share of the
-# answers stays below; the rest waited, or had to read what others share. How
-# fast the estimate follows, as a factor a sample.
-_UNHINDERED_SHARE = 0.2
-_UNHINDERED_STEP = 0.2
-# Reading a whole prompt takes about so many times as long as the time above,
-# most of whose prompts were in memory but for their last part.
-_WHOLE_FACTOR = 4.0
-# Time that an answer takes where none was seen yet.
-_UNKNOWN_READ_S = 0.1
+# Prefill without a queue and with the shared prefix cached is taken to be this
+# quantile of the times to the head. The step is the change of its logarithm
+# with each sample.
+_QUANTILE = 0.2
+_QUANTILE_STEP = 0.2
+# Prefill of a whole prompt takes about so many times as long as the quantile
+# above: on the first deployment three quarters of a prompt are shared.
+_UNCACHED_FACTOR = 4.0
+# Prefill time of a model that has not answered yet.
+_UNKNOWN_PREFILL_S = 0.1
 # Prompts below this many tokens take about the same time.
 _BASE_TOKENS = 512
 # Growth of the time with the size of the prompt, for sizes not seen yet:
@@ -38,7 +38,7 @@
 
     def __init__(self) -> None:
         self._mean_s_by_size_by_key: dict[_Key, dict[int, float]] = {}
-        self._low_s_by_size_by_key: dict[_Key, dict[int, float]] = {}
+        self._quantile_s_by_size_by_key: dict[_Key, dict[int, float]] = {}
         self._rest_rate_by_key: dict[_Key, float] = {}
 
     def note(
@@ -49,27 +49,27 @@
         size = _size(tokens)
         known = means.get(size, seconds)
         means[size] = known + _WEIGHT * (seconds - known)
-        self._note_low(_Key(service, model), size, max(seconds, 0.001))
+        self._note_quantile(_Key(service, model), size, max(seconds, 0.001))
 
-    def _note_low(self, key: _Key, size: int, seconds: float) -> None:
+    def _note_quantile(self, key: _Key, size: int, seconds: float) -> None:
         """Moves a low quantile of the times towards a new one."""
-        lows = self._low_s_by_size_by_key.setdefault(key, {})
+        lows = self._quantile_s_by_size_by_key.setdefault(key, {})
         low = lows.get(size, seconds)
         is_below = seconds < low
-        step = _UNHINDERED_STEP * (_UNHINDERED_SHARE - is_below)
+        step = _QUANTILE_STEP * (_QUANTILE - is_below)
         lows[size] = low * math.exp(step)
 
-    def read_s(self, service: str, model: str | None, tokens: int) -> float:
-        """Returns the time for a prompt of which most is in memory."""
-        lows = self._low_s_by_size_by_key.get(_Key(service, model))
-        return _at_size(lows, tokens) if lows else _UNKNOWN_READ_S
+    def prefill_s(self, service: str, model: str | None, tokens: int) -> float:
+        """Returns the prefill time where the shared prefix is cached."""
+        lows = self._quantile_s_by_size_by_key.get(_Key(service, model))
+        return _at_size(lows, tokens) if lows else _UNKNOWN_PREFILL_S
 
-    def read_again_s(
+    def miss_penalty_s(
         self, service: str, model: str | None, tokens: int, shared: int
     ) -> float:
-        """Returns the further time where the shared part is not in memory."""
+        """Returns the further prefill time where it is not cached."""
         share = shared / max(1, tokens, shared)
-        whole_s = _WHOLE_FACTOR * self.read_s(service, model, tokens)
+        whole_s = _UNCACHED_FACTOR * self.prefill_s(service, model, tokens)
         return share * whole_s
 
     def note_at_least(
--- a/src/lycheegw/coordination/shared_budgets.py
+++ b/src/lycheegw/coordination/shared_budgets.py
@@ -29,7 +29,7 @@
         """Adds an event."""
         self._times.append(now_s)
 
-    def take_back(self) -> None:
+    def remove_latest(self) -> None:
         """Drops the latest event."""
         if self._times:
             self._times.pop()
@@ -73,9 +73,9 @@
         """Counts an attempt beyond the first of its request."""
         self._window(self._extras_by_service, service).add(self._now_s())
 
-    def forget_extra(self, service: str) -> None:
+    def refund_extra(self, service: str) -> None:
         """Takes back an attempt that reached no upstream."""
-        self._window(self._extras_by_service, service).take_back()
+        self._window(self._extras_by_service, service).remove_latest()
 
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         # Longer than asked for, since attempts arrive after they are sent.
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -32,8 +32,8 @@
 _WATCH_WAIT_S = 20.0
 # A watcher that is replaced stops its open read within this time.
 _ROLE_CHECK_S = 0.5
-# Age from which a topic is read at once where a request shows that it is old.
-_WANTED_AGE_S = 0.1
+# Age at which a topic is read where a refresh was requested.
+_REFRESH_AGE_S = 0.1
 _RETRY_S = 0.1
 _MAX_RETRY_S = 1.0
 _TICK_S = 0.05
@@ -95,7 +95,7 @@
         self._live_by_zone = live_by_zone
         self._dependency = dependency
         self._own_id = state.identity.node_id
-        self._wanted: set[topics.Topic] = set()
+        self._refresh_requested: set[topics.Topic] = set()
 
     async def load(self, topic: topics.Topic) -> bool:
         """Reads a topic whole; returns whether that worked."""
@@ -163,9 +163,9 @@
         self._exchange.take(topic, page, begun_s)
         return True
 
-    def want(self, topic: topics.Topic) -> None:
-        """Has a topic that is polled read soon, since it seems to be old."""
-        self._wanted.add(topic)
+    def request_refresh(self, topic: topics.Topic) -> None:
+        """Brings the next poll of a topic forward, since it seems to be old."""
+        self._refresh_requested.add(topic)
 
     async def _wait_for_turn(self, topic: topics.Topic, failures: int) -> None:
         """Returns once what is known is too old for this node's rank."""
@@ -176,12 +176,12 @@
         while True:
             known = self._exchange.state_by_topic[topic]
             patience_s = self._patience_s(known.reader)
-            if topic in self._wanted:
-                patience_s = min(patience_s, _WANTED_AGE_S)
+            if topic in self._refresh_requested:
+                patience_s = min(patience_s, _REFRESH_AGE_S)
             due_s = known.confirmed_s + patience_s
             wait_s = max(due_s, not_before_s) - self._now_s()
             if wait_s <= 0:
-                self._wanted.discard(topic)
+                self._refresh_requested.discard(topic)
                 return
             # What peers tell meanwhile puts the turn off, and what requests
             # meet brings it forward.
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -254,10 +254,10 @@
         )
         reach = zone_reach.ZoneReach(self.state.environment)
         times = head_times.HeadTimes()
-        self.queued = backlogs.Backlogs(
+        self.backlogs = backlogs.Backlogs(
             self.state, self.peers, backlog_codec.CODEC, self.peers.nudge
         )
-        self.peers.on_connect(self.queued.forget_neighbour)
+        self.peers.on_connect(self.backlogs.forget_neighbour)
         self.balancer = balancing.Balancer(
             self.state,
             self.directory,
@@ -266,7 +266,7 @@
             self._has_connection,
             reach,
             times,
-            self.queued,
+            self.backlogs,
         )
         self.forwarder = forwarding.Forwarder(
             self.state,
@@ -275,7 +275,7 @@
                 self.directory,
                 self.balancer,
                 times,
-                self.queued,
+                self.backlogs,
                 rates,
                 shared_budgets.RetryBudgets(
                     self.state, self._bounds, self.registry.count
@@ -287,7 +287,7 @@
                 self._is_known,
                 lambda: self.is_closing,
                 self.registry.count,
-                lambda: self.readers.want(topics.Topic.UPSTREAMS),
+                lambda: self.readers.request_refresh(topics.Topic.UPSTREAMS),
                 self._log.note,
                 self.histograms.observe,
             ),
@@ -390,7 +390,7 @@
             "requests_running": float(self.server.running),
             "connections_opened": float(self.pool.opened),
             "is_ready": float(self.is_ready),
-            "longest_backlog_s": self.queued.longest_s(),
+            "longest_backlog_s": self.backlogs.longest_s(),
         }
         for topic in topics.Topic:
             gauges[f"topic_{topic.value}_age_s"] = self.readers.age_s(topic)
@@ -402,10 +402,10 @@
             await self.state.environment.sleep(_HOUSEKEEPING_S)
             self.pool.expire()
             self.directory.expire_lapsed()
-            self._look_around()
+            self._check_reachability()
             self._log.flush()
 
-    def _look_around(self) -> None:
+    def _check_reachability(self) -> None:
         """Notices services that this node has no way to."""
         live_zones = set(self.peers.liveness.live_by_zone())
         without_peers = self.registry.zones() - live_zones
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -6,41 +6,41 @@
 __all__ = ["CODEC"]
 
 
-def _encode(claims: list[backlogs.Claim]) -> bytes:
+def _encode(reports: list[backlogs.Report]) -> bytes:
     news = backlogs_pb2.News(
-        claims=[
-            backlogs_pb2.Claim(
-                node_id=claim.node_id,
-                started_ms=claim.started_ms,
-                sequence=claim.sequence,
-                age_ms=max(0, int(claim.age_s * 1000)),
+        reports=[
+            backlogs_pb2.Report(
+                node_id=report.node_id,
+                started_ms=report.started_ms,
+                sequence=report.sequence,
+                age_ms=max(0, int(report.age_s * 1000)),
                 backlogs=[
                     backlogs_pb2.Backlog(
                         upstream=upstream,
                         milliseconds=max(0, int(seconds * 1000)),
                     )
-                    for upstream, seconds in claim.seconds_by_upstream.items()
+                    for upstream, seconds in report.seconds_by_upstream.items()
                 ],
             )
-            for claim in claims
+            for report in reports
         ]
     )
     return bytes(news.SerializeToString())
 
 
-def _decode(payload: bytes) -> list[backlogs.Claim]:
+def _decode(payload: bytes) -> list[backlogs.Report]:
     return [
-        backlogs.Claim(
-            claim.node_id,
-            claim.started_ms,
-            claim.sequence,
-            claim.age_ms / 1000,
+        backlogs.Report(
+            report.node_id,
+            report.started_ms,
+            report.sequence,
+            report.age_ms / 1000,
             {
                 each.upstream: each.milliseconds / 1000
-                for each in claim.backlogs
+                for each in report.backlogs
             },
         )
-        for claim in backlogs_pb2.News.FromString(payload).claims
+        for report in backlogs_pb2.News.FromString(payload).reports
     ]
 
 
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -118,8 +118,8 @@
         """Returns how long the prompt waits before it is read."""
         wait_s = max(0.0, self.free_s - now_s)
         is_whole = not self._is_in_memory((subject, tokens), tokens // 2)
-        read_s = READ_S[tokens] * (WHOLE_FACTOR if is_whole else 1.0)
-        self.free_s = now_s + wait_s + read_s
+        prefill_s = READ_S[tokens] * (WHOLE_FACTOR if is_whole else 1.0)
+        self.free_s = now_s + wait_s + prefill_s
         return wait_s
 
     def _is_in_memory(self, key: tuple[int, int], tokens: int) -> bool:
@@ -165,7 +165,7 @@
         """Returns an upstream and how long it should take."""
         if way == "backlog":
             choice = node.choose(number, tokens)
-            return choice.upstream.entry.host_id, choice.read_s
+            return choice.upstream.entry.host_id, choice.prefill_s
         # By count: the one with the prompt in memory unless it has many more
         # requests than the others.
         mean = sum(self.told.values()) / len(self.by_id)
@@ -184,8 +184,8 @@
             is_long = self.rng.random() < 0.1
             tokens = LONG_TOKENS if is_long else SHORT_TOKENS
             node = self.rng.choice(self.nodes)
-            host_id, read_s = self._choose(node, number, tokens, way)
-            hold = node.backlogs.hold(host_id, read_s)
+            host_id, prefill_s = self._choose(node, number, tokens, way)
+            hold = node.backlogs.track(host_id, prefill_s)
             hold.__enter__()
             self._hold_by_number[number] = hold
             self.sent[host_id] += 1
@@ -210,19 +210,21 @@
     clock = fakes.Clock()
     (node,) = _nodes(clock, 1, 6)
     home = node.choose(1, LONG_TOKENS).upstream.entry.host_id
-    again_s = node.times.read_again_s("m", "m", LONG_TOKENS, LONG_TOKENS // 2)
-    with node.backlogs.hold(home, 0.9 * again_s):
+    miss_penalty_s = node.times.miss_penalty_s(
+        "m", "m", LONG_TOKENS, LONG_TOKENS // 2
+    )
+    with node.backlogs.track(home, 0.9 * miss_penalty_s):
         assert node.choose(1, LONG_TOKENS).upstream.entry.host_id == home
-    with node.backlogs.hold(home, 1.5 * again_s):
+    with node.backlogs.track(home, 1.5 * miss_penalty_s):
         choice = node.choose(1, LONG_TOKENS)
         assert choice.upstream.entry.host_id != home
-        assert choice.read_s > node.times.read_s("m", "m", LONG_TOKENS)
+        assert choice.prefill_s > node.times.prefill_s("m", "m", LONG_TOKENS)
 
 
 def test_backlog_of_a_node_that_is_gone_ends() -> None:
     clock = fakes.Clock()
     first, second = _nodes(clock, 2, 3)
-    with first.backlogs.hold("u1", 4.0):
+    with first.backlogs.track("u1", 4.0):
         first.bus.tell()
         assert second.backlogs.wait_s("u1") == 4.0
         clock.now_s += 2.0
@@ -234,26 +236,26 @@
 
 
 def test_frames_of_a_large_fleet_are_bounded() -> None:
-    """At 76 nodes a frame has 16 claims; each claim comes in some frames."""
+    """At 76 nodes a frame has 16 reports; each report comes in some frames."""
     clock = fakes.Clock()
     nodes = _nodes(clock, 76, 2)
     first, last = nodes[0], nodes[-1]
     payloads: list[bytes] = []
     encode = first.backlogs._codec.encode
 
-    def count(claims: list[backlogs.Claim]) -> bytes:
-        payloads.append(encode(claims))
-        assert len(claims) <= 16
+    def count(reports: list[backlogs.Report]) -> bytes:
+        payloads.append(encode(reports))
+        assert len(reports) <= 16
         return payloads[-1]
 
     first.backlogs._codec = first.backlogs._codec._replace(encode=count)
     with contextlib.ExitStack() as holds:
         for node in nodes:
-            holds.enter_context(node.backlogs.hold("u1", 1.0))
+            holds.enter_context(node.backlogs.track("u1", 1.0))
             node.bus.tell()
         for node in nodes:
             node.backlogs.forget_neighbour("n75")
-        last.backlogs._heard_by_node.clear()
+        last.backlogs._received_by_node.clear()
         for _ in range(6):
             first.bus.tell()
         assert last.backlogs.wait_s("u1") >= 75.0 - 1e-6
@@ -277,7 +279,7 @@
         seconds=strategies.floats(0.01, 3.0),
     )
     def send(self, node: int, upstream: int, seconds: float) -> None:
-        hold = self.nodes[node].backlogs.hold(f"u{upstream}", seconds)
+        hold = self.nodes[node].backlogs.track(f"u{upstream}", seconds)
         hold.__enter__()
         self.holds.append((node, f"u{upstream}", seconds, hold))
 
