Turns of 1.1 s, so that two polled topics stay below two store calls a second

Two topics at turns of 1.0 s make two calls a second, which is the bound itself; a wait that overruns under load has one call too many. The bound stays. The latest read, after 1.5 s, is unchanged, so that orders and leaving upstreams are known as soon as before where readers fail.

--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -62,7 +62,7 @@
 # Age at which the next node in turn reads a topic; with the way of news it is
 # well below the time in which a leaving upstream has to get no more work, and
 # in which an order has to be in force.
-_TURN_S = 1.0
+_TURN_S = 1.1
 # Share of that time after which a node that hears nothing reads by itself.
 _ALONE_SHARE = 0.75
 
