The test of backlogs covers twelve seeds and three loads; saturation is red

The check before was wrong: it took one load and the four seeds at which backlogs win, and its bound of 0.8 came from their figures. It is replaced by twelve seeds at 30, 38 and 46 requests a second with the bound that a gain needs: fewer late than by the count of requests.

--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -15,6 +15,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
@@ -33,7 +34,6 @@
 WHOLE_FACTOR = 3.0
 SUBJECTS, MEMORY_TOKENS = 16, 240_000
 TELL_S = 0.1
-REQUESTS_PER_S = 30.0
 LATE_S = 0.5
 
 
@@ -136,6 +136,7 @@
     """A fleet under a stream of requests."""
 
     def __init__(self, seed: int):
+        self.requests_per_s = 30.0
         self.rng = random.Random(seed)
         self.clock = fakes.Clock()
         self.nodes = _nodes(self.clock, 4, 6)
@@ -148,7 +149,7 @@
         self._told_s = self.clock.now_s
 
     def _advance(self) -> None:
-        self.clock.now_s += self.rng.expovariate(REQUESTS_PER_S)
+        self.clock.now_s += self.rng.expovariate(self.requests_per_s)
         while self._answers and self._answers[0][0] <= self.clock.now_s:
             _, number, host_id = heapq.heappop(self._answers)
             self.sent[host_id] -= 1
@@ -197,13 +198,26 @@
         return waits
 
 
-def test_short_prompts_wait_less_than_by_the_count_of_requests() -> None:
+@pytest.mark.parametrize(
+    "requests_per_s",
+    [
+        30.0,
+        38.0,
+        pytest.param(
+            46.0, marks=pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True)
+        ),
+    ],
+)
+def test_fewer_short_prompts_are_late_than_by_the_count_of_requests(
+    requests_per_s: float,
+) -> None:
     late = late_by_count = 0
-    for seed in range(1, 5):
-        late += sum(each > LATE_S for each in _Run(seed).play("backlog"))
-        late_by_count += sum(each > LATE_S for each in _Run(seed).play("count"))
-    assert late_by_count > 300
-    assert late < 0.8 * late_by_count
+    for seed in range(1, 13):
+        run, by_count = _Run(seed), _Run(seed)
+        run.requests_per_s = by_count.requests_per_s = requests_per_s
+        late += sum(each > LATE_S for each in run.play("backlog"))
+        late_by_count += sum(each > LATE_S for each in by_count.play("count"))
+    assert late < late_by_count
 
 
 def test_prompt_goes_where_it_is_in_memory_unless_the_wait_is_longer() -> None:
