Ages of the list, transit of gossip and loop stalls are logged and measured

The logs could not tell the three hypotheses of docs/incidents/drain-list-age.md apart: nothing said how long a choice took to become a first byte, how old the list was at that byte, how long peers' messages were on their way, or whether the event loop stalled.

Change, without a decision that depends on it: the last line of a request has send_delay_s and list_age_s, an upstream's line has within_s (the change is at most that old), a late timer logs loop_stalled, a message over 0.5 s slower than the fastest from its sender is logged; four histograms, and counters of gaps and stalls. Gossip messages of topics carry the second at which they were encoded; older nodes leave it out, and are then taken to have no delay.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -83,6 +83,8 @@
         model: Model of the last attempt.
         is_error_forwarded: Whether an upstream's error response was sent.
         attempt_start_s: Monotonic time at which the last attempt began.
+        send_delay_s: Seconds from `attempt_start_s` to the first byte sent.
+        list_age_s: Age of the list of upstreams when that byte was sent.
         head_s: Seconds from `attempt_start_s` to the response head.
         confidence: Confidence that the last model reported.
     """
@@ -102,6 +104,8 @@
         self.model: str | None = None
         self.is_error_forwarded = False
         self.attempt_start_s = 0.0
+        self.send_delay_s = 0.0
+        self.list_age_s = 0.0
         self.head_s = 0.0
         self.confidence: float | None = None
 
--- a/src/lycheegw/coordination/directory.py
+++ b/src/lycheegw/coordination/directory.py
@@ -30,6 +30,8 @@
 # Upstreams of a reopened zone count as cold for this many heartbeats, until
 # entries written since then tell for how long they are cold.
 _REOPENED_COLD_HEARTBEATS = 2.5
+# Logged age of a list that was never read before.
+_MAX_LOGGED_AGE_S = 999.0
 
 
 class KnownRollout(NamedTuple):
@@ -81,6 +83,7 @@
         self._offset_by_id: dict[str, int] = {}
         self._last_confirmed_s = -math.inf
         self._store_returned_s = -math.inf
+        self._former_age_s = math.inf
 
     def apply(self, topic: topics.Topic, changed: set[str]) -> None:
         """Applies the changed keys of a topic."""
@@ -206,6 +209,7 @@
         topic_state = self._state_by_topic[topics.Topic.UPSTREAMS]
         confirmed_s = topic_state.confirmed_s
         is_first = self._last_confirmed_s == -math.inf
+        self._former_age_s = self._now_s() - self._last_confirmed_s
         if not is_first and (
             confirmed_s - self._last_confirmed_s > _STORE_OUTAGE_S
         ):
@@ -258,6 +262,7 @@
                 version=entry.version,
                 leaving=entry.is_leaving,
                 cold_s=entry.cold_s,
+                within_s=round(min(_MAX_LOGGED_AGE_S, self._former_age_s), 2),
             )
         self._entry_by_id[key] = entry
         self._update_cold_time(key, entry)
@@ -300,7 +305,11 @@
         del self._entry_by_id[key]
         self._expired_s_by_id.pop(key, None)
         self._offset_by_id.pop(key, None)
-        self._note("upstream_gone", upstream=key)
+        self._note(
+            "upstream_gone",
+            upstream=key,
+            within_s=round(min(_MAX_LOGGED_AGE_S, self._former_age_s), 2),
+        )
 
     def expire_lapsed(self) -> None:
         """Removes expired upstreams whose entries were not written again."""
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -128,6 +128,7 @@
         is_closing: Returns whether the process is shutting down.
         member_count: Returns how many nodes share a limit.
         refresh_upstreams: Requests an early read of the list of upstreams.
+        list_age_s: Returns the age of the list of upstreams.
         note: Writes a line to the event log.
         observe: Adds a time to a histogram, by name and label.
     """
@@ -146,6 +147,7 @@
     is_closing: Callable[[], bool]
     member_count: Callable[[], int]
     refresh_upstreams: Callable[[], None]
+    list_age_s: Callable[[], float]
     note: Callable[..., None]
     observe: Callable[[str, str, float], None]
 
@@ -311,6 +313,7 @@
                 )
                 # Before this, no bytes were sent to the upstream.
                 progress.is_in_flight = True
+                self._note_sent(accepted)
                 head = await self._wait_for_head(accepted, call, version)
             progress.head_s = self._now_s() - progress.attempt_start_s
             progress.confidence = head.confidence
@@ -378,6 +381,14 @@
             last_event=progress.last_event,
         )
 
+    def _note_sent(self, accepted: accepted_requests.AcceptedRequest) -> None:
+        """Records how late, and by how old a list, an attempt was sent."""
+        progress, route = accepted.progress, accepted.work.route.name
+        progress.send_delay_s = self._now_s() - progress.attempt_start_s
+        progress.list_age_s = self._dependencies.list_age_s()
+        self._dependencies.observe("send_delay", route, progress.send_delay_s)
+        self._dependencies.observe("list_age", route, progress.list_age_s)
+
     def _build_attempt(
         self,
         accepted: accepted_requests.AcceptedRequest,
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -261,6 +261,8 @@
         "attempts": progress.attempt_count,
         "upstream": progress.upstream,
         "model": progress.model,
+        "send_delay_s": round(progress.send_delay_s, 3),
+        "list_age_s": round(progress.list_age_s, 2),
         "head_s": round(progress.head_s, 3),
         "confidence": progress.confidence,
         "events": progress.event_count,
--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -11,15 +11,18 @@
 from absl import logging
 
 from lycheegw.coordination import interfaces
+from lycheegw.coordination import transit_times
 from lycheegw.state import node_state
 from lycheegw.state import topics
 
-__all__ = ["Codec", "TopicExchange", "TopicUpdate"]
+__all__ = ["Codec", "TopicExchange", "TopicMessage", "TopicUpdate"]
 
 _TOPIC = "topics"
 # An unchanged topic is sent again once its time of confirmation has moved by
 # more than this; less than the interval of reads, so that each read is sent.
 _RESEND_AGE_S = 0.2
+# Time in transit above which a message is logged.
+_MIN_LOGGED_DELAY_S = 0.5
 
 
 class TopicUpdate(NamedTuple):
@@ -42,11 +45,23 @@
     reader: str
 
 
+class TopicMessage(NamedTuple):
+    """The updates that a node sends to a neighbour at one time.
+
+    Attributes:
+        sent_s: Second of the sender's monotonic clock, 0 if unknown.
+        updates: An update for each topic that changed.
+    """
+
+    sent_s: float
+    updates: Sequence[TopicUpdate]
+
+
 class Codec(NamedTuple):
-    """Encodes and decodes the updates of a message."""
+    """Encodes and decodes messages."""
 
-    encode: Callable[[Sequence[TopicUpdate]], bytes]
-    decode: Callable[[bytes], Sequence[TopicUpdate]]
+    encode: Callable[[TopicMessage], bytes]
+    decode: Callable[[bytes], TopicMessage]
 
 
 class _Sent(NamedTuple):
@@ -57,6 +72,8 @@
 
 
 ChangeHandler = Callable[[topics.Topic, set[str]], None]
+# Called with a metric's name, a label and seconds.
+Observer = Callable[[str, str, float], None]
 
 
 class TopicExchange:
@@ -74,18 +91,22 @@
         state_by_topic: dict[topics.Topic, topics.TopicState],
         on_change: ChangeHandler,
         send_soon: Callable[[], None],
+        observe: Observer,
     ):
         self.state_by_topic = state_by_topic
         self._state = state
         self._codec = codec
         self._on_change = on_change
         self._send_soon = send_soon
+        self._observe = observe
+        self._transit_times = transit_times.TransitTimes(state.environment)
         self._sent_by_neighbour: dict[str, dict[topics.Topic, _Sent]] = {}
         peers.on_delta(_TOPIC, self._encode_updates, self._merge)
 
     def forget_neighbour(self, neighbour: str) -> None:
         """Forgets what was sent to a neighbour, since its link is new."""
         self._sent_by_neighbour.pop(neighbour, None)
+        self._transit_times.forget_neighbour(neighbour)
 
     def apply_read(
         self, topic: topics.Topic, page: topics.TopicPage, begun_s: float
@@ -122,7 +143,10 @@
                 continue
             sent[topic] = _Sent(topic_state.end_offset, topic_state.confirmed_s)
             updates.append(self._update_since(topic_state, last.end_offset))
-        return self._codec.encode(updates) if updates else None
+        if not updates:
+            return None
+        now_s = self._state.environment.monotonic_s()
+        return self._codec.encode(TopicMessage(now_s, updates))
 
     def _update_since(
         self, topic_state: topics.TopicState, end_offset: int
@@ -141,13 +165,21 @@
     def _merge(self, neighbour: str, payload: bytes) -> None:
         now_s = self._state.environment.monotonic_s()
         is_changed = False
-        for update in self._codec.decode(payload):
+        message = self._codec.decode(payload)
+        delay_s = self._transit_times.note_message(neighbour, message.sent_s)
+        self._observe("gossip_delay", "topics", delay_s)
+        if delay_s > _MIN_LOGGED_DELAY_S:
+            logging.warning(
+                "topics: message from %s took %.2f s", neighbour, delay_s
+            )
+        for update in message.updates:
             topic_state = self.state_by_topic[update.topic]
             before_s = topic_state.confirmed_s
             changed = topic_state.merge(
                 update.from_offset, update.end_offset, update.records
             )
             if changed is None:
+                self._state.counters.add("topics.gap")
                 logging.warning(
                     "topic %s: update up to offset %s from %s leaves a gap",
                     update.topic.value,
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -56,6 +56,8 @@
 _ABORT_MARGIN_S = 0.7
 _DRAIN_POLL_INTERVAL_S = 0.05
 _HOUSEKEEPING_INTERVAL_S = 0.5
+# Lag of the event loop above which a line is logged.
+_MIN_LOGGED_LAG_S = 0.2
 _SETTINGS_POLL_INTERVAL_S = 1.0
 # Interval at which a starting node checks whether the orders were read.
 _START_POLL_INTERVAL_S = 0.05
@@ -177,6 +179,7 @@
             self.state_by_topic,
             self._on_change,
             self.peers.send_soon,
+            self.histograms.observe,
         )
         service_levels = settings.service_levels
         fallback_read_age_s = _FALLBACK_READ_FRACTION * min(
@@ -303,6 +306,7 @@
                 lambda: self.topic_readers.request_refresh(
                     topics.Topic.UPSTREAMS
                 ),
+                lambda: self.topic_readers.age_s(topics.Topic.UPSTREAMS),
                 self._log.note,
                 self.histograms.observe,
             ),
@@ -421,12 +425,22 @@
     async def _run_housekeeping(self) -> None:
         """Removes expired connections and upstreams until cancelled."""
         while True:
+            due_s = self.state.environment.monotonic_s()
+            due_s += _HOUSEKEEPING_INTERVAL_S
             await self.state.environment.sleep(_HOUSEKEEPING_INTERVAL_S)
+            self._note_loop_lag(self.state.environment.monotonic_s() - due_s)
             self.upstream_pool.close_expired()
             self.directory.expire_lapsed()
             self._update_reachability()
             self._log.flush()
 
+    def _note_loop_lag(self, lag_s: float) -> None:
+        """Records by how much the event loop ran a timer too late."""
+        self.histograms.observe("loop_lag", "housekeeping", max(0.0, lag_s))
+        if lag_s > _MIN_LOGGED_LAG_S:
+            self.state.counters.add("loop.stalled")
+            self._log.note("loop_stalled", lag_s=round(lag_s, 3))
+
     def _update_reachability(self) -> None:
         """Updates the list of services without a reachable upstream."""
         live_zones = set(self.peers.liveness.live_by_zone())
--- a/src/lycheegw/protocol/topic_codec.py
+++ b/src/lycheegw/protocol/topic_codec.py
@@ -1,7 +1,5 @@
 """Protobuf encoding of the topic updates that nodes exchange."""
 
-from collections.abc import Sequence
-
 from lycheegw.coordination import topic_exchange
 from lycheegw.protocol.pb import topics_pb2
 from lycheegw.state import topics
@@ -9,8 +7,9 @@
 __all__ = ["CODEC"]
 
 
-def _encode(updates: Sequence[topic_exchange.TopicUpdate]) -> bytes:
+def _encode(message: topic_exchange.TopicMessage) -> bytes:
     batch = topics_pb2.Batch(
+        sent_s=message.sent_s,
         news=[
             topics_pb2.News(
                 topic=each.topic.value,
@@ -20,8 +19,8 @@
                 records=[_record_message(record) for record in each.records],
                 reader=each.reader,
             )
-            for each in updates
-        ]
+            for each in message.updates
+        ],
     )
     return bytes(batch.SerializeToString())
 
@@ -35,8 +34,9 @@
     )
 
 
-def _decode(payload: bytes) -> list[topic_exchange.TopicUpdate]:
-    return [
+def _decode(payload: bytes) -> topic_exchange.TopicMessage:
+    batch = topics_pb2.Batch.FromString(payload)
+    updates = [
         topic_exchange.TopicUpdate(
             topics.Topic(each.topic),
             each.end_offset,
@@ -52,8 +52,9 @@
             ),
             each.reader,
         )
-        for each in topics_pb2.Batch.FromString(payload).news
+        for each in batch.news
     ]
+    return topic_exchange.TopicMessage(batch.sent_s, updates)
 
 
 CODEC = topic_exchange.Codec(_encode, _decode)
--- a/src/lycheegw/transport/metrics_page.py
+++ b/src/lycheegw/transport/metrics_page.py
@@ -9,7 +9,7 @@
 __all__ = ["Histograms", "render"]
 
 # Upper bounds of the buckets, from the response time of a plain service to the
-# longest timeout.
+# longest timeout. Those from 1 to 4 s tell apart the ages of copied topics.
 _BUCKET_BOUNDS_S = (
     0.005,
     0.01,
@@ -19,7 +19,10 @@
     0.25,
     0.5,
     1.0,
+    1.5,
     2.0,
+    2.5,
+    3.0,
     4.0,
     8.0,
     16.0,
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -49,6 +49,28 @@
         assert 0 < int(seen.header_by_name["x-lycheegw-deadline-ms"]) <= 2000
 
 
+async def test_end_of_a_request_tells_how_it_was_sent() -> None:
+    """The age of the list and the delay tell why a send came too late."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        lines = fleet.capture_request_events(node)
+        await platform_standins.send_request(node.settings.listen, "/look/1")
+        (line,) = [each for each in lines if each["event"] == "answered"]
+        assert 0 <= line["send_delay_s"] < 0.5
+        assert 0 <= line["list_age_s"] < 2.0
+
+
+async def test_stalled_event_loop_is_counted() -> None:
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        by_name = node.state.counters.by_name
+        before = by_name["loop.stalled"]
+        time.sleep(1.0)  # noqa: ASYNC251
+        await fleet_harness.wait_until(
+            lambda: by_name["loop.stalled"] > before, 2.0
+        )
+
+
 async def test_unknown_route_and_key_are_refused() -> None:
     async with fleet_harness.fleet() as fleet:
         front = fleet.nodes[0].settings.listen
--- a/tests/test_rollout_outcome.py
+++ b/tests/test_rollout_outcome.py
@@ -115,6 +115,7 @@
             known,
             self.directory.apply,
             lambda: None,
+            lambda *_: None,
         )
         self.rollouts = canary_rollouts.CanaryRollouts(
             self.state,
--- /dev/null
+++ b/tests/test_transit_times.py
@@ -0,0 +1,34 @@
+"""The transit of a message is measured against the fastest one."""
+
+from lycheegw.coordination import transit_times
+from tests import fakes
+
+
+def _sent(clock: fakes.ManualClock, in_transit_s: float) -> float:
+    """Returns the sender's time of a message that arrives now."""
+    offset_s = 5000.0
+    return clock.now_s + offset_s - in_transit_s
+
+
+def test_time_in_transit_beyond_the_fastest_message_is_returned() -> None:
+    clock = fakes.ManualClock()
+    transits = transit_times.TransitTimes(clock.environment())
+    assert transits.note_message("a", _sent(clock, 0.002)) == 0.0
+    clock.now_s += 4.0
+    delay_s = transits.note_message("a", _sent(clock, 3.002))
+    assert abs(delay_s - 3.0) < 1e-6
+
+
+def test_neighbours_are_measured_apart_and_forgotten() -> None:
+    clock = fakes.ManualClock()
+    transits = transit_times.TransitTimes(clock.environment())
+    transits.note_message("a", _sent(clock, 0.0))
+    assert transits.note_message("b", _sent(clock, 2.0)) == 0.0
+    transits.forget_neighbour("a")
+    assert transits.note_message("a", _sent(clock, 2.0)) == 0.0
+
+
+def test_a_message_without_a_time_has_no_delay() -> None:
+    clock = fakes.ManualClock()
+    transits = transit_times.TransitTimes(clock.environment())
+    assert transits.note_message("a", 0.0) == 0.0
