A choice of an upstream is checked again before the first byte

What the node learned in between changed nothing: the upstream leaving or gone, its zone closed, its version rejected, the upstream cold, so that the request was not counted against its rate.

Change: the pool asks once more in the turn of the loop in which it writes; a choice that has new objections is not sent, its connection stays for reuse, and another choice follows. It is counted (retry.outdated_choice) and logged; it uses no retry budget and counts as no rejection.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -43,6 +43,8 @@
         selection_reason: Reason for the selection, for the log.
         prefill_s: Expected prefill time of the request.
         wait_s: Expected wait for the requests queued before it.
+        objections: What spoke against the upstream when it was selected, as a
+            last resort; see `Balancer.objections`.
     """
 
     upstream: upstreams.Upstream
@@ -50,6 +52,7 @@
     selection_reason: str
     prefill_s: float = 0.0
     wait_s: float = 0.0
+    objections: frozenset[str] = frozenset()
 
 
 class NoUpstream(NamedTuple):
@@ -133,12 +136,31 @@
         if not sendable:
             return NoUpstream(len(pool), bool(version_options))
         choice = self._pick_upstream(work, service, model, sendable)
+        choice = choice._replace(
+            objections=self.objections(choice.upstream, service)
+        )
         if why:
             choice = choice._replace(
                 selection_reason=f"{why}, {choice.selection_reason}"
             )
         return choice
 
+    def objections(
+        self, upstream: upstreams.Upstream, service: routing.Service
+    ) -> frozenset[str]:
+        """Returns the reasons for which an upstream should get no request."""
+        entry = upstream.entry
+        is_cold = upstream.is_cold(self._state.environment.monotonic_s())
+        found = {
+            "gone": self._state.upstreams.by_id.get(entry.host_id)
+            is not upstream,
+            "leaving": entry.is_leaving,
+            "zone_closed": entry.zone in self._directory.closed_zones,
+            "version": self._rollouts.is_withdrawn(service.name, entry.version),
+            "cold": is_cold,
+        }
+        return frozenset(reason for reason, holds in found.items() if holds)
+
     def are_all_cold(self, service: routing.Service) -> bool:
         """Returns whether all usable upstreams of a service are cold."""
         now_s = self._state.environment.monotonic_s()
--- a/src/lycheegw/coordination/canary_rollouts.py
+++ b/src/lycheegw/coordination/canary_rollouts.py
@@ -260,6 +260,15 @@
         progress = self._progress(rollout)
         return not progress.is_rejected and self._has_exposure_left(progress)
 
+    def is_withdrawn(self, service: str, version: str) -> bool:
+        """Returns whether a version was rejected, or replaced for good."""
+        rollout = self._directory.rollout_by_service.get(service)
+        if rollout is None:
+            return False
+        if version == rollout.order.version:
+            return self.share(service) <= 0
+        return self._outcome(rollout) is orders.RolloutState.COMPLETED
+
     def _has_exposure_left(self, progress: _RolloutProgress) -> bool:
         """Returns whether the target may get more than the canary share."""
         if self._running_share(progress) > self._canary_share():
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -176,6 +176,9 @@
             try:
                 larger = await self._attempt(accepted, choice)
             except errors.UpstreamError as error:
+                if error.reason is reasons.RetryReason.OUTDATED_CHOICE:
+                    self._note_outdated_choice(accepted, choice)
+                    continue
                 await self._handle_failure(accepted, choice, error)
                 if progress.is_error_forwarded:
                     return
@@ -404,8 +407,36 @@
             progress.last_event if progress.event_count else None,
             _urgency(accepted.work, progress.model),
             self.connection_limit(accepted.service),
+            lambda: not self._new_objections(choice),
         )
 
+    def _new_objections(self, choice: balancing.Choice) -> frozenset[str]:
+        """Returns what speaks against an upstream since it was selected."""
+        current = self._dependencies.balancer.objections(
+            choice.upstream, choice.service
+        )
+        return current - choice.objections
+
+    def _note_outdated_choice(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> None:
+        """Records an attempt that was not sent; another choice follows."""
+        reason = reasons.RetryReason.OUTDATED_CHOICE
+        self._state.counters.add(f"retry.{reason.value}")
+        self._dependencies.note(
+            "attempt_failed",
+            request_id=accepted.request.request_id,
+            upstream=choice.upstream.entry.host_id,
+            version=choice.upstream.entry.version,
+            reason=reason.value,
+            run=_NOT_RUN.value,
+            message=", ".join(sorted(self._new_objections(choice))),
+        )
+        self._revert_sent_count(accepted)
+        self._dependencies.suspects.release(accepted.request, choice.upstream)
+
     async def _wait_for_head(
         self,
         accepted: accepted_requests.AcceptedRequest,
--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -106,6 +106,8 @@
             router resumes a stream.
         urgency: 0 (first) to 9 (last), None for the upstream's default.
         max_connections: Limit of this node's connections to the upstream.
+        may_send: Returns whether the request may still be sent. It is called
+            once a connection is open, immediately before the first byte.
     """
 
     work: forwarded_requests.ForwardedWork
@@ -116,6 +118,7 @@
     last_event: str | None
     urgency: int | None
     max_connections: int
+    may_send: Callable[[], bool]
 
 
 class ForwardCall(Protocol):
--- a/src/lycheegw/state/reasons.py
+++ b/src/lycheegw/state/reasons.py
@@ -57,3 +57,4 @@
     UNSIGNED = "unsigned"
     NO_FREE_CONNECTION = "no_free_connection"
     LOW_CONFIDENCE = "low_confidence"
+    OUTDATED_CHOICE = "outdated_choice"
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -396,6 +396,7 @@
         address: str,
         request: ClientRequest,
         max_idle_s: float = math.inf,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Call:
         """Sends a request on an idle or a new connection.
 
@@ -405,13 +406,23 @@
             request: The request to send.
             max_idle_s: Longest idle time of a connection to reuse; after a
                 longer time the server may no longer be reachable on it.
+            may_send: Called once a connection is open, in the same turn of the
+                event loop in which the request is written. If it returns False,
+                the request is not sent.
 
         Raises:
-            errors.UpstreamError: Connecting failed; the request was not sent.
+            errors.UpstreamError: The request was not sent.
         """
         connection = self._reusable_connection(key, max_idle_s)
         if connection is None:
             connection = await self._connect(key, address)
+        if not may_send():
+            self._keep(connection, _DEFAULT_IDLE_S)
+            raise errors.UpstreamError(
+                reasons.RetryReason.OUTDATED_CHOICE,
+                f"{address} was withdrawn before the request was sent",
+                _NOT_RUN,
+            )
         connection.send(request)
         return Call(self, connection)
 
@@ -467,8 +478,13 @@
 
     def release(self, connection: _Connection, idle_s: float) -> None:
         """Keeps a connection for reuse for `idle_s`, if it can be reused."""
+        if connection.finish():
+            self._keep(connection, idle_s)
+
+    def _keep(self, connection: _Connection, idle_s: float) -> None:
+        """Keeps a connection without a request for reuse."""
         key = self._key_by_connection.get(connection)
-        if key is None or not connection.finish():
+        if key is None or not connection.is_open:
             return
         now_s = self._environment.monotonic_s()
         connection.idle_since_s = now_s
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -120,7 +120,9 @@
         max_idle_s = math.inf
         if attempt.work.route.kind is routing.RequestKind.ONCE:
             max_idle_s = _MAX_IDLE_ONCE_S
-        call = await self._pool.send(key, entry.address, request, max_idle_s)
+        call = await self._pool.send(
+            key, entry.address, request, max_idle_s, attempt.may_send
+        )
         return _ForwardCall(call, self._codec, attempt.work.traits.request_id)
 
     async def check_health(
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from typing import Any
 
 import pytest
 
@@ -439,6 +440,74 @@
         assert {each.upstream for each in fleet.seen} == {"d2"}
 
 
+@pytest.mark.parametrize("change", ["leaving", "gone", "zone", "cold"])
+async def test_upstream_withdrawn_during_connect_gets_no_request(
+    change: str,
+) -> None:
+    """DRAIN, issue 19: a choice was not checked again before the first byte."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        withdrawn: list[str] = []
+        connect = node.upstream_pool._connect
+
+        async def connect_slowly(key: str, address: str) -> Any:
+            connection = await connect(key, address)
+            if not withdrawn:
+                withdrawn.append(key.partition("@")[0])
+                await _withdraw(fleet, node, withdrawn[0], change)
+            return connection
+
+        node.upstream_pool._connect = connect_slowly  # type: ignore[method-assign]
+        reply = await platform_standins.send_request(
+            node.settings.listen, "/ask/1", "POST", b"q", PROMPT
+        )
+        assert reply is not None and reply.status == 200
+        assert withdrawn
+        assert withdrawn[0] not in {each.upstream for each in fleet.seen}
+        budgets = node.forwarder.attempts._dependencies.budgets
+        assert "llm" not in budgets._extras_by_service
+
+
+async def _withdraw(
+    fleet: fleet_harness.Fleet,
+    node: edge_app.EdgeNode,
+    name: str,
+    change: str,
+) -> None:
+    """Withdraws an upstream and waits until the node knows it."""
+    upstream = fleet.upstream_by_name[name]
+    table = node.state.upstreams
+    if change == "leaving":
+        entry = upstream.entry("llm", state="draining", sequence=2)
+        await fleet.store.put("keyed.servers", name, entry)
+        await fleet_harness.wait_until(
+            lambda: table.by_id[name].entry.is_leaving, 3.0
+        )
+    elif change == "gone":
+        await fleet.store.delete("keyed.servers", name)
+        await fleet_harness.wait_until(lambda: name not in table.by_id, 3.0)
+    elif change == "zone":
+        entry = upstream.entry("llm", zone="z-b", sequence=2)
+        await fleet.store.put("keyed.servers", name, entry)
+        await fleet.store.put("keyed.op", "evacuate/z-b", {})
+        await fleet_harness.wait_until(
+            lambda: (
+                node.directory.closed_zones == {"z-b"}
+                and table.by_id[name].entry.zone == "z-b"
+            ),
+            3.0,
+        )
+    else:
+        # Other nodes are this cold upstream's senders.
+        rates = node.forwarder.attempts._dependencies.rates
+        rates._rate = lambda *_: 0.0  # type: ignore[method-assign]
+        entry = upstream.entry("llm", cold_remaining_ms=3000, sequence=2)
+        await fleet.store.put("keyed.servers", name, entry)
+        await fleet_harness.wait_until(
+            lambda: table.by_id[name].cold_until_s > 0, 3.0
+        )
+
+
 async def test_closed_zone_gets_no_work_until_it_is_reopened() -> None:
     """evacuate: once reopened, its upstreams count as cold."""
     async with fleet_harness.fleet() as fleet:
