The age of a copied topic includes the transit of gossip

The time that the message then spent in the buffers of a slow or frozen sender or receiver, or on a busy link, was added nowhere, at none of up to seven hops. A node believed that its copy was confirmed lately, and neither read the store by itself nor told others the true age.

Evidence, tests on the code before: over three hops of 0.5 s each the ages were 1.5, 1.0, 0.5 and 0.0 s, in truth 1.5 s at each; a message that waited 5 s renewed the copy as if the store had just been read.

Not covered: the first message after a link is new counts as the fastest, and the least transit itself (1 to 2 ms between zones) is left out.

--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -173,6 +173,7 @@
                 "topics: message from %s took %.2f s", neighbour, delay_s
             )
         for update in message.updates:
+            confirmed_s = now_s - update.age_s - delay_s
             topic_state = self.state_by_topic[update.topic]
             before_s = topic_state.confirmed_s
             changed = topic_state.merge(
@@ -188,8 +189,8 @@
                 )
                 continue
             if update.end_offset >= topic_state.end_offset:
-                topic_state.confirm(now_s - update.age_s, update.reader)
-            self._note_received(neighbour, update)
+                topic_state.confirm(confirmed_s, update.reader)
+            self._note_received(neighbour, update, confirmed_s)
             is_confirmed_later = (
                 topic_state.confirmed_s - before_s > _RESEND_AGE_S
             )
@@ -198,12 +199,13 @@
         if is_changed:
             self._send_soon()
 
-    def _note_received(self, neighbour: str, update: TopicUpdate) -> None:
+    def _note_received(
+        self, neighbour: str, update: TopicUpdate, confirmed_s: float
+    ) -> None:
         """Records what a neighbour sent, so that it is not sent back."""
         sent = self._sent_by_neighbour.setdefault(neighbour, {})
-        now_s = self._state.environment.monotonic_s()
         last = sent.get(update.topic, _Sent(0, 0.0))
         sent[update.topic] = _Sent(
             max(last.end_offset, update.end_offset),
-            max(last.confirmed_s, now_s - update.age_s),
+            max(last.confirmed_s, confirmed_s),
         )
