Requests are not served by copies older than their limit

If that read was lost (a silent connection: 1 s, then a pause), or the loop had stalled and requests ran before the due read, requests went on by the copy however old it was. The same held for the manifest: removed keys and routes, closed zones.

Evidence: with one lost reply, requests sent later than drain_s after the notice still reached the leaving upstream; without planned reads they went to it for good, and a removed key was let in. Six cases failed before (three of them since the counter is new: requests without a store).

Change: a copy older than 0.8 of its bound (list of upstreams: drain_s; orders: config_apply_s) is read before a request is accepted, before an upstream is chosen, and is looked at again at the first byte. Concurrent requests share one read of at most 0.25 s, on a second failure the store is taken to be away and requests go on by the copy, without waiting again until it was renewed. A read that ended long after its timeout says that this process stalled, and is made again.

After: the six pass, and 5 tests of the new module; tests/platform/test_node.py and tests/test_freshness.py 54 passed.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -15,6 +15,7 @@
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
+from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
 from lycheegw.coordination import response_times
@@ -129,6 +130,7 @@
         member_count: Returns how many nodes share a limit.
         refresh_upstreams: Requests an early read of the list of upstreams.
         list_age_s: Returns the age of the list of upstreams.
+        freshness: Bounds the age of the orders and the list of upstreams.
         note: Writes a line to the event log.
         observe: Adds a time to a histogram, by name and label.
     """
@@ -148,6 +150,7 @@
     member_count: Callable[[], int]
     refresh_upstreams: Callable[[], None]
     list_age_s: Callable[[], float]
+    freshness: freshness.Freshness
     note: Callable[..., None]
     observe: Callable[[str, str, float], None]
 
@@ -172,6 +175,7 @@
         self._dependencies.budgets.note_request(accepted.service.name)
         progress.model = model_cascade.first_model(accepted.work)
         while True:
+            await self._dependencies.freshness.ensure_current()
             choice = await self._choose(accepted)
             try:
                 larger = await self._attempt(accepted, choice)
@@ -412,6 +416,8 @@
 
     def _new_objections(self, choice: balancing.Choice) -> frozenset[str]:
         """Returns what speaks against an upstream since it was selected."""
+        if not self._dependencies.freshness.is_current():
+            return frozenset({"list_outdated"})
         current = self._dependencies.balancer.objections(
             choice.upstream, choice.service
         )
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -63,6 +63,7 @@
         end = _End(sink.incoming)
         try:
             await self._wait_for_startup()
+            await self._dependencies.freshness.ensure_current()
             end.traits = self._codec.decode_traits(sink.incoming)
             end.accepted = self._accept(sink, end.traits)
             await self._serve_until_deadline(end.accepted)
--- /dev/null
+++ b/src/lycheegw/coordination/freshness.py
@@ -0,0 +1,119 @@
+"""Bounds the age of the copied topics by which requests are served.
+
+Reads are planned so that a copy is renewed long before its limit. If the
+planned reads fail, or this process was too slow to make them, the node reads
+the store by itself before it serves a request by an outdated copy. If the store
+does not answer, requests are served by the copy until it is renewed.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from lycheegw.coordination import topic_readers
+from lycheegw.state import node_state
+from lycheegw.state import topics
+
+__all__ = ["Freshness"]
+
+# Timeout of a read for which requests wait. The store replies in a few ms.
+_READ_TIMEOUT_S = 0.25
+# Failed reads after which the store is taken to be unavailable.
+_MAX_FAILED_READS = 2
+# Limit of all reads, including those during which the event loop stalled.
+_MAX_READS = 6
+_RETRY_S = 0.02
+# A read that ends this much after its timeout was delayed by this process.
+_MIN_STALL_S = 0.1
+
+
+class Freshness:
+    """Renews copies that are older than their limits.
+
+    Attributes:
+        max_age_s: Returns the limit of a topic's age, infinity for none.
+    """
+
+    def __init__(
+        self,
+        state: node_state.NodeState,
+        readers: topic_readers.TopicReaders,
+        max_age_s: Callable[[topics.Topic], float],
+        note: Callable[..., None],
+    ):
+        self.max_age_s = max_age_s
+        self._state = state
+        self._readers = readers
+        self._note = note
+        self._task_by_topic: dict[topics.Topic, asyncio.Task[None]] = {}
+        # Time of confirmation of copies that could not be renewed.
+        self._stuck_at_s: dict[topics.Topic, float] = {}
+
+    def is_current(self) -> bool:
+        """Returns whether requests may be served by the copies at once."""
+        return not self._outdated()
+
+    async def ensure_current(self) -> None:
+        """Renews outdated copies; returns at once if there are none."""
+        outdated = self._outdated()
+        if outdated:
+            # Concurrent requests wait for one read, which outlives each of
+            # them.
+            await asyncio.gather(
+                *(asyncio.shield(self._renewal(topic)) for topic in outdated)
+            )
+
+    def _outdated(self) -> list[topics.Topic]:
+        return [topic for topic in topics.Topic if self._is_outdated(topic)]
+
+    def _is_outdated(self, topic: topics.Topic) -> bool:
+        if self._readers.age_s(topic) <= self.max_age_s(topic):
+            return False
+        confirmed_s = self._readers.confirmed_s(topic)
+        # Before the first read, requests wait for the start of the node.
+        is_known = confirmed_s is not None
+        return is_known and self._stuck_at_s.get(topic) != confirmed_s
+
+    def _renewal(self, topic: topics.Topic) -> "asyncio.Task[None]":
+        """Returns the running renewal of a copy, or starts one."""
+        task = self._task_by_topic.get(topic)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._renew(topic))
+            self._task_by_topic[topic] = task
+            task.add_done_callback(lambda _: self._task_by_topic.pop(topic))
+        return task
+
+    async def _renew(self, topic: topics.Topic) -> None:
+        """Reads a topic until its copy is current or the store seems away."""
+        age_s = self._readers.age_s(topic)
+        failures = reads = 0
+        while (
+            self._is_outdated(topic)
+            and failures < _MAX_FAILED_READS
+            and reads < _MAX_READS
+        ):
+            reads += 1
+            begun_s = self._now_s()
+            if await self._readers.refresh(topic, _READ_TIMEOUT_S):
+                continue
+            # If the event loop stalled, the reply may have come in time.
+            max_read_s = _READ_TIMEOUT_S + _MIN_STALL_S
+            if self._now_s() - begun_s <= max_read_s:
+                failures += 1
+            await self._state.environment.sleep(_RETRY_S)
+        is_renewed = not self._is_outdated(topic)
+        if not is_renewed:
+            confirmed_s = self._readers.confirmed_s(topic)
+            if confirmed_s is not None:
+                self._stuck_at_s[topic] = confirmed_s
+        outcome = "renewed" if is_renewed else "stuck"
+        self._state.counters.add(f"topics.outdated.{outcome}")
+        self._note(
+            "copy_outdated",
+            topic=topic.value,
+            age_s=round(age_s, 2),
+            reads=reads,
+            outcome=outcome,
+        )
+
+    def _now_s(self) -> float:
+        return self._state.environment.monotonic_s()
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -166,6 +166,17 @@
         self._exchange.apply_read(topic, page, begun_s)
         return True
 
+    async def refresh(self, topic: topics.Topic, timeout_s: float) -> bool:
+        """Reads new records; returns whether the store answered in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._read(topic, 0.0)
+        except TimeoutError:
+            self._note_read_failed(
+                topic, errors.StoreError(f"no reply within {timeout_s:.2f} s")
+            )
+            return False
+
     def request_refresh(self, topic: topics.Topic) -> None:
         """Makes the next poll of a topic earlier, since it seems outdated."""
         self._refresh_requested.add(topic)
@@ -226,10 +237,13 @@
 
     def age_s(self, topic: topics.Topic) -> float:
         """Returns the seconds since the store last confirmed a topic."""
-        topic_state = self._exchange.state_by_topic[topic]
-        if topic_state.confirmed_s == -math.inf:
-            return math.inf
-        return self._now_s() - topic_state.confirmed_s
+        confirmed_s = self.confirmed_s(topic)
+        return math.inf if confirmed_s is None else self._now_s() - confirmed_s
+
+    def confirmed_s(self, topic: topics.Topic) -> float | None:
+        """Returns when the store last confirmed a topic, None if never."""
+        confirmed_s = self._exchange.state_by_topic[topic].confirmed_s
+        return None if confirmed_s == -math.inf else confirmed_s
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import pathlib
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
 from lycheegw.coordination import directory
 from lycheegw.coordination import forward_attempts
 from lycheegw.coordination import forwarding
+from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import node_registry
 from lycheegw.coordination import response_times
@@ -67,6 +69,9 @@
 _NEXT_READER_AGE_S = 1.1
 # Fraction of that time after which a node without updates reads by itself.
 _FALLBACK_READ_FRACTION = 0.75
+# Fraction of that time up to which requests are served by a topic's copy. The
+# rest is for the way of a request to its upstream.
+_MAX_SERVING_AGE_FRACTION = 0.8
 
 
 class PlatformAdapter(NamedTuple):
@@ -196,6 +201,12 @@
             ),
             topic_readers.DependencyMonitor("store", self._log_dependency),
         )
+        self.freshness = freshness.Freshness(
+            self.state,
+            self.topic_readers,
+            self._max_serving_age_s,
+            self._log.note,
+        )
         self.node_registry = node_registry.NodeRegistry(
             self.state,
             self.store,
@@ -210,6 +221,15 @@
         self.application.add_task(self._register)
         self.application.add_task(self._load_outcomes)
 
+    def _max_serving_age_s(self, topic: topics.Topic) -> float:
+        """Returns the greatest age of a copy by which requests are served."""
+        service_levels = self._service_levels()
+        if topic is topics.Topic.UPSTREAMS:
+            return _MAX_SERVING_AGE_FRACTION * service_levels.drain_s
+        if topic is topics.Topic.ORDERS:
+            return _MAX_SERVING_AGE_FRACTION * service_levels.config_apply_s
+        return math.inf
+
     async def _load_outcomes(self) -> None:
         """Reads the outcomes of roll-outs that were ordered before the start.
 
@@ -307,6 +327,7 @@
                     topics.Topic.UPSTREAMS
                 ),
                 lambda: self.topic_readers.age_s(topics.Topic.UPSTREAMS),
+                self.freshness,
                 self._log.note,
                 self.histograms.observe,
             ),
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -49,6 +49,8 @@
         calls: Number of calls of each path.
         fault: "", "busy" (503), "reset" or "silent".
         lost_appends: Number of next appends that get no response.
+        silent_reads: Number of next reads of changes that get no response, by
+            topic.
         first_offset: Offset of the oldest readable record, by topic.
     """
 
@@ -56,6 +58,7 @@
         self.calls: dict[str, int] = {}
         self.fault = ""
         self.lost_appends = 0
+        self.silent_reads: dict[str, int] = {}
         self.first_offset: dict[str, int] = {}
         self._records: dict[str, list[bytes]] = {}
         self._changed = asyncio.Condition()
@@ -159,6 +162,9 @@
     async def _handle_read(
         self, exchange: ingress.Exchange, topic: str, query: dict[str, str]
     ) -> None:
+        if self.silent_reads.get(topic, 0):
+            self.silent_reads[topic] -= 1
+            await asyncio.sleep(60)
         start = int(query["from"])
         first = self.first_offset.get(topic, 0)
         if start < first:
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lycheegw import edge_app
+from lycheegw.coordination import topic_readers
 from lycheegw.state import errors
 from lycheegw.state import topics
 from tests.platform import fleet_harness
@@ -508,6 +509,92 @@
         )
 
 
+async def test_leaving_upstream_gets_no_request_if_a_read_is_lost() -> None:
+    """DRAIN, issue 19: a copy was used however old it got."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        fleet.store.silent_reads["keyed.servers"] = 1
+        leaving = fleet.upstream_by_name["d1"].entry(
+            "desk", state="draining", sequence=2
+        )
+        await fleet.store.put("keyed.servers", "d1", leaving)
+        bound_s = time.monotonic() + node.settings.service_levels.drain_s
+        while time.monotonic() < bound_s + 1.0:
+            is_late = time.monotonic() > bound_s
+            seen = len(fleet.seen)
+            reply = await platform_standins.send_request(
+                node.settings.listen, "/look/1"
+            )
+            assert reply is not None and reply.status == 200
+            if is_late:
+                assert "d1" not in {each.upstream for each in fleet.seen[seen:]}
+
+
+async def test_leaving_upstream_gets_no_request_if_no_read_was_made() -> None:
+    """DRAIN, issue 19: after a stall, requests went before the due read."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        _stop_planned_reads(node)
+        leaving = fleet.upstream_by_name["d1"].entry(
+            "desk", state="draining", sequence=2
+        )
+        await fleet.store.put("keyed.servers", "d1", leaving)
+        await asyncio.sleep(node.settings.service_levels.drain_s)
+        replies = await asyncio.gather(
+            *(
+                platform_standins.send_request(node.settings.listen, "/look/1")
+                for _ in range(6)
+            )
+        )
+        assert {each.status for each in replies if each is not None} == {200}
+        assert {each.upstream for each in fleet.seen} == {"d2"}
+        by_name = node.state.counters.by_name
+        assert by_name["topics.outdated.renewed"] == 2
+
+
+async def test_removed_key_is_refused_if_no_read_was_made() -> None:
+    """CONFIG, issue 19: an outdated manifest still let a removed key in."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        _stop_planned_reads(node)
+        tenants = [{"name": "acme", "api_keys": ["other"], "priority": 1}]
+        changed = platform_standins.manifest(2, tenants=tenants)
+        await fleet.store.put("keyed.op", "config", changed)
+        await asyncio.sleep(node.settings.service_levels.config_apply_s)
+        reply = await platform_standins.send_request(
+            node.settings.listen, "/look/1"
+        )
+        assert reply is not None and reply.status == 401
+        assert not fleet.seen
+
+
+@pytest.mark.parametrize("fault", ["silent", "busy", "reset"])
+async def test_requests_are_served_by_an_outdated_copy_without_the_store(
+    fault: str,
+) -> None:
+    """platform_down: only the first requests wait for a read, and shortly."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        _stop_planned_reads(node)
+        await asyncio.sleep(node.settings.service_levels.drain_s)
+        fleet.store.fault = fault
+        for max_s in (0.9, 0.2, 0.2):
+            started_s = time.monotonic()
+            reply = await platform_standins.send_request(
+                node.settings.listen, "/look/1"
+            )
+            assert reply is not None and reply.status == 200
+            assert time.monotonic() - started_s < max_s
+        assert node.state.counters.by_name["topics.outdated.stuck"] == 2
+
+
+def _stop_planned_reads(node: edge_app.EdgeNode) -> None:
+    """Makes a node read the store only if a request needs it."""
+    readers = node.topic_readers
+    readers.read_ages = topic_readers.ReadAges(60.0, 60.0)
+    readers._is_watcher = lambda _: False  # type: ignore[method-assign]
+
+
 async def test_closed_zone_gets_no_work_until_it_is_reopened() -> None:
     """evacuate: once reopened, its upstreams count as cold."""
     async with fleet_harness.fleet() as fleet:
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,110 @@
+"""Outdated copies are renewed once, and a stall is no fault of the store."""
+
+import asyncio
+from typing import Any
+
+from lycheegw.coordination import freshness
+from lycheegw.state import topics
+from tests import fakes
+
+UPSTREAMS = topics.Topic.UPSTREAMS
+
+
+class _Readers:
+    """Readers whose reads take the given seconds and may fail."""
+
+    def __init__(self, clock: fakes.ManualClock, reads: list[Any]):
+        self.confirmed = clock.now_s
+        self.read_count = 0
+        self._clock = clock
+        self._reads = reads
+
+    def age_s(self, topic: topics.Topic) -> float:
+        return self._clock.now_s - self.confirmed
+
+    def confirmed_s(self, topic: topics.Topic) -> float:
+        return self.confirmed
+
+    async def refresh(self, topic: topics.Topic, timeout_s: float) -> bool:
+        self.read_count += 1
+        begun_s = self._clock.now_s
+        seconds, is_answered = self._reads.pop(0)
+        await asyncio.sleep(0)
+        self._clock.now_s += seconds
+        if is_answered:
+            self.confirmed = begun_s
+        return bool(is_answered)
+
+
+def _limit(topic: topics.Topic) -> float:
+    return 2.0 if topic is UPSTREAMS else float("inf")
+
+
+def _freshness(
+    clock: fakes.ManualClock, readers: _Readers
+) -> freshness.Freshness:
+    return freshness.Freshness(
+        fakes.node(clock, "n"),
+        readers,  # type: ignore[arg-type]
+        _limit,
+        lambda *_, **__: None,
+    )
+
+
+async def test_concurrent_requests_wait_for_one_read() -> None:
+    clock = fakes.ManualClock()
+    readers = _Readers(clock, [(0.01, True)])
+    fresh = _freshness(clock, readers)
+    clock.now_s += 2.1
+    assert not fresh.is_current()
+    await asyncio.gather(*(fresh.ensure_current() for _ in range(5)))
+    assert readers.read_count == 1
+    assert fresh.is_current()
+
+
+async def test_copy_within_its_limit_is_not_read() -> None:
+    clock = fakes.ManualClock()
+    readers = _Readers(clock, [])
+    fresh = _freshness(clock, readers)
+    clock.now_s += 1.9
+    await fresh.ensure_current()
+    assert readers.read_count == 0
+
+
+async def test_read_is_repeated_after_a_stall_of_the_event_loop() -> None:
+    """DRAIN, issue 19: a stalled node took its own delay for an outage."""
+    clock = fakes.ManualClock()
+    stalled = (1.2, False)
+    readers = _Readers(clock, [stalled, stalled, (0.01, True)])
+    fresh = _freshness(clock, readers)
+    clock.now_s += 2.1
+    await fresh.ensure_current()
+    assert readers.age_s(UPSTREAMS) < 0.1
+
+
+async def test_outage_ends_the_wait_until_the_copy_is_renewed() -> None:
+    clock = fakes.ManualClock()
+    failed = (0.25, False)
+    readers = _Readers(clock, [failed, failed, (0.01, True)])
+    fresh = _freshness(clock, readers)
+    clock.now_s += 2.1
+    await fresh.ensure_current()
+    assert readers.read_count == 2
+    clock.now_s += 10.0
+    assert fresh.is_current()
+    readers.confirmed = clock.now_s - 2.5
+    await fresh.ensure_current()
+    assert readers.read_count == 3
+
+
+async def test_read_goes_on_if_the_request_that_began_it_is_cancelled() -> None:
+    clock = fakes.ManualClock()
+    readers = _Readers(clock, [(0.01, True)])
+    fresh = _freshness(clock, readers)
+    clock.now_s += 2.1
+    request = asyncio.create_task(fresh.ensure_current())
+    await asyncio.sleep(0)
+    request.cancel()
+    await fresh.ensure_current()
+    assert readers.read_count == 1
+    assert fresh.is_current()
