A store call without a reply closes the idle connections to the store

Evidence: test_read_after_a_silent_one_uses_a_new_connection failed on the code before. The planned reads were spared since their timeout of 1 s outlasts the 0.9 s for which connections are kept.

Change: a call that ends without a reply, also a cancelled one, closes what is idle; the next call connects anew. The test passes.

--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -133,15 +133,21 @@
             ),
             body,
         )
+        is_answered = False
         try:
             head, answer = await connection_pool.fetch(
                 self._pool, "store", self._address, request, timeout_s
             )
+            is_answered = True
         except errors.UpstreamError as error:
             may_have_run = error.verdict is not verdicts.RunVerdict.NOT_RUN
             raise errors.StoreError(
                 f"{path}: {error}", is_write and may_have_run
             ) from error
+        finally:
+            if not is_answered:
+                # Other idle connections may be as silent as this one was.
+                self._pool.close_idle("store")
         if head.status == 200:
             return head.status, answer
         raise _error_of_status(path, head.status, answer)
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,62 @@
+"""The store's client replaces connections that went silent."""
+
+import asyncio
+import struct
+
+import pytest
+
+from lycheegw.platform import store_client
+from lycheegw.state import clocks
+from lycheegw.state import topics
+from lycheegw.transport import connection_pool
+
+_NO_RECORDS = struct.pack(">QQ", 0, 0)
+_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + _NO_RECORDS
+
+
+class _Server:
+    """Server that replies on connections until they are made silent."""
+
+    def __init__(self) -> None:
+        self.silent: set[asyncio.StreamWriter] = set()
+        self.open: set[asyncio.StreamWriter] = set()
+        self.reply_delay_s = 0.0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open.add(writer)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                if writer not in self.silent:
+                    await asyncio.sleep(self.reply_delay_s)
+                    writer.write(_REPLY)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+async def _no_wait(is_write: bool) -> float:
+    return 0.0
+
+
+async def test_read_after_a_silent_one_uses_a_new_connection() -> None:
+    """reset_conns, silent: other idle connections may be as dead."""
+    server = _Server()
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    pool = connection_pool.ConnectionPool(clocks.system())
+    client = store_client.StoreClient(pool, f"{host}:{port}", _no_wait)
+    server.reply_delay_s = 0.05
+    await asyncio.gather(
+        *(client.changes(topics.Topic.ORDERS, 0, 0.0) for _ in range(3))
+    )
+    assert len(server.open) == 3
+    server.silent = set(server.open)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await client.changes(topics.Topic.ORDERS, 0, 0.0)
+    page = await client.changes(topics.Topic.ORDERS, 0, 0.0)
+    assert page.end_offset == 0
+    pool.close()
+    listener.close()
