An open read confirms a copy only up to the end of its wait

A node that was frozen or stalled meanwhile counted an old reply as fresh, told its peers so, and put off the next poll of the manifest.

Evidence: test_open_read_that_returns_late_does_not_renew_a_copy failed on the code before (age 0 s after a delay of 5 s). Change: the copy is confirmed for the end of the wait that was asked for, or now if that is earlier.

--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -161,8 +161,9 @@
             return False
         self._note_read(topic)
         if wait_s and not page.records:
-            # The reply confirms that nothing changed up to the end of the wait.
-            begun_s = self._now_s()
+            # The reply confirms that nothing changed up to the end of the wait;
+            # it may have been received later.
+            begun_s = min(self._now_s(), begun_s + wait_s)
         self._exchange.apply_read(topic, page, begun_s)
         return True
 
--- /dev/null
+++ b/tests/test_topic_readers.py
@@ -0,0 +1,70 @@
+"""A read confirms a copy for no later time than the store vouched for."""
+
+from typing import Any
+
+from lycheegw.coordination import topic_exchange
+from lycheegw.coordination import topic_readers
+from lycheegw.protocol import topic_codec
+from lycheegw.state import topics
+from tests import fakes
+
+ORDERS = topics.Topic.ORDERS
+
+
+class _Store:
+    """Store whose replies are read some time after it sent them."""
+
+    def __init__(self, clock: fakes.ManualClock):
+        self.reply_delay_s = 0.0
+        self._clock = clock
+
+    async def newest(self, topic: topics.Topic) -> topics.TopicPage:
+        return topics.TopicPage([], 1, True)
+
+    async def changes(
+        self, topic: topics.Topic, offset: int, wait_s: float
+    ) -> topics.TopicPage:
+        self._clock.now_s += wait_s + self.reply_delay_s
+        return topics.TopicPage([], 1, False)
+
+
+def _readers(
+    clock: fakes.ManualClock, store: Any
+) -> topic_readers.TopicReaders:
+    state = fakes.node(clock, "n")
+    exchange = topic_exchange.TopicExchange(
+        state,
+        fakes.FakePeerBus("n"),  # type: ignore[arg-type]
+        topic_codec.CODEC,
+        {ORDERS: topics.TopicState(ORDERS)},
+        lambda *_: None,
+        lambda: None,
+        lambda *_: None,
+    )
+    return topic_readers.TopicReaders(
+        state,
+        store,
+        exchange,
+        lambda: {"z": ["n"]},
+        topic_readers.ReadAges(1.1, 1.5),
+        topic_readers.DependencyMonitor("store", lambda *_: None),
+    )
+
+
+async def test_open_read_that_returns_late_does_not_renew_a_copy() -> None:
+    """CONFIG, issue 19: a frozen node took an old reply for a fresh one."""
+    clock = fakes.ManualClock()
+    store = _Store(clock)
+    readers = _readers(clock, store)
+    await readers.load(ORDERS)
+    store.reply_delay_s = 5.0
+    await readers._read(ORDERS, 20.0)
+    assert readers.age_s(ORDERS) == 5.0
+
+
+async def test_open_read_confirms_a_copy_up_to_the_end_of_its_wait() -> None:
+    clock = fakes.ManualClock()
+    readers = _readers(clock, _Store(clock))
+    await readers.load(ORDERS)
+    await readers._read(ORDERS, 20.0)
+    assert readers.age_s(ORDERS) == 0.0
