A whole page of a topic marks earlier deletions as unknown

What callers would see: a node goes on sending to an upstream whose entry was removed, although its copy counts as confirmed; DRAIN holds for removed entries, too.

Cause: a copy that read a whole page did not know what was deleted between its former end and the page's, and still called its changes since an older offset complete. A neighbour that lagged behind kept the deleted key for good.

Evidence: test_deletion_before_the_first_read_reaches_an_older_copy, the three calls of the entry, failed before. Change: such a copy sends the whole topic to a neighbour whose offset lies before the page.

--- a/src/lycheegw/state/topics.py
+++ b/src/lycheegw/state/topics.py
@@ -74,7 +74,7 @@
         self.reader = ""
         self._digest = digest
         self._entry_by_key: dict[str, _Entry] = {}
-        # Deletions before this offset have been dropped.
+        # Deletions before this offset were dropped, or were never read.
         self._deletions_from_offset = 0
 
     @property
@@ -113,6 +113,9 @@
             if page.end_offset < self.end_offset:
                 return set()
             changed = self._delete_missing(page)
+            if page.end_offset > self.end_offset:
+                # The page omits keys that were deleted since the last read.
+                self._deletions_from_offset = page.end_offset
         for record in page.records:
             if self._store(record):
                 changed.add(record.key)
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -93,6 +93,20 @@
 )
 
 
+def test_deletion_before_the_first_read_reaches_an_older_copy() -> None:
+    """DRAIN: a copy kept an upstream that was gone, and counted as confirmed."""
+    older = topics.TopicState(topics.Topic.UPSTREAMS)
+    newer = topics.TopicState(topics.Topic.UPSTREAMS)
+    older.apply_page(
+        topics.TopicPage([topics.TopicRecord("a", 0, b"0")], 1, True)
+    )
+    newer.apply_page(topics.TopicPage([], 2, True))
+    from_offset, records = newer.changes_since(older.end_offset)
+    older.merge(from_offset, newer.end_offset, records)
+    assert older.end_offset == 2
+    assert older.values() == {}
+
+
 def test_records_with_an_equal_digest_are_not_sent_again() -> None:
     copy = topics.TopicState(topics.Topic.UPSTREAMS, lambda value: value[:1])
     copy.apply_page(
