--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -47,6 +47,9 @@
     def allows_version(self, *_: object) -> bool:
         return True
 
+    def is_withdrawn(self, *_: object) -> bool:
+        return False
+
     def may_send(self, *_: object) -> bool:
         return True
 
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -94,7 +94,7 @@
 
 
 def test_deletion_before_the_first_read_reaches_an_older_copy() -> None:
-    """DRAIN: a copy kept an upstream that was gone, and counted as confirmed."""
+    """DRAIN: a copy kept an upstream that was gone, yet counted as current."""
     older = topics.TopicState(topics.Topic.UPSTREAMS)
     newer = topics.TopicState(topics.Topic.UPSTREAMS)
     older.apply_page(
