The time limit given to an upstream is that at the first byte

Change: the pool builds the request once a connection is open; this takes the place of the check that the choice still holds.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -407,7 +407,7 @@
             choice.upstream.entry,
             accepted.request.organisation,
             progress.model,
-            self._left_s(accepted.request),
+            lambda: self._left_s(accepted.request),
             progress.last_event if progress.event_count else None,
             _urgency(accepted.work, progress.model),
             self.connection_limit(accepted.service),
--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -101,7 +101,7 @@
         upstream: The upstream to send it to.
         organisation: The requesting organisation, empty on a public route.
         model: Model chosen by the router, None if the client chose it.
-        time_left_s: Time that the upstream has for it.
+        time_left_s: Returns the time that the upstream has for it.
         last_event: Id of the last event that the client received, if the
             router resumes a stream.
         urgency: 0 (first) to 9 (last), None for the upstream's default.
@@ -114,7 +114,7 @@
     upstream: upstreams.HostEntry
     organisation: str
     model: str | None
-    time_left_s: float
+    time_left_s: Callable[[], float]
     last_event: str | None
     urgency: int | None
     max_connections: int
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -150,7 +150,7 @@
         for name, value in incoming.headers
         if name.lower() not in dropped_names
     ]
-    deadline_ms = max(1, int(attempt.time_left_s * 1000))
+    deadline_ms = max(1, int(attempt.time_left_s() * 1000))
     headers.append((b"X-Lycheegw-Deadline-Ms", b"%d" % deadline_ms))
     instance = attempt.upstream.host_id.encode()
     headers.append((b"X-Lycheegw-Expected-Instance", instance))
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -391,24 +391,32 @@
         )
 
     async def send(
+        self, key: str, address: str, request: ClientRequest
+    ) -> Call:
+        """Sends a request on an idle or a new connection.
+
+        Raises:
+            errors.UpstreamError: Connecting failed; the request was not sent.
+        """
+        return await self.send_built(key, address, lambda: request)
+
+    async def send_built(
         self,
         key: str,
         address: str,
-        request: ClientRequest,
+        build_request: Callable[[], ClientRequest | None],
         max_idle_s: float = math.inf,
-        may_send: Callable[[], bool] = lambda: True,
     ) -> Call:
-        """Sends a request on an idle or a new connection.
+        """Sends a request that is built once a connection is open.
 
         Args:
             key: Identifies the server process.
             address: The server's "ip:port".
-            request: The request to send.
+            build_request: Returns the request, None if it is not to be sent
+                any more. It is called in the turn of the event loop in which
+                the request is written.
             max_idle_s: Longest idle time of a connection to reuse; after a
                 longer time the server may no longer be reachable on it.
-            may_send: Called once a connection is open, in the same turn of the
-                event loop in which the request is written. If it returns False,
-                the request is not sent.
 
         Raises:
             errors.UpstreamError: The request was not sent.
@@ -416,7 +424,8 @@
         connection = self._reusable_connection(key, max_idle_s)
         if connection is None:
             connection = await self._connect(key, address)
-        if not may_send():
+        request = build_request()
+        if request is None:
             self._keep(connection, _DEFAULT_IDLE_S)
             raise errors.UpstreamError(
                 reasons.RetryReason.OUTDATED_CHOICE,
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -111,17 +111,22 @@
                 verdicts.RunVerdict.NOT_RUN,
             )
         incoming = attempt.work.incoming
-        request = connection_pool.ClientRequest(
-            incoming.method,
-            incoming.target,
-            self._codec.encode_attempt(attempt),
-            incoming.body,
-        )
+
+        def build_request() -> connection_pool.ClientRequest | None:
+            if not attempt.may_send():
+                return None
+            return connection_pool.ClientRequest(
+                incoming.method,
+                incoming.target,
+                self._codec.encode_attempt(attempt),
+                incoming.body,
+            )
+
         max_idle_s = math.inf
         if attempt.work.route.kind is routing.RequestKind.ONCE:
             max_idle_s = _MAX_IDLE_ONCE_S
-        call = await self._pool.send(
-            key, entry.address, request, max_idle_s, attempt.may_send
+        call = await self._pool.send_built(
+            key, entry.address, build_request, max_idle_s
         )
         return _ForwardCall(call, self._codec, attempt.work.traits.request_id)
 
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -469,6 +469,26 @@
         assert "llm" not in budgets._extras_by_service
 
 
+async def test_upstream_gets_the_time_left_after_a_slow_connect() -> None:
+    """BUDGET: the time limit was set before the connection was opened."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        connect = node.upstream_pool._connect
+
+        async def connect_slowly(key: str, address: str) -> Any:
+            await asyncio.sleep(0.6)
+            return await connect(key, address)
+
+        node.upstream_pool._connect = connect_slowly  # type: ignore[method-assign]
+        reply = await platform_standins.send_request(
+            node.settings.listen, "/look/1"
+        )
+        assert reply is not None and reply.status == 200
+        (seen,) = fleet.seen
+        left_ms = int(seen.header_by_name["x-lycheegw-deadline-ms"])
+        assert left_ms <= 2000 - 600
+
+
 async def _withdraw(
     fleet: fleet_harness.Fleet,
     node: edge_app.EdgeNode,
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -237,7 +237,9 @@
     async with _server(serve) as address:
         pool = _pool()
         for max_idle_s in (9.0, 9.0, 0.05):
-            call = await pool.send("k", address, REQUEST, max_idle_s)
+            call = await pool.send_built(
+                "k", address, lambda: REQUEST, max_idle_s
+            )
             await call.head()
             await _read_body(call)
             call.finish()
