--- a/tests/test_transit_times.py
+++ b/tests/test_transit_times.py
@@ -32,3 +32,16 @@
     clock = fakes.ManualClock()
     transits = transit_times.TransitTimes(clock.environment())
     assert transits.note_message("a", 0.0) == 0.0
+
+
+def test_clocks_that_drift_apart_add_no_lasting_delay() -> None:
+    """A day of drift of 100 ppm, 8.6 s, is no time in transit."""
+    clock = fakes.ManualClock()
+    transits = transit_times.TransitTimes(clock.environment())
+    started_s = clock.now_s
+    delays_s = []
+    for _ in range(86_400):
+        clock.now_s += 1.0
+        drift_s = 100e-6 * (clock.now_s - started_s)
+        delays_s.append(transits.note_message("a", _sent(clock, drift_s)))
+    assert max(delays_s) < 0.15
