The soak covers zones, cold upstreams, older manifests and planned stops

The checker finds runs in closed zones, too many requests at a cold upstream, keys denied after they were let in, and answers lost at a planned stop; each is planted in a record by a test.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -82,6 +82,10 @@
     async def delete(self, topic: str, key: str) -> None:
         await self._append(topic, bytes([len(key)]) + key.encode())
 
+    def end_offset(self, topic: str) -> int:
+        """Returns the offset of the next record."""
+        return len(self._records.get(topic, []))
+
     def newest(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key."""
         values = {}
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -46,13 +46,14 @@
             checker.drop_disturbances(run.record, "freeze")
         violations = checker.check(run.record, checker.Bounds())
         is_broken = is_broken or bool(violations)
+        judged = checker.judged_share(run.record, checker.Bounds())
         statuses = collections.Counter(
             each.status for each in run.record.ended_by_id.values()
         )
         print(
             f"seed {seed}: {time.monotonic() - started_s:.0f} s,"
             f" {nodes} nodes, {len(run.record.sent_by_id)} requests"
-            f" {dict(statuses)},"
+            f" {dict(statuses)}, {judged:.2f} of the arrivals judged,"
             f" faults {dict(collections.Counter(f.kind for f in faults))},"
             f" {len(violations)} violations",
             flush=True,
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -18,6 +18,7 @@
     "Violation",
     "check",
     "drop_disturbances",
+    "judged_share",
 ]
 
 # Lag of the recording process above which its own times are not relied on.
@@ -31,7 +32,12 @@
 
     drain_s: float = 2.0
     config_apply_s: float = 2.0
+    downgrade_slack_s: float = 0.25
+    evacuate_s: float = 5.0
     contact_s: float = 3.0
+    grace_s: float = 8.0
+    # Requests that a cold upstream may get in one second.
+    cold_requests: int = 17
 
 
 class Sent(NamedTuple):
@@ -61,14 +67,22 @@
 
 
 class Disturbance(NamedTuple):
-    """A time in which a node, or the store if it is "", was disturbed."""
+    """A time in which the store ("") or what has that name was disturbed."""
 
-    node: str
+    name: str
     kind: str
     from_s: float
     until_s: float
 
 
+class Closure(NamedTuple):
+    """A time in which a zone was closed, as the store confirmed it."""
+
+    zone: str
+    from_s: float
+    until_s: float
+
+
 class Violation(NamedTuple):
     """A broken rule, with the lines that show it."""
 
@@ -84,6 +98,9 @@
         left_s: When the store confirmed that an upstream leaves or is gone.
         key_added_s: When the store confirmed a key, by key.
         key_removed_s: When the store confirmed its removal, by key.
+        closures: When zones were closed.
+        zone_by_upstream: Zone of each upstream.
+        cold_until_s: Until when an upstream was cold.
         own_lags: Times from and until which the recording process lagged.
     """
 
@@ -95,12 +112,15 @@
         self.left_s: dict[str, float] = {}
         self.key_added_s: dict[str, float] = {}
         self.key_removed_s: dict[str, float] = {}
+        self.closures: list[Closure] = []
+        self.zone_by_upstream: dict[str, str] = {}
+        self.cold_until_s: dict[str, float] = {}
         self.own_lags: list[tuple[float, float]] = []
 
-    def is_in_touch(self, node: str, since_s: float, at_s: float) -> bool:
-        """Returns whether nothing disturbed a node or the store."""
+    def is_in_touch(self, names: set[str], since_s: float, at_s: float) -> bool:
+        """Returns whether nothing disturbed the store or what has a name."""
         return not any(
-            each.node in {"", node}
+            each.name in {"", *names}
             and each.until_s >= since_s
             and each.from_s <= at_s
             for each in self.disturbances
@@ -121,6 +141,20 @@
     ]
 
 
+def judged_share(record: Record, bounds: Bounds) -> float:
+    """Returns the share of arrivals that no disturbance excuses."""
+    judged = sum(
+        record.is_reliable(each.at_s)
+        and record.is_in_touch(
+            {record.sent_by_id[each.attempt_id].node, each.upstream},
+            each.at_s - bounds.contact_s,
+            each.at_s,
+        )
+        for each in record.arrivals
+    )
+    return judged / max(1, len(record.arrivals))
+
+
 def check(record: Record, bounds: Bounds) -> list[Violation]:
     """Returns the broken rules."""
     return [
@@ -130,6 +164,10 @@
         *_false_promises(record),
         *_mixed_answers(record),
         *_denied(record, bounds),
+        *_older_manifests(record, bounds),
+        *_closed_zones(record, bounds),
+        *_cold_upstreams(record, bounds),
+        *_lost_at_stops(record, bounds),
     ]
 
 
@@ -144,7 +182,9 @@
         if (
             late_s > bounds.drain_s
             and record.is_reliable(arrival.at_s)
-            and record.is_in_touch(sent.node, since_s, arrival.at_s)
+            and record.is_in_touch(
+                {sent.node, arrival.upstream}, since_s, arrival.at_s
+            )
         ):
             found.append(
                 Violation(
@@ -166,7 +206,7 @@
         removed_s = record.key_removed_s.get(sent.key, math.inf)
         since_s = min(removed_s, sent.at_s - bounds.contact_s)
         if sent.at_s > removed_s + bounds.config_apply_s and record.is_in_touch(
-            sent.node, since_s, arrival.at_s
+            {sent.node}, since_s, arrival.at_s
         ):
             found.append(
                 Violation(
@@ -233,10 +273,131 @@
             and sent.at_s > added_s + bounds.config_apply_s
             and each.at_s < removed_s
             and record.is_in_touch(
-                sent.node, sent.at_s - bounds.contact_s, each.at_s
+                {sent.node}, sent.at_s - bounds.contact_s, each.at_s
             )
         ):
             found.append(
                 Violation("DENIED", attempt_id, f"{sent.key}: {each.status}")
             )
     return found if len(found) > _MAX_DENIED else []
+
+
+def _older_manifests(record: Record, bounds: Bounds) -> list[Violation]:
+    """Keys that a node denied after it had let them in, in one boot."""
+    first_run_s: dict[tuple[str, str], float] = {}
+    for arrival in sorted(record.arrivals, key=lambda each: each.at_s):
+        sent = record.sent_by_id[arrival.attempt_id]
+        first_run_s.setdefault((sent.node, sent.key), arrival.at_s)
+    found = []
+    for attempt_id, each in record.ended_by_id.items():
+        sent = record.sent_by_id[attempt_id]
+        run_s = first_run_s.get((sent.node, sent.key), math.inf)
+        is_other_boot = any(
+            other.name == sent.node
+            and other.kind in {"kill", "terminate"}
+            and other.until_s >= run_s
+            and other.from_s <= each.at_s
+            for other in record.disturbances
+        )
+        if (
+            each.status == 401
+            and sent.at_s > run_s + bounds.downgrade_slack_s
+            and each.at_s < record.key_removed_s.get(sent.key, math.inf)
+            and not is_other_boot
+        ):
+            found.append(
+                Violation(
+                    "CONFIG",
+                    attempt_id,
+                    f"{run_s:8.3f} {sent.node} runs {sent.key},"
+                    f" {sent.at_s:8.3f} sent, denied",
+                )
+            )
+    return found
+
+
+def _closed_zones(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests that arrived in a zone closed longer ago than `evacuate_s`."""
+    found = []
+    for arrival in record.arrivals:
+        sent = record.sent_by_id[arrival.attempt_id]
+        for closure in record.closures:
+            bound_s = closure.from_s + bounds.evacuate_s
+            since_s = min(closure.from_s, arrival.at_s - bounds.contact_s)
+            if (
+                closure.zone == record.zone_by_upstream.get(arrival.upstream)
+                and bound_s < arrival.at_s < closure.until_s
+                and record.is_reliable(arrival.at_s)
+                and record.is_in_touch(
+                    {sent.node, arrival.upstream}, since_s, arrival.at_s
+                )
+            ):
+                found.append(
+                    Violation(
+                        "EVAC",
+                        arrival.attempt_id,
+                        f"{closure.from_s:8.3f} {closure.zone} closed,"
+                        f" {arrival.at_s:8.3f} {sent.node} sends to"
+                        f" {arrival.upstream}",
+                    )
+                )
+    return found
+
+
+def _cold_upstreams(record: Record, bounds: Bounds) -> list[Violation]:
+    """Seconds in which a cold upstream got too many requests."""
+    times_by_upstream = collections.defaultdict(list)
+    for arrival in record.arrivals:
+        cold_until_s = record.cold_until_s.get(arrival.upstream, 0.0)
+        if arrival.at_s < cold_until_s:
+            times_by_upstream[arrival.upstream].append(arrival)
+    found = []
+    for upstream, arrivals in times_by_upstream.items():
+        arrivals.sort(key=lambda each: each.at_s)
+        for first, last in zip(
+            arrivals, arrivals[bounds.cold_requests :], strict=False
+        ):
+            if last.at_s - first.at_s < 1.0 and record.is_reliable(last.at_s):
+                found.append(
+                    Violation(
+                        "FAILBACK",
+                        last.attempt_id,
+                        f"{last.at_s:8.3f} over {bounds.cold_requests} requests"
+                        f" in a second at {upstream}",
+                    )
+                )
+    return found
+
+
+def _lost_at_stops(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests that ran and got no answer since their node was terminated."""
+    ran = {each.attempt_id: each.upstream for each in record.arrivals}
+    stops = [each for each in record.disturbances if each.kind == "terminate"]
+    found = []
+    for attempt_id, each in record.ended_by_id.items():
+        if each.status is not None or attempt_id not in ran:
+            continue
+        sent = record.sent_by_id[attempt_id]
+        others = {sent.node, ran[attempt_id]}
+        since_s = sent.at_s - bounds.contact_s
+        is_excused = any(
+            other.name in {"", *others}
+            and other.kind != "terminate"
+            and other.until_s >= since_s
+            and other.from_s <= each.at_s
+            for other in record.disturbances
+        )
+        if not is_excused and any(
+            stop.name == sent.node
+            and stop.from_s <= each.at_s <= stop.from_s + bounds.grace_s + 1.0
+            for stop in stops
+        ):
+            found.append(
+                Violation(
+                    "LOST",
+                    attempt_id,
+                    f"{sent.at_s:8.3f} sent to {sent.node}, which stops,"
+                    f" {each.at_s:8.3f} ends without an answer",
+                )
+            )
+    return found
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -7,18 +7,25 @@
 
 # Shares of the kinds of faults.
 _WEIGHT_BY_KIND = {
-    "drain": 6,
-    "remove": 3,
-    "freeze": 4,
-    "kill": 1,
-    "terminate": 1,
-    "node_store_silent": 2,
-    "node_store_reset": 1,
-    "node_store_slow": 1,
-    "store_silent": 1,
-    "store_busy": 1,
-    "store_reset": 1,
-    "rotate_keys": 2,
+    "drain": 10.0,
+    "remove": 5.0,
+    "freeze": 6.0,
+    "kill": 1.0,
+    "terminate": 1.0,
+    "node_store_silent": 2.0,
+    "node_store_reset": 1.0,
+    "node_store_slow": 1.0,
+    "upstream_slow": 1.0,
+    "upstream_silent": 1.0,
+    "upstream_reset": 1.0,
+    "evacuate": 1.0,
+    "rotate_keys": 2.0,
+    "store_forgets": 1.0,
+    # The store's disturbances excuse all nodes, so that little is judged.
+    "store_silent": 0.5,
+    "store_busy": 0.5,
+    "store_reset": 0.5,
+    "store_loses_replies": 0.5,
 }
 # Seconds without faults at the start, while all nodes find each other.
 _QUIET_START_S = 4.0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import contextlib
 import itertools
+import math
 import os
 import pathlib
 import random
@@ -17,6 +18,7 @@
 import sys
 import time
 from typing import Any
+from typing import NamedTuple
 
 from lycheegw.state import clocks
 from lycheegw.state import errors
@@ -29,14 +31,17 @@
 __all__ = ["Soak"]
 
 _PORT_READY, _PORT_FRONT, _PORTS_PEERS = 8220, 8222, "7340,7355"
+_ZONES = ("z-a", "z-b")
+_TOPICS = ("keyed.servers", "keyed.op")
 _HEARTBEAT_S = 0.4
+# Time for which a new upstream of the service with engines is cold.
+_COLD_S = 3.0
 _TICK_S = 0.02
 # Time for which an upstream serves after the store has confirmed that it
 # leaves, beyond the bound.
 _SERVES_ON_S = 3.0
 _RESTART_S = 0.3
 _START_TIMEOUT_S = 20.0
-_KEY_LIFE_S = 8.0
 _KEY_USED_AFTER_S = 3.0
 _REMOVED_KEY_SHARE = 0.1
 _CALLER_PAUSE_S = (0.0, 0.08)
@@ -45,7 +50,7 @@
 
 
 class _Proxy:
-    """Forwards connections to the store; may delay, silence or reset them.
+    """Forwards connections; may delay, silence or reset them.
 
     Attributes:
         mode: "", "slow", "silent" or "reset".
@@ -82,15 +87,15 @@
             return
         host, _, port = self._target.rpartition(":")
         try:
-            to_store = await asyncio.open_connection(host, int(port))
+            target = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
             return
-        writers = {writer, to_store[1]}
+        writers = {writer, target[1]}
         self._writers |= writers
         pumps = [
-            asyncio.create_task(self._pump(reader, to_store[1])),
-            asyncio.create_task(self._pump(to_store[0], writer)),
+            asyncio.create_task(self._pump(reader, target[1])),
+            asyncio.create_task(self._pump(target[0], writer)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -171,6 +176,15 @@
             await self.process.wait()
 
 
+class _Upstream(NamedTuple):
+    """An upstream and the proxy at the address in its entry."""
+
+    service: str
+    zone: str
+    standin: platform_standins.Upstream
+    proxy: _Proxy
+
+
 class _Arrivals(list[platform_standins.ReceivedRequest]):
     """Requests that upstreams accepted; each is recorded with its time."""
 
@@ -207,7 +221,8 @@
         self._nodes = [_Node(each, network, folder) for each in range(nodes)]
         self._proxies: list[_Proxy] = []
         self._arrivals = _Arrivals(self._note_arrival)
-        self._upstreams: dict[str, tuple[str, platform_standins.Upstream]] = {}
+        self._upstreams: dict[str, _Upstream] = {}
+        self._is_zone_closed = False
         self._numbers = itertools.count()
         self._state_by_name: dict[str, str] = {}
         self._keys: list[str] = []
@@ -248,19 +263,20 @@
 
     def _shift(self, offset_s: float) -> None:
         """Moves times recorded during the start before that of the load."""
-        for times in (self.record.key_added_s, self.record.left_s):
+        for times in (self.record.key_added_s, self.record.cold_until_s):
             for name, at_s in times.items():
                 times[name] = at_s - offset_s
 
     async def _start(self) -> None:
         await self._rotate_keys()
-        for service in ("desk", "desk", "desk", "llm", "llm", "llm"):
-            await self._add_upstream(service)
+        for service in ("desk", "desk", "llm", "llm"):
+            for zone in _ZONES:
+                await self._add_upstream(service, zone, 0.0)
         for number, node in enumerate(self._nodes):
             proxy = _Proxy(self._store.address)
             await proxy.start()
             self._proxies.append(proxy)
-            node.write_settings(proxy.address, "z-a" if number % 2 else "z-b")
+            node.write_settings(proxy.address, _ZONES[number % 2])
             await node.start()
         await asyncio.gather(*(self._wait_ready(each) for each in self._nodes))
 
@@ -288,8 +304,9 @@
         await asyncio.gather(*(node.wait() for node in self._nodes))
         for proxy in self._proxies:
             proxy.stop()
-        for _, upstream in self._upstreams.values():
-            await upstream.stop()
+        for upstream in self._upstreams.values():
+            upstream.proxy.stop()
+            await upstream.standin.stop()
         await self._store.stop()
 
     def _spawn(self, work: Any) -> "asyncio.Task[Any]":
@@ -313,19 +330,32 @@
 
     # Upstreams and the operator.
 
-    async def _add_upstream(self, service: str) -> None:
+    async def _add_upstream(
+        self, service: str, zone: str, cold_s: float
+    ) -> None:
         name = f"{service}-{self._token}-{next(self._numbers)}"
-        upstream = platform_standins.Upstream(name, self._arrivals)
-        upstream.delay_s = 0.01
-        await upstream.start()
-        self._upstreams[name] = (service, upstream)
+        standin = platform_standins.Upstream(name, self._arrivals)
+        standin.delay_s = 0.01
+        await standin.start()
+        proxy = _Proxy(standin.address)
+        await proxy.start()
+        self._upstreams[name] = _Upstream(service, zone, standin, proxy)
         self._state_by_name[name] = "ready"
+        self.record.zone_by_upstream[name] = zone
+        self.record.cold_until_s[name] = self._now_s() + cold_s
         await self._put_entry(name, 1)
 
     async def _put_entry(self, name: str, sequence: int) -> None:
-        service, upstream = self._upstreams[name]
-        state = self._state_by_name[name]
-        entry = upstream.entry(service, state=state, sequence=sequence)
+        upstream = self._upstreams[name]
+        cold_s = max(0.0, self.record.cold_until_s[name] - self._now_s())
+        entry = upstream.standin.entry(
+            upstream.service,
+            address=upstream.proxy.address,
+            zone=upstream.zone,
+            state=self._state_by_name[name],
+            sequence=sequence,
+            cold_remaining_ms=int(cold_s * 1000),
+        )
         await self._store.put("keyed.servers", name, entry)
 
     async def _write_heartbeats(self) -> None:
@@ -343,21 +373,23 @@
             if state == "ready"
         ]
         name = ready[number % len(ready)]
-        service, upstream = self._upstreams[name]
-        if sum(each.startswith(service) for each in ready) < 2:
-            return
+        upstream = self._upstreams[name]
         self._state_by_name[name] = "draining" if is_announced else "removed"
         if is_announced:
             await self._put_entry(name, 1_000_000)
         else:
             await self._store.delete("keyed.servers", name)
         self.record.left_s[name] = self._now_s()
-        await self._add_upstream(service)
+        is_cold = upstream.service == "llm"
+        await self._add_upstream(
+            upstream.service, upstream.zone, _COLD_S if is_cold else 0.0
+        )
         await asyncio.sleep(checker.Bounds().drain_s + _SERVES_ON_S)
         if is_announced:
             self._state_by_name[name] = "removed"
             await self._store.delete("keyed.servers", name)
-        await upstream.stop()
+        upstream.proxy.stop()
+        await upstream.standin.stop()
 
     async def _rotate_keys(self) -> None:
         """Adds a key to the manifest and removes the oldest of three."""
@@ -453,15 +485,24 @@
             await self._disturb(
                 fault, self._nodes[number].name, self._harm_link(fault, number)
             )
+        elif fault.kind.startswith("upstream_"):
+            names = sorted(self._upstreams)
+            name = names[fault.target % len(names)]
+            await self._disturb(fault, name, self._harm_upstream(fault, name))
+        elif fault.kind == "evacuate":
+            await self._evacuate(fault)
+        elif fault.kind == "store_forgets":
+            for topic in _TOPICS:
+                self._store.first_offset[topic] = self._store.end_offset(topic)
         else:
             await self._disturb(fault, "", self._harm_store(fault))
 
     async def _disturb(
-        self, fault: schedule.Fault, node: str, work: Awaitable[None]
+        self, fault: schedule.Fault, name: str, work: Awaitable[None]
     ) -> None:
         """Causes a fault and records from when until when it lasted."""
         from_s = self._now_s()
-        ongoing = checker.Disturbance(node, fault.kind, from_s, float("inf"))
+        ongoing = checker.Disturbance(name, fault.kind, from_s, math.inf)
         self.record.disturbances.append(ongoing)
         try:
             await work
@@ -498,6 +539,31 @@
         self._proxies[number].set_mode("")
 
     async def _harm_store(self, fault: schedule.Fault) -> None:
+        if fault.kind == "store_loses_replies":
+            self._store.silent_reads.update(dict.fromkeys(_TOPICS, 2))
+            await asyncio.sleep(fault.for_s)
+            self._store.silent_reads.clear()
+            return
         self._store.fault = fault.kind.removeprefix("store_")
         await asyncio.sleep(fault.for_s)
         self._store.fault = ""
+
+    async def _harm_upstream(self, fault: schedule.Fault, name: str) -> None:
+        proxy = self._upstreams[name].proxy
+        proxy.set_mode(fault.kind.removeprefix("upstream_"))
+        await asyncio.sleep(fault.for_s)
+        proxy.set_mode("")
+
+    async def _evacuate(self, fault: schedule.Fault) -> None:
+        """Closes a zone for longer than the bound, and opens it again."""
+        if self._is_zone_closed:
+            return
+        self._is_zone_closed = True
+        zone = _ZONES[fault.target % 2]
+        await self._store.put("keyed.op", f"evacuate/{zone}", {})
+        closure = checker.Closure(zone, self._now_s(), math.inf)
+        self.record.closures.append(closure)
+        await asyncio.sleep(checker.Bounds().evacuate_s + fault.for_s)
+        self.record.closures[-1] = closure._replace(until_s=self._now_s())
+        await self._store.delete("keyed.op", f"evacuate/{zone}")
+        self._is_zone_closed = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,6 +95,51 @@
     assert _broken_rules(record) == ["DENIED"] * 6
 
 
+def test_denial_after_a_node_let_a_key_in_is_found() -> None:
+    record = _record()
+    record.sent_by_id["a2"] = checker.Sent(NODE, False, "key-1", 10.4)
+    record.ended_by_id["a2"] = checker.Ended(401, b"", "", 10.5)
+    assert _broken_rules(record) == ["CONFIG"]
+    restart = checker.Disturbance(NODE, "kill", 10.2, 10.3)
+    record.disturbances.append(restart)
+    assert not _broken_rules(record)
+
+
+def test_arrival_in_a_zone_closed_for_long_is_found() -> None:
+    record = _record()
+    record.zone_by_upstream["desk-0"] = "z-b"
+    closed_s = 10.1 - BOUNDS.evacuate_s - 0.01
+    record.closures.append(checker.Closure("z-b", closed_s, 20.0))
+    assert _broken_rules(record) == ["EVAC"]
+    record.closures[0] = checker.Closure("z-b", closed_s, 10.0)
+    assert not _broken_rules(record)
+
+
+@pytest.mark.parametrize(("count", "is_broken"), [(17, False), (18, True)])
+def test_cold_upstream_with_too_many_requests_is_found(
+    count: int, is_broken: bool
+) -> None:
+    record = _record(arrivals=0, status=None)
+    record.cold_until_s["llm-1"] = 12.0
+    for number in range(count):
+        sent = checker.Sent(NODE, False, "key-1", 10.0)
+        record.sent_by_id[f"b{number}"] = sent
+        record.arrivals.append(
+            checker.Arrival(f"b{number}", "llm-1", 10.0 + 0.05 * number)
+        )
+    assert ("FAILBACK" in _broken_rules(record)) == is_broken
+
+
+def test_request_lost_at_a_planned_stop_is_found() -> None:
+    record = _record(status=None)
+    stop = checker.Disturbance(NODE, "terminate", 9.0, 12.0)
+    record.disturbances.append(stop)
+    assert _broken_rules(record) == ["LOST"]
+    freeze = checker.Disturbance(NODE, "freeze", 8.0, 8.5)
+    record.disturbances.append(freeze)
+    assert not _broken_rules(record)
+
+
 def test_schedule_depends_on_the_seed_alone() -> None:
     assert schedule.draw(3, 60.0) == schedule.draw(3, 60.0)
     assert schedule.draw(3, 60.0) != schedule.draw(4, 60.0)
