A copy that could not be read counts as stuck only while reads fail

When it woke, the store had been back for 3 s, but the list still counted as stuck, since nothing had renewed it; and the planned read that the freeze had cut short was taken for one more failure, so that the next came at 10.08 s. The requests of 10.004 and 10.057 s went by a list of 6.5 s.

Change: it holds for 2.6 s from the begin of the last read that failed, which is the greatest distance between two planned reads; and a planned read that failed after more than 2.5 s, longer than any timeout, is repeated at once, since this process was late, not the store.

Evidence: test_copy_is_read_again_if_no_read_failed_lately and test_read_that_a_stall_failed_is_repeated_at_once[3.0] failed on the code before, and pass.

--- a/src/lycheegw/coordination/freshness.py
+++ b/src/lycheegw/coordination/freshness.py
@@ -24,6 +24,9 @@
 _RETRY_S = 0.02
 # A read that ends this much after its timeout was delayed by this process.
 _MIN_STALL_S = 0.1
+# How long a failed read shows that the store is unavailable, from its begin.
+# Planned reads time out after 1.0 s and are repeated 1.5 s later at the latest.
+_FAILURE_VALID_S = 2.6
 
 
 class Freshness:
@@ -69,9 +72,12 @@
         if self._readers.age_s(topic) <= self.max_age_s(topic):
             return False
         confirmed_s = self._readers.confirmed_s(topic)
-        # Before the first read, requests wait for the start of the node.
-        is_known = confirmed_s is not None
-        return is_known and self._stuck_at_s.get(topic) != confirmed_s
+        if confirmed_s is None:
+            # Before the first read, requests wait for the start of the node.
+            return False
+        failure_age_s = self._now_s() - self._readers.last_failure_s(topic)
+        is_stuck = self._stuck_at_s.get(topic) == confirmed_s
+        return not (is_stuck and failure_age_s <= _FAILURE_VALID_S)
 
     def _renewal(self, topic: topics.Topic) -> "asyncio.Task[None]":
         """Returns the running renewal of a copy, or starts one."""
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -37,6 +37,9 @@
 _REFRESH_AGE_S = 0.1
 _RETRY_S = 0.1
 _MAX_RETRY_S = 1.0
+# Longer than the timeout of any read. One that fails after a longer time was
+# delayed by this process, and its reply may have come in time.
+_MIN_STALLED_READ_S = 2.5
 _TICK_S = 0.05
 
 
@@ -97,6 +100,7 @@
         self._dependency = dependency
         self._own_id = state.identity.node_id
         self._refresh_requested: set[topics.Topic] = set()
+        self._last_failure_s: dict[topics.Topic, float] = {}
 
     async def load(self, topic: topics.Topic) -> bool:
         """Reads a whole topic; returns whether the store answered."""
@@ -104,7 +108,7 @@
         try:
             page = await self._store.newest(topic)
         except errors.StoreError as error:
-            self._note_read_failed(topic, error)
+            self._note_read_failed(topic, error, begun_s)
             return False
         self._note_read(topic)
         self._exchange.apply_read(topic, page, begun_s)
@@ -125,8 +129,10 @@
         failures = 0
         while True:
             await self._wait_for_turn(topic, failures)
+            begun_s = self._now_s()
             is_read = await self._read(topic, 0.0)
-            failures = 0 if is_read else failures + 1
+            is_stalled = self._now_s() - begun_s > _MIN_STALLED_READ_S
+            failures = 0 if is_read or is_stalled else failures + 1
 
     async def watch(self, topic: topics.Topic) -> None:
         """Keeps a long-polling read open while this node is the watcher."""
@@ -157,7 +163,7 @@
             self._state.counters.add("store.history_lost")
             return await self.load(topic)
         except errors.StoreError as error:
-            self._note_read_failed(topic, error)
+            self._note_read_failed(topic, error, begun_s)
             return False
         self._note_read(topic)
         if wait_s and not page.records:
@@ -169,13 +175,13 @@
 
     async def refresh(self, topic: topics.Topic, timeout_s: float) -> bool:
         """Reads new records; returns whether the store answered in time."""
+        begun_s = self._now_s()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._read(topic, 0.0)
         except TimeoutError:
-            self._note_read_failed(
-                topic, errors.StoreError(f"no reply within {timeout_s:.2f} s")
-            )
+            error = errors.StoreError(f"no reply within {timeout_s:.2f} s")
+            self._note_read_failed(topic, error, begun_s)
             return False
 
     def request_refresh(self, topic: topics.Topic) -> None:
@@ -230,9 +236,15 @@
         self._state.counters.add(f"store.read.{topic.value}")
         self._dependency.succeeded()
 
+    def last_failure_s(self, topic: topics.Topic) -> float:
+        """Returns the latest begin of a read that failed, -inf if none."""
+        return self._last_failure_s.get(topic, -math.inf)
+
     def _note_read_failed(
-        self, topic: topics.Topic, error: errors.StoreError
+        self, topic: topics.Topic, error: errors.StoreError, begun_s: float
     ) -> None:
+        # A long-polling read that fails may have begun before later ones.
+        self._last_failure_s[topic] = max(begun_s, self.last_failure_s(topic))
         self._state.counters.add(f"store.read_failed.{topic.value}")
         self._dependency.failed(f"{topic.value}: {error}")
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -16,6 +16,7 @@
     def __init__(self, clock: fakes.ManualClock, reads: list[Any]):
         self.confirmed = clock.now_s
         self.read_count = 0
+        self.failed_s = -1000.0
         self._clock = clock
         self._reads = reads
 
@@ -33,8 +34,13 @@
         self._clock.now_s += seconds
         if is_answered:
             self.confirmed = begun_s
+        else:
+            self.failed_s = begun_s
         return bool(is_answered)
 
+    def last_failure_s(self, topic: topics.Topic) -> float:
+        return self.failed_s
+
 
 def _limit(topic: topics.Topic) -> float:
     return 2.0 if topic is UPSTREAMS else float("inf")
@@ -91,12 +97,28 @@
     await fresh.ensure_current()
     assert readers.read_count == 2
     clock.now_s += 10.0
+    readers.failed_s = clock.now_s - 2.0
     assert fresh.is_current()
     readers.confirmed = clock.now_s - 2.5
     await fresh.ensure_current()
     assert readers.read_count == 3
 
 
+async def test_copy_is_read_again_if_no_read_failed_lately() -> None:
+    """DRAIN, soak seed 2: after a freeze, an outage of before was assumed."""
+    clock = fakes.ManualClock()
+    failed = (0.25, False)
+    readers = _Readers(clock, [failed, failed, (0.01, True)])
+    fresh = _freshness(clock, readers)
+    clock.now_s += 2.1
+    await fresh.ensure_current()
+    clock.now_s += 3.0
+    assert not fresh.is_current()
+    await fresh.ensure_current()
+    assert readers.read_count == 3
+    assert readers.age_s(UPSTREAMS) < 0.1
+
+
 async def test_read_goes_on_if_the_request_that_began_it_is_cancelled() -> None:
     clock = fakes.ManualClock()
     readers = _Readers(clock, [(0.01, True)])
--- a/tests/test_topic_readers.py
+++ b/tests/test_topic_readers.py
@@ -1,14 +1,21 @@
 """A read confirms a copy for no later time than the store vouched for."""
 
+import asyncio
+import contextlib
 from typing import Any
 
+import pytest
+
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_readers
 from lycheegw.protocol import topic_codec
+from lycheegw.state import errors
 from lycheegw.state import topics
 from tests import fakes
 
 ORDERS = topics.Topic.ORDERS
+# Calls after which the fake store ends a test.
+_MAX_CALLS = 3
 
 
 class _Store:
@@ -16,6 +23,8 @@
 
     def __init__(self, clock: fakes.ManualClock):
         self.reply_delay_s = 0.0
+        self.failed_calls_s: list[float] = []
+        self.calls_s: list[float] = []
         self._clock = clock
 
     async def newest(self, topic: topics.Topic) -> topics.TopicPage:
@@ -24,6 +33,12 @@
     async def changes(
         self, topic: topics.Topic, offset: int, wait_s: float
     ) -> topics.TopicPage:
+        self.calls_s.append(self._clock.now_s)
+        if self.failed_calls_s:
+            self._clock.now_s += self.failed_calls_s.pop(0)
+            raise errors.StoreError("no reply")
+        if len(self.calls_s) > _MAX_CALLS:
+            raise asyncio.CancelledError
         self._clock.now_s += wait_s + self.reply_delay_s
         return topics.TopicPage([], 1, False)
 
@@ -68,3 +83,18 @@
     await readers.load(ORDERS)
     await readers._read(ORDERS, 20.0)
     assert readers.age_s(ORDERS) == 0.0
+
+
+@pytest.mark.parametrize(("failed_s", "is_pause"), [(1.0, True), (3.0, False)])
+async def test_read_that_a_stall_failed_is_repeated_at_once(
+    failed_s: float, is_pause: bool
+) -> None:
+    """DRAIN, soak seed 2: a frozen node paused as if the store were away."""
+    clock = fakes.ManualClock()
+    store = _Store(clock)
+    readers = _readers(clock, store)
+    store.failed_calls_s = [failed_s]
+    with contextlib.suppress(asyncio.CancelledError):
+        await readers.poll(ORDERS)
+    pause_s = store.calls_s[1] - store.calls_s[0] - failed_s
+    assert (pause_s > 0) == is_pause
