The soak rolls out bad versions in half of its runs

An order for a version whose answers all fail is drawn apart from the other faults, whose schedules stay as they were; the checker finds more than the version's share, and requests later than 5 s after its 50th bad answer.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -36,6 +36,10 @@
     evacuate_s: float = 5.0
     contact_s: float = 3.0
     grace_s: float = 8.0
+    exposure_share: float = 0.15
+    exposure_slack: int = 30
+    rollback_s: float = 5.0
+    bad_answers: int = 50
     # Requests that a cold upstream may get in one second.
     cold_requests: int = 17
 
@@ -83,6 +87,22 @@
     until_s: float
 
 
+class BadVersion(NamedTuple):
+    """A roll-out of a version whose answers are all failures.
+
+    Attributes:
+        service: Service of the version; names of its upstreams begin with it.
+        upstreams: Upstreams of the version.
+        from_s: When the store confirmed the order.
+        until_s: Time limit of the order.
+    """
+
+    service: str
+    upstreams: frozenset[str]
+    from_s: float
+    until_s: float
+
+
 class Violation(NamedTuple):
     """A broken rule, with the lines that show it."""
 
@@ -99,6 +119,7 @@
         key_added_s: When the store confirmed a key, by key.
         key_removed_s: When the store confirmed its removal, by key.
         closures: When zones were closed.
+        bad_versions: Roll-outs of bad versions.
         zone_by_upstream: Zone of each upstream.
         cold_until_s: Until when an upstream was cold.
         own_lags: Times from and until which the recording process lagged.
@@ -113,6 +134,7 @@
         self.key_added_s: dict[str, float] = {}
         self.key_removed_s: dict[str, float] = {}
         self.closures: list[Closure] = []
+        self.bad_versions: list[BadVersion] = []
         self.zone_by_upstream: dict[str, str] = {}
         self.cold_until_s: dict[str, float] = {}
         self.own_lags: list[tuple[float, float]] = []
@@ -168,6 +190,8 @@
         *_closed_zones(record, bounds),
         *_cold_upstreams(record, bounds),
         *_lost_at_stops(record, bounds),
+        *_exposure(record, bounds),
+        *_late_roll_backs(record, bounds),
     ]
 
 
@@ -401,3 +425,66 @@
                 )
             )
     return found
+
+
+def _exposure(record: Record, bounds: Bounds) -> list[Violation]:
+    """Bad versions that got more than their share of the requests."""
+    found = []
+    for bad in record.bad_versions:
+        arrivals = [
+            each
+            for each in record.arrivals
+            if each.upstream.startswith(f"{bad.service}-")
+            and bad.from_s <= each.at_s <= bad.until_s
+        ]
+        count = sum(
+            each.upstream in bad.upstreams
+            and record.is_in_touch(
+                {record.sent_by_id[each.attempt_id].node},
+                each.at_s - bounds.contact_s,
+                each.at_s,
+            )
+            for each in arrivals
+        )
+        allowed = bounds.exposure_share * len(arrivals) + bounds.exposure_slack
+        if count > allowed:
+            found.append(
+                Violation(
+                    "EXPOSURE",
+                    "",
+                    f"{count} of {len(arrivals)}, {allowed:.0f} allowed",
+                )
+            )
+    return found
+
+
+def _late_roll_backs(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests at a bad version that had failed often enough for long."""
+    found = []
+    for bad in record.bad_versions:
+        arrivals = sorted(
+            (
+                each
+                for each in record.arrivals
+                if each.upstream in bad.upstreams
+            ),
+            key=lambda each: each.at_s,
+        )
+        if len(arrivals) < bounds.bad_answers:
+            continue
+        failed_s = arrivals[bounds.bad_answers - 1].at_s
+        for arrival in arrivals:
+            sent = record.sent_by_id[arrival.attempt_id]
+            if sent.at_s > failed_s + bounds.rollback_s and record.is_in_touch(
+                {sent.node}, failed_s, arrival.at_s
+            ):
+                found.append(
+                    Violation(
+                        "EXPOSURE",
+                        arrival.attempt_id,
+                        f"{failed_s:8.3f} {bounds.bad_answers} bad answers,"
+                        f" {sent.at_s:8.3f} sent to {sent.node},"
+                        f" {arrival.at_s:8.3f} at {arrival.upstream}",
+                    )
+                )
+    return found
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -34,6 +34,10 @@
 _DURATION_S = (0.2, 3.0)
 
 
+# Share of soaks with a roll-out.
+_ROLLOUT_SHARE = 0.5
+
+
 class Fault(NamedTuple):
     """A fault to cause.
 
@@ -67,4 +71,15 @@
             )
         )
         at_s += generator.uniform(*_GAP_S)
-    return faults
+    faults += _draw_rollout(seed, seconds)
+    return sorted(faults)
+
+
+def _draw_rollout(seed: int, seconds: float) -> list[Fault]:
+    """Returns the roll-out of a bad version, in half of all soaks."""
+    # A separate generator: the other faults do not depend on it.
+    generator = random.Random(f"roll-out of {seed}")
+    at_s = generator.uniform(_QUIET_START_S, max(_QUIET_START_S, seconds / 2))
+    if generator.random() < _ROLLOUT_SHARE:
+        return [Fault(round(at_s, 2), "rollout_bad", 0, 0.0)]
+    return []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -34,6 +34,8 @@
 _ZONES = ("z-a", "z-b")
 _TOPICS = ("keyed.servers", "keyed.op")
 _HEARTBEAT_S = 0.4
+_BAD_VERSION = "v2-bad"
+_ROLLOUT_S = 20.0
 # Time for which a new upstream of the service with engines is cold.
 _COLD_S = 3.0
 _TICK_S = 0.02
@@ -331,10 +333,12 @@
     # Upstreams and the operator.
 
     async def _add_upstream(
-        self, service: str, zone: str, cold_s: float
-    ) -> None:
+        self, service: str, zone: str, cold_s: float, version: str = "v1"
+    ) -> str:
+        """Starts an upstream and writes its entry; returns its name."""
         name = f"{service}-{self._token}-{next(self._numbers)}"
-        standin = platform_standins.Upstream(name, self._arrivals)
+        standin = platform_standins.Upstream(name, self._arrivals, version)
+        standin.status = 500 if version == _BAD_VERSION else 200
         standin.delay_s = 0.01
         await standin.start()
         proxy = _Proxy(standin.address)
@@ -344,6 +348,26 @@
         self.record.zone_by_upstream[name] = zone
         self.record.cold_until_s[name] = self._now_s() + cold_s
         await self._put_entry(name, 1)
+        return name
+
+    async def _roll_out_bad_version(self) -> None:
+        """Orders a roll-out of a version whose answers are all failures."""
+        names = [
+            await self._add_upstream("llm", zone, 0.0, _BAD_VERSION)
+            for zone in _ZONES
+        ]
+        order = {
+            "service": "llm",
+            "target": _BAD_VERSION,
+            "duration_s": _ROLLOUT_S,
+        }
+        await self._store.put("keyed.op", "rollout/llm", order)
+        from_s = self._now_s()
+        self.record.bad_versions.append(
+            checker.BadVersion(
+                "llm", frozenset(names), from_s, from_s + _ROLLOUT_S
+            )
+        )
 
     async def _put_entry(self, name: str, sequence: int) -> None:
         upstream = self._upstreams[name]
@@ -371,6 +395,7 @@
             name
             for name, state in self._state_by_name.items()
             if state == "ready"
+            and self._upstreams[name].standin.version != _BAD_VERSION
         ]
         name = ready[number % len(ready)]
         upstream = self._upstreams[name]
@@ -491,6 +516,8 @@
             await self._disturb(fault, name, self._harm_upstream(fault, name))
         elif fault.kind == "evacuate":
             await self._evacuate(fault)
+        elif fault.kind == "rollout_bad":
+            await self._roll_out_bad_version()
         elif fault.kind == "store_forgets":
             for topic in _TOPICS:
                 self._store.first_offset[topic] = self._store.end_offset(topic)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,6 +140,36 @@
     assert not _broken_rules(record)
 
 
+def _bad_version_record(count: int, last_s: float) -> checker.Record:
+    """Returns a record of requests at a bad version, and one at `last_s`."""
+    record = checker.Record()
+    bad = checker.BadVersion("llm", frozenset({"llm-bad"}), 5.0, 25.0)
+    record.bad_versions.append(bad)
+    for number, at_s in enumerate([*[6.0] * count, last_s]):
+        record.sent_by_id[f"c{number}"] = checker.Sent(
+            NODE, False, "key-1", at_s
+        )
+        record.arrivals.append(checker.Arrival(f"c{number}", "llm-bad", at_s))
+    return record
+
+
+def test_bad_version_beyond_its_share_is_found() -> None:
+    allowed = _bad_version_record(30, 6.0)
+    assert not _broken_rules(allowed)
+    assert _broken_rules(_bad_version_record(36, 6.0)) == ["EXPOSURE"]
+
+
+def test_late_roll_back_is_found() -> None:
+    record = _bad_version_record(50, 6.0 + BOUNDS.rollback_s + 0.1)
+    for number in range(400):
+        sent = checker.Sent(NODE, False, "key-1", 7.0)
+        record.sent_by_id[f"d{number}"] = sent
+        record.arrivals.append(checker.Arrival(f"d{number}", "llm-good", 7.0))
+    assert _broken_rules(record) == ["EXPOSURE"]
+    del record.arrivals[50]
+    assert not _broken_rules(record)
+
+
 def test_schedule_depends_on_the_seed_alone() -> None:
     assert schedule.draw(3, 60.0) == schedule.draw(3, 60.0)
     assert schedule.draw(3, 60.0) != schedule.draw(4, 60.0)
