A model test of the ages of copies over delayed links

Nodes read a store and gossip over two links that delay, keep order and break; no copy may ever count as younger than it is. Assumes that the first message on a new link arrives at once.

--- a/tests/test_topic_exchange.py
+++ b/tests/test_topic_exchange.py
@@ -1,7 +1,14 @@
 """What a node believes of the age of a copied topic is never too young."""
 
+import collections
 from collections.abc import Sequence
 import itertools
+import math
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
 
 from lycheegw.coordination import topic_exchange
 from lycheegw.protocol import topic_codec
@@ -74,3 +81,82 @@
     clock.now_s += 5.0
     node.receive("a", payload)
     assert round(clock.now_s - node.copy.confirmed_s, 3) == 5.0
+
+
+# Sender and receiver; a copy may reach the third node by two hops.
+LINKS = ((0, 1), (1, 2))
+
+
+class Ages(stateful.RuleBasedStateMachine):
+    """Nodes that read a store and gossip over links with any delays.
+
+    The first message on a new link arrives at once, as after a handshake.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = fakes.ManualClock()
+        self.log: list[topics.TopicRecord] = []
+        self.nodes = [_Node(self.clock, each) for each in "abc"]
+        # When the store really had nothing newer than each node's copy.
+        self.read_s = [-math.inf] * len(self.nodes)
+        self.queues: dict[tuple[int, int], collections.deque[Any]] = {}
+
+    @stateful.rule(seconds=strategies.floats(0.01, 4.0))
+    def wait(self, seconds: float) -> None:
+        self.clock.now_s += seconds
+
+    @stateful.rule()
+    def write(self) -> None:
+        self.log.append(topics.TopicRecord("u", len(self.log), b"v"))
+
+    @stateful.rule()
+    def read(self) -> None:
+        page = topics.TopicPage(self.log[-1:], len(self.log), True)
+        self.nodes[0].exchange.apply_read(UPSTREAMS, page, self.clock.now_s)
+        self.read_s[0] = self.clock.now_s
+
+    @stateful.rule(link=strategies.sampled_from(LINKS))
+    def send(self, link: tuple[int, int]) -> None:
+        sender, receiver = link
+        payload = self.nodes[sender].bus._source_by_topic["topics"](
+            self.nodes[receiver].bus.node_id
+        )
+        if payload is None:
+            return
+        is_first = link not in self.queues
+        queue = self.queues.setdefault(link, collections.deque())
+        queue.append((payload, self.read_s[sender]))
+        if is_first:
+            self._deliver(sender, receiver)
+
+    @stateful.rule(link=strategies.sampled_from(LINKS))
+    def deliver(self, link: tuple[int, int]) -> None:
+        if self.queues.get(link):
+            self._deliver(*link)
+
+    def _deliver(self, sender: int, receiver: int) -> None:
+        payload, read_s = self.queues[sender, receiver].popleft()
+        node = self.nodes[receiver]
+        node.receive(self.nodes[sender].bus.node_id, payload)
+        (update,) = topic_codec.CODEC.decode(payload).updates
+        if update.end_offset >= node.copy.end_offset:
+            self.read_s[receiver] = max(self.read_s[receiver], read_s)
+
+    @stateful.rule(link=strategies.sampled_from(LINKS))
+    def break_link(self, link: tuple[int, int]) -> None:
+        self.queues.pop(link, None)
+        for one, other in (link, link[::-1]):
+            node = self.nodes[one]
+            node.exchange.forget_neighbour(self.nodes[other].bus.node_id)
+
+    @stateful.invariant()
+    def no_copy_counts_as_younger_than_it_is(self) -> None:
+        for node, read_s in zip(self.nodes, self.read_s, strict=True):
+            assert node.copy.confirmed_s <= read_s + 1e-6
+
+
+TestAges: Any = Ages.TestCase
+TestAges.settings = hypothesis.settings(
+    max_examples=500, stateful_step_count=40, deadline=None
+)
