--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,144 @@
+"""Node processes and proxies of a soak."""
+
+import asyncio
+import contextlib
+import pathlib
+import sys
+
+from tests.platform import fleet_harness
+
+__all__ = ["PORT_READY", "Node", "Proxy"]
+
+PORT_READY = 8220
+_PORT_FRONT, _PORTS_PEERS = 8222, "7340,7355"
+# Delay of each chunk of a slow connection, and interval at which a silent one
+# is looked at again.
+_SLOW_S = 0.3
+_SILENCE_CHECK_S = 0.02
+
+
+class Proxy:
+    """Forwards connections; may delay, silence or reset them.
+
+    Attributes:
+        mode: "", "slow", "silent" or "reset".
+    """
+
+    def __init__(self, target: str):
+        self.mode = ""
+        self.address = ""
+        self._target = target
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def set_mode(self, mode: str) -> None:
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    def stop(self) -> None:
+        self.set_mode("reset")
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            target = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        writers = {writer, target[1]}
+        self._writers |= writers
+        pumps = [
+            asyncio.create_task(self._pump(reader, target[1])),
+            asyncio.create_task(self._pump(target[0], writer)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            # asyncio.start_server would log it as an unhandled exception.
+            pass
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            for each in writers:
+                each.transport.abort()
+            self._writers -= writers
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                if self.mode == "slow":
+                    await asyncio.sleep(_SLOW_S)
+                while self.mode == "silent":
+                    await asyncio.sleep(_SILENCE_CHECK_S)
+                writer.write(data)
+
+
+class Node:
+    """One node process.
+
+    Attributes:
+        name: Its name in settings, logs and records.
+        front: Address for callers.
+    """
+
+    def __init__(self, number: int, network: str, folder: pathlib.Path):
+        self.name = f"node-{number}"
+        self.ip = f"{network}.{number + 1}"
+        self.front = f"{self.ip}:{_PORT_FRONT}"
+        self.process: asyncio.subprocess.Process | None = None
+        self._folder = folder
+
+    def write_settings(self, store: str, zone: str) -> None:
+        text = f"""node_name={self.name}
+role=router
+ip={self.ip}
+zone={zone}
+region=r
+listeners_map.front={self.front}
+listeners_map.ready={self.ip}:{PORT_READY}
+internal_ports={_PORTS_PEERS}
+heartbeat_ms=1200
+platform.address={store}
+platform.writes_per_s=400
+platform.reads_per_s=2000
+{fleet_harness.BOUNDS}"""
+        self._path("conf").write_text(text)
+
+    def _path(self, suffix: str) -> pathlib.Path:
+        return self._folder / f"{self.name}.{suffix}"
+
+    async def start(self) -> None:
+        with self._path("log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "lycheegw.platform.main",
+                str(self._path("conf")),
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number: int) -> None:
+        """Signals the process, if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> None:
+        if self.process is not None:
+            await self.process.wait()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,7 +15,6 @@
 import pathlib
 import random
 import signal
-import sys
 import time
 from typing import Any
 from typing import NamedTuple
@@ -23,159 +22,41 @@
 from lycheegw.state import clocks
 from lycheegw.state import errors
 from lycheegw.transport import connection_pool
-from tests.platform import fleet_harness
 from tests.platform import platform_standins
 from tests.soak import checker
+from tests.soak import processes
 from tests.soak import schedule
 
 __all__ = ["Soak"]
 
-_PORT_READY, _PORT_FRONT, _PORTS_PEERS = 8220, 8222, "7340,7355"
 _ZONES = ("z-a", "z-b")
 _TOPICS = ("keyed.servers", "keyed.op")
+# Interval at which upstreams write their entries.
 _HEARTBEAT_S = 0.4
 _BAD_VERSION = "v2-bad"
+# Time limit of a roll-out.
 _ROLLOUT_S = 20.0
 # Time for which a new upstream of the service with engines is cold.
 _COLD_S = 3.0
+# Interval at which this process checks its own lag.
 _TICK_S = 0.02
 # Time for which an upstream serves after the store has confirmed that it
 # leaves, beyond the bound.
 _SERVES_ON_S = 3.0
+# Pause between the end of a process and its next start.
 _RESTART_S = 0.3
 _START_TIMEOUT_S = 20.0
+# Longer than the grace time, after which a process is killed.
+_TERMINATE_TIMEOUT_S = 10.0
+# Age from which callers use a key; longer than it takes to be known everywhere.
 _KEY_USED_AFTER_S = 3.0
+# Share of requests with a removed key.
 _REMOVED_KEY_SHARE = 0.1
+# Bounds of a caller's pause between two requests.
 _CALLER_PAUSE_S = (0.0, 0.08)
+# Longer than the time limit that callers send.
 _CALL_TIMEOUT_S = 3.5
-_TERMINATE_TIMEOUT_S = 10.0
-
-
-class _Proxy:
-    """Forwards connections; may delay, silence or reset them.
-
-    Attributes:
-        mode: "", "slow", "silent" or "reset".
-    """
-
-    def __init__(self, target: str):
-        self.mode = ""
-        self.address = ""
-        self._target = target
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    def set_mode(self, mode: str) -> None:
-        self.mode = mode
-        if mode == "reset":
-            for writer in list(self._writers):
-                writer.transport.abort()
-
-    def stop(self) -> None:
-        self.set_mode("reset")
-        if self._server is not None:
-            self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        if self.mode == "reset":
-            writer.transport.abort()
-            return
-        host, _, port = self._target.rpartition(":")
-        try:
-            target = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        writers = {writer, target[1]}
-        self._writers |= writers
-        pumps = [
-            asyncio.create_task(self._pump(reader, target[1])),
-            asyncio.create_task(self._pump(target[0], writer)),
-        ]
-        try:
-            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
-        except asyncio.CancelledError:
-            # asyncio.start_server would log it as an unhandled exception.
-            pass
-        finally:
-            for pump in pumps:
-                pump.cancel()
-            for each in writers:
-                each.transport.abort()
-            self._writers -= writers
-
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.suppress(ConnectionError):
-            while data := await reader.read(65536):
-                if self.mode == "slow":
-                    await asyncio.sleep(0.3)
-                while self.mode == "silent":
-                    await asyncio.sleep(_TICK_S)
-                writer.write(data)
-
-
-class _Node:
-    """One node process.
-
-    Attributes:
-        name: Its name in settings, logs and records.
-        front: Address for callers.
-    """
-
-    def __init__(self, number: int, network: str, folder: pathlib.Path):
-        self.name = f"node-{number}"
-        self.ip = f"{network}.{number + 1}"
-        self.front = f"{self.ip}:{_PORT_FRONT}"
-        self.process: asyncio.subprocess.Process | None = None
-        self._folder = folder
-
-    def write_settings(self, store: str, zone: str) -> None:
-        text = f"""node_name={self.name}
-role=router
-ip={self.ip}
-zone={zone}
-region=r
-listeners_map.front={self.front}
-listeners_map.ready={self.ip}:{_PORT_READY}
-internal_ports={_PORTS_PEERS}
-heartbeat_ms=1200
-platform.address={store}
-platform.writes_per_s=400
-platform.reads_per_s=2000
-{fleet_harness.BOUNDS}"""
-        self._path("conf").write_text(text)
-
-    def _path(self, suffix: str) -> pathlib.Path:
-        return self._folder / f"{self.name}.{suffix}"
-
-    async def start(self) -> None:
-        with self._path("log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "lycheegw.platform.main",
-                str(self._path("conf")),
-                stdout=log,
-                stderr=log,
-            )
-
-    def send_signal(self, number: int) -> None:
-        """Signals the process, if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def wait(self) -> None:
-        if self.process is not None:
-            await self.process.wait()
+_CALLERS = 12
 
 
 class _Upstream(NamedTuple):
@@ -184,7 +65,7 @@
     service: str
     zone: str
     standin: platform_standins.Upstream
-    proxy: _Proxy
+    proxy: processes.Proxy
 
 
 class _Arrivals(list[platform_standins.ReceivedRequest]):
@@ -220,8 +101,10 @@
         self._token = f"{pid:x}"
         network = f"127.{1 + pid % 250}.{pid // 250 % 250}"
         folder.mkdir(parents=True, exist_ok=True)
-        self._nodes = [_Node(each, network, folder) for each in range(nodes)]
-        self._proxies: list[_Proxy] = []
+        self._nodes = [
+            processes.Node(each, network, folder) for each in range(nodes)
+        ]
+        self._proxies: list[processes.Proxy] = []
         self._arrivals = _Arrivals(self._note_arrival)
         self._upstreams: dict[str, _Upstream] = {}
         self._is_zone_closed = False
@@ -251,7 +134,7 @@
             self._shift(offset_s)
             self._spawn(self._watch_lag())
             self._spawn(self._write_heartbeats())
-            callers = [self._spawn(self._call()) for _ in range(12)]
+            callers = [self._spawn(self._call()) for _ in range(_CALLERS)]
             await self._cause_faults()
             await asyncio.sleep(max(0.0, self._seconds - self._now_s()))
             for caller in callers:
@@ -275,14 +158,14 @@
             for zone in _ZONES:
                 await self._add_upstream(service, zone, 0.0)
         for number, node in enumerate(self._nodes):
-            proxy = _Proxy(self._store.address)
+            proxy = processes.Proxy(self._store.address)
             await proxy.start()
             self._proxies.append(proxy)
             node.write_settings(proxy.address, _ZONES[number % 2])
             await node.start()
         await asyncio.gather(*(self._wait_ready(each) for each in self._nodes))
 
-    async def _wait_ready(self, node: _Node) -> None:
+    async def _wait_ready(self, node: processes.Node) -> None:
         """Waits until a node is ready; the soak may end it before."""
         async with asyncio.timeout(_START_TIMEOUT_S):
             while True:
@@ -290,7 +173,7 @@
                     raise RuntimeError(f"{node.name} ended by itself")
                 with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                     reply = await platform_standins.send_request(
-                        f"{node.ip}:{_PORT_READY}", "/v1/readyz"
+                        f"{node.ip}:{processes.PORT_READY}", "/v1/readyz"
                     )
                     if reply is not None and reply.status == 200:
                         return
@@ -341,7 +224,7 @@
         standin.status = 500 if version == _BAD_VERSION else 200
         standin.delay_s = 0.01
         await standin.start()
-        proxy = _Proxy(standin.address)
+        proxy = processes.Proxy(standin.address)
         await proxy.start()
         self._upstreams[name] = _Upstream(service, zone, standin, proxy)
         self._state_by_name[name] = "ready"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -179,7 +179,12 @@
 async def test_short_soak_breaks_no_rule(
     seed: int, tmp_path: pathlib.Path
 ) -> None:
-    """DRAIN, issue 19: nodes freeze, stall and lose the store in drains."""
+    """DRAIN, issue 19: nodes freeze, stall and lose the store in drains.
+
+    Seed 1: nodes that woke from a freeze served requests by an outdated list.
+    Seed 2 (by hand with 6 nodes, 40 s): a node that was frozen after an outage
+    went on as if it lasted.
+    """
     soak = world.Soak(seed, 20.0, 4, tmp_path)
     await soak.run()
     assert len(soak.record.ended_by_id) > 500
