--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -21,6 +21,7 @@
 from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
 from lycheegw.coordination import suspects
+from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import wait_queues
 from lycheegw.coordination import zone_reachability
 from lycheegw.state import errors
@@ -123,6 +124,7 @@
         budgets: Limits retries.
         rollouts: Selects the version of a request.
         suspects: Requests whose upstreams crashed.
+        notices: What upstreams announced about themselves.
         client: Sends requests to upstreams.
         reachability: Detects unreachable zones.
         is_store_read: Returns whether the store was ever read.
@@ -143,6 +145,7 @@
     budgets: retry_budgets.RetryBudgets
     rollouts: canary_rollouts.CanaryRollouts
     suspects: suspects.Suspects
+    notices: upstream_notices.UpstreamNotices
     client: interfaces.ForwardClient
     reachability: zone_reachability.ZoneReachability
     is_store_read: Callable[[], bool]
@@ -325,6 +328,9 @@
             progress.head_s = self._now_s() - progress.attempt_start_s
             progress.confidence = head.confidence
             self._note_load(choice, head)
+            self._dependencies.notices.note_response(
+                choice.upstream, head, progress.attempt_start_s
+            )
             await answer_delivery.check_head(head, call)
             larger = self._larger_model(accepted)
             self._note_answer(accepted, version, larger)
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -26,6 +26,7 @@
 from lycheegw.coordination import suspects
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_readers
+from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import zone_reachability
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import rollout_codec
@@ -281,6 +282,9 @@
             self.peers,
             suspect_codec.CODEC,
         )
+        self.notices = upstream_notices.UpstreamNotices(
+            self.state, self._log.note
+        )
         rates = cold_rates.ColdRates(
             self.state, self._service_levels, self.node_registry.members
         )
@@ -318,6 +322,7 @@
                 ),
                 self.canary_rollouts,
                 self.suspects,
+                self.notices,
                 self.forward_client,
                 reachability,
                 self._has_initial_state,
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import contextlib
 import json
+import math
 
 from lycheegw.coordination import interfaces
 from lycheegw.state import errors
@@ -61,6 +62,8 @@
     reasons.RefusalReason.UNKNOWN_ROUTE: 404,
 }
 _TIMEOUT_REASONS = {reasons.RefusalReason.DEADLINE_PASSED}
+# Statuses by which clients know that a request has not run and never will.
+_NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
 def _connection_headers(headers: Iterable[tuple[bytes, bytes]]) -> set[bytes]:
@@ -192,6 +195,9 @@
         value_by_name.get(b"x-lycheegw-instance-load", "")
     )
     is_not_run = b"x-lycheegw-not-executed" in value_by_name
+    retry_after_s = _parse_amount(value_by_name.get(b"retry-after"))
+    rate_limit_per_s = _parse_amount(value_by_name.get(b"server-limit"))
+    amounts = {b"retry-after": retry_after_s, b"server-limit": rate_limit_per_s}
     encoding = value_by_name.get(b"content-encoding", "identity")
     return forwarded_requests.ResponseHead(
         head.status,
@@ -211,8 +217,17 @@
         slots,
         value_by_name.get(b"x-lycheegw-instance-id"),
         _parse_milliseconds(value_by_name.get(b"x-lycheegw-cold-ms")),
-        _parse_float(value_by_name.get(b"retry-after")),
+        retry_after_s,
         _parse_keep_alive(value_by_name.get(b"keep-alive", "")),
+        value_by_name.get(b"server-leaving") == "1",
+        rate_limit_per_s,
+        tuple(
+            name.decode()
+            for name, amount in amounts.items()
+            if name in value_by_name and amount is None
+        ),
+        True,
+        head.status in _NOT_RUN_STATUSES,
     )
 
 
@@ -222,6 +237,14 @@
     return None
 
 
+def _parse_amount(text: str | None) -> float | None:
+    """Returns a number that is finite and not negative, else None."""
+    amount = _parse_float(text)
+    if amount is None or not math.isfinite(amount) or amount < 0:
+        return None
+    return amount
+
+
 def _parse_integer(text: str | None) -> int | None:
     return int(text) if text is not None and text.isdigit() else None
 
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -103,6 +103,13 @@
         cold_s: Seconds for which the upstream stays cold, or None.
         retry_after_s: Seconds after which to retry, or None.
         keep_alive_s: Idle timeout of the connection, or None.
+        is_leaving: Whether the upstream announces that it will stop.
+        rate_limit_per_s: Requests per second that the upstream accepts from
+            all nodes together, or None.
+        malformed_headers: Names of the headers whose values were ignored.
+        is_attributed: Whether the response certainly is for this attempt.
+        claims_not_run: Whether the status tells clients that the request has
+            not run and never will.
     """
 
     status: int
@@ -120,6 +127,11 @@
     cold_s: float | None
     retry_after_s: float | None
     keep_alive_s: float | None
+    is_leaving: bool = False
+    rate_limit_per_s: float | None = None
+    malformed_headers: tuple[str, ...] = ()
+    is_attributed: bool = True
+    claims_not_run: bool = False
 
 
 class LocalResponse(NamedTuple):
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import struct
+import time
 from typing import Any
 from typing import NamedTuple
 import urllib.parse
@@ -189,12 +190,13 @@
 
 
 class ReceivedRequest(NamedTuple):
-    """A request that an upstream accepted."""
+    """A request that an upstream accepted, at a monotonic second."""
 
     upstream: str
     target: str
     header_by_name: dict[str, str]
     body: bytes
+    received_s: float
 
 
 class Upstream:
@@ -207,6 +209,9 @@
         delay_s: Seconds before it responds.
         break_at_event: Number of the event in which it breaks a stream, once.
         confidence: Confidence that it reports, by model.
+        announced: Headers that it adds to all its responses.
+        received_s: Monotonic seconds at which requests reached it, including
+            those that it rejected.
     """
 
     def __init__(
@@ -223,6 +228,8 @@
         self.extra_answer = b""
         self.confidence: dict[str, int] = {}
         self.cancelled_count = 0
+        self.announced: forwarded_requests.Headers = ()
+        self.received_s: list[float] = []
         self._server = _create_server(self._handle)
 
     @property
@@ -258,18 +265,26 @@
         }
         if incoming.target == b"/healthz":
             instance = ((b"X-Lycheegw-Instance-Id", self.name.encode()),)
-            await _respond(exchange, 200, b"", instance)
+            await _respond(exchange, 200, b"", (*instance, *self.announced))
             return
+        self.received_s.append(time.monotonic())
         if headers.get("x-lycheegw-expected-instance") != self.name:
             await _respond(exchange, 421)
             return
         if self.is_full:
-            not_run = ((b"X-Lycheegw-Not-Executed", b"1"),)
-            await _respond(exchange, 503, b"", not_run)
+            attempt_id = headers["x-lycheegw-attempt-id"].encode()
+            rejection = (
+                (b"X-Lycheegw-Not-Executed", b"1"),
+                (b"X-Lycheegw-Attempt-Id", attempt_id),
+                *self.announced,
+            )
+            await _respond(exchange, 503, b"", rejection)
             return
         target = incoming.target.decode()
         self.seen.append(
-            ReceivedRequest(self.name, target, headers, incoming.body)
+            ReceivedRequest(
+                self.name, target, headers, incoming.body, self.received_s[-1]
+            )
         )
         try:
             await asyncio.sleep(self.delay_s)
@@ -294,6 +309,7 @@
             ),
             (b"X-Lycheegw-Response-Signature", f"sig-{self.name}".encode()),
             (b"X-Lycheegw-Instance-Load", b"1,0,8"),
+            *self.announced,
         ]
         model = headers.get("x-lycheegw-model")
         if model in self.confidence:
