--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -1,6 +1,7 @@
 """Load balancing: selects the upstream of an attempt at a forwarded request.
 
-Zones, reachability, versions and cold-start limits decide which upstreams may
+Zones, reachability, versions, cold-start limits and the announcements of
+upstreams decide which upstreams may
 get the request. Among these, prefix-cache affinity is weighed against the
 expected wait.
 """
@@ -11,10 +12,11 @@
 
 from lycheegw.coordination import backlogs
 from lycheegw.coordination import canary_rollouts
-from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import rendezvous
 from lycheegw.coordination import response_times
+from lycheegw.coordination import shared_rates
+from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import zone_reachability
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
@@ -61,10 +63,15 @@
     Attributes:
         pool_size: Number of the service's upstreams that were considered.
         is_at_limit: Whether some are available but at their limit.
+        pause_s: Seconds until the first one wants requests again, if all of
+            them asked for a pause; else 0.
+        is_limit_announced: Whether some are at a limit that they announced.
     """
 
     pool_size: int
     is_at_limit: bool
+    pause_s: float = 0.0
+    is_limit_announced: bool = False
 
 
 class Balancer:
@@ -75,7 +82,8 @@
         state: node_state.NodeState,
         fleet_directory: directory.Directory,
         rollouts: canary_rollouts.CanaryRollouts,
-        rates: cold_rates.ColdRates,
+        rates: shared_rates.SharedRates,
+        notices: upstream_notices.UpstreamNotices,
         has_connection: Callable[[upstreams.Upstream], bool],
         reachability: zone_reachability.ZoneReachability,
         timings: response_times.ResponseTimes,
@@ -87,6 +95,7 @@
         self._directory = fleet_directory
         self._rollouts = rollouts
         self._rates = rates
+        self._notices = notices
         self._has_connection = has_connection
         self._zone_reachability = reachability
 
@@ -111,7 +120,11 @@
                 versions are a last resort.
         """
         pool = self._open_pool(service)
-        options = self._usable(pool, tried)
+        unpaused = [each for each in pool if not self._notices.pause_s(each)]
+        if pool and not unpaused:
+            pause_s = min(map(self._notices.pause_s, pool))
+            return NoUpstream(len(pool), False, pause_s)
+        options = self._usable(unpaused, tried)
         version_options, why = self._filter_by_version(
             request, work, service, options, version
         )
@@ -134,7 +147,15 @@
             ]
             why = "other version"
         if not sendable:
-            return NoUpstream(len(pool), bool(version_options))
+            is_limit_announced = any(
+                self._notices.limit_per_s(each) is not None
+                for each in version_options
+            )
+            return NoUpstream(
+                len(pool),
+                bool(version_options),
+                is_limit_announced=is_limit_announced,
+            )
         choice = self._pick_upstream(work, service, model, sendable)
         choice = choice._replace(
             objections=self.objections(choice.upstream, service)
@@ -154,7 +175,9 @@
         found = {
             "gone": self._state.upstreams.by_id.get(entry.host_id)
             is not upstream,
-            "leaving": entry.is_leaving,
+            "leaving": entry.is_leaving or self._notices.is_leaving(upstream),
+            "paused": self._notices.pause_s(upstream) > 0,
+            "limited": self._notices.limit_per_s(upstream) is not None,
             "zone_closed": entry.zone in self._directory.closed_zones,
             "version": self._rollouts.is_withdrawn(service.name, entry.version),
             "cold": is_cold,
@@ -190,6 +213,7 @@
             each
             for each in self._state.upstreams.accepting_in_pool(service.name)
             if each.entry.zone not in self._directory.closed_zones
+            and not self._notices.is_leaving(each)
         ]
 
     def _usable(
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -13,13 +13,13 @@
 from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
 from lycheegw.coordination import canary_rollouts
-from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
 from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
+from lycheegw.coordination import shared_rates
 from lycheegw.coordination import suspects
 from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import wait_queues
@@ -120,7 +120,7 @@
         balancer: Selects upstreams.
         timings: Expected response times.
         backlogs: Outstanding prefill work of upstreams.
-        rates: Rate limits of cold upstreams.
+        rates: Rate limits of upstreams that all nodes share.
         budgets: Limits retries.
         rollouts: Selects the version of a request.
         suspects: Requests whose upstreams crashed.
@@ -141,7 +141,7 @@
     balancer: balancing.Balancer
     timings: response_times.ResponseTimes
     backlogs: backlogs.Backlogs
-    rates: cold_rates.ColdRates
+    rates: shared_rates.SharedRates
     budgets: retry_budgets.RetryBudgets
     rollouts: canary_rollouts.CanaryRollouts
     suspects: suspects.Suspects
@@ -236,9 +236,13 @@
         Raises:
             errors.RefusalError: No upstream became available.
         """
-        progress, service = accepted.progress, accepted.service
+        progress = accepted.progress
         choice = self._choose_in_turn(accepted, None)
-        if isinstance(choice, balancing.NoUpstream) and choice.pool_size:
+        if (
+            isinstance(choice, balancing.NoUpstream)
+            and choice.pool_size
+            and choice.pause_s <= self._max_wait_s(accepted)
+        ):
             choice = await self._wait_in_queue(accepted, choice)
         if isinstance(choice, balancing.NoUpstream) and progress.tried:
             # All usable upstreams have failed; one may succeed by now.
@@ -246,16 +250,40 @@
             choice = self._choose_upstream(accepted)
         if isinstance(choice, balancing.Choice):
             return choice
+        raise self._no_upstream_error(accepted, choice)
+
+    def _no_upstream_error(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.NoUpstream,
+    ) -> errors.RefusalError:
+        """Returns the refusal of a request that no upstream can get."""
         reason = reasons.RefusalReason.NO_UPSTREAM
-        if choice.is_at_limit:
+        if choice.pause_s:
+            reason = reasons.RefusalReason.UPSTREAMS_PAUSED
+        elif choice.is_limit_announced:
+            reason = reasons.RefusalReason.UPSTREAM_LIMIT
+        elif choice.is_at_limit:
             reason = reasons.RefusalReason.COLD_LIMIT
-        raise errors.RefusalError(
+        retry_after_s = self._retry_after_s(
+            accepted.work, not choice.is_at_limit and not choice.pause_s
+        )
+        return errors.RefusalError(
             reason,
-            f"no available upstream among {choice.pool_size} of {service.name}",
-            progress.verdict,
-            self._retry_after_s(accepted.work, not choice.is_at_limit),
+            f"no available upstream among {choice.pool_size} of"
+            f" {accepted.service.name}",
+            accepted.progress.verdict,
+            # Clients return spread out after the pause.
+            choice.pause_s + retry_after_s,
         )
 
+    def _max_wait_s(self, accepted: accepted_requests.AcceptedRequest) -> float:
+        """Returns how long a request may wait for an upstream."""
+        max_wait_s = (
+            _MAX_WAIT_SHARE_OF_TARGET * accepted.work.route.target_latency_s
+        )
+        return min(max_wait_s, self._left_s(accepted.request))
+
     async def _wait_in_queue(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -263,10 +291,7 @@
     ) -> balancing.Choice | balancing.NoUpstream:
         """Waits for an upstream, in order of priority and arrival."""
         request, service = accepted.request, accepted.service
-        max_wait_s = (
-            _MAX_WAIT_SHARE_OF_TARGET * accepted.work.route.target_latency_s
-        )
-        until_s = self._now_s() + min(max_wait_s, self._left_s(request))
+        until_s = self._now_s() + self._max_wait_s(accepted)
         latest: balancing.Choice | balancing.NoUpstream = choice
         with self._wait_queue.wait(service.name, request.priority) as ticket:
             while self._now_s() < until_s:
@@ -371,7 +396,7 @@
         if progress.sent_count:
             self._dependencies.budgets.note_extra_attempt(service.name)
         progress.sent_count += 1
-        self._dependencies.rates.note_sent(upstream, service)
+        self._dependencies.rates.note_sent(upstream)
         self._dependencies.rollouts.note_sent(
             service.name, upstream.entry.version
         )
--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import json
+import math
 
 from absl import logging
 
@@ -22,6 +23,9 @@
 _REGISTER_RETRY_S = 0.5
 # Interval at which a node without live peers reads the list of nodes again.
 _REREAD_WITHOUT_PEERS_S = 2.0
+# Time within which the nodes in contact with the store or with a peer know of a
+# new node.
+_SETTLE_S = 5.0
 # Number of nodes assumed before the list was read. If it is too high, this
 # node's part of shared budgets is too small, which is safe.
 _DEFAULT_MEMBERS = 16
@@ -46,12 +50,23 @@
         self._apply_host_list = apply_host_list
         self._live_nodes = live_nodes
         self._entries: list[upstreams.HostEntry] = []
+        self._settled_s = math.inf
 
     def members(self) -> list[str]:
         """Returns the ids of all registered nodes, dead ones included."""
         own_id = self._state.identity.node_id
         return sorted({own_id, *(each.host_id for each in self._entries)})
 
+    def settled_members(self) -> list[str] | None:
+        """Returns the ids of all registered nodes once they know this one.
+
+        Returns None before, and as long as the list is unknown. Two nodes that
+        get a list then have lists that differ only by nodes that get none.
+        """
+        if self._state.environment.monotonic_s() < self._settled_s:
+            return None
+        return self.members()
+
     def zones(self) -> set[str]:
         """Returns the zones of all registered nodes."""
         return {each.zone for each in self._entries}
@@ -87,8 +102,11 @@
 
     async def run(self, address: str) -> None:
         """Registers this node and reads the list, until cancelled."""
-        await self._register(address)
         await self._readers.load_until_known(topics.Topic.NODES)
+        is_new = self._topic_state.value(self._state.identity.node_id) is None
+        await self._register(address)
+        now_s = self._state.environment.monotonic_s()
+        self._settled_s = now_s + (_SETTLE_S if is_new else 0.0)
         sleep = self._state.environment.sleep
         while True:
             await sleep(_REREAD_WITHOUT_PEERS_S)
@@ -98,14 +116,25 @@
     async def _register(self, address: str) -> None:
         identity = self._state.identity
         value = json.dumps({"address": address, "zone": identity.zone})
+        sleep = self._state.environment.sleep
         while True:
+            begun_s = self._state.environment.monotonic_s()
             try:
-                await self._store.put(
+                offset = await self._store.put(
                     topics.Topic.NODES, identity.node_id, value.encode(), None
                 )
             except errors.StoreError as error:
                 self._state.counters.add("nodes.register_failed")
                 logging.warning("registering this node failed: %s", error)
-                await self._state.environment.sleep(_REGISTER_RETRY_S)
+                await sleep(_REGISTER_RETRY_S)
             else:
-                return
+                break
+        if offset == self._topic_state.end_offset:
+            record = topics.TopicRecord(
+                identity.node_id, offset, value.encode()
+            )
+            self._readers.apply_written(topics.Topic.NODES, record, begun_s)
+            return
+        # Other nodes registered at the same time.
+        while not await self._readers.load(topics.Topic.NODES):
+            await sleep(_REGISTER_RETRY_S)
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -123,6 +123,19 @@
             await self._sleep(retry_wait_s * self._jitter())
             retry_wait_s = min(_MAX_RETRY_S, retry_wait_s * 2)
 
+    def apply_written(
+        self, topic: topics.Topic, record: topics.TopicRecord, begun_s: float
+    ) -> None:
+        """Applies a record that this node wrote at the end of its copy.
+
+        Args:
+            topic: The topic.
+            record: The record, whose offset is the end of the copy.
+            begun_s: Monotonic second at which the write began.
+        """
+        page = topics.TopicPage([record], record.offset + 1, False)
+        self._exchange.apply_read(topic, page, begun_s)
+
     async def poll(self, topic: topics.Topic) -> None:
         """Reads a topic in turn with the other nodes, until cancelled."""
         await self.load_until_known(topic)
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -13,7 +13,6 @@
 from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
 from lycheegw.coordination import canary_rollouts
-from lycheegw.coordination import cold_rates
 from lycheegw.coordination import directory
 from lycheegw.coordination import forward_attempts
 from lycheegw.coordination import forwarding
@@ -22,6 +21,7 @@
 from lycheegw.coordination import node_registry
 from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
+from lycheegw.coordination import shared_rates
 from lycheegw.coordination import store_rate_limiter
 from lycheegw.coordination import suspects
 from lycheegw.coordination import topic_exchange
@@ -29,6 +29,7 @@
 from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import zone_reachability
 from lycheegw.protocol import backlog_codec
+from lycheegw.protocol import notice_codec
 from lycheegw.protocol import rollout_codec
 from lycheegw.protocol import suspect_codec
 from lycheegw.protocol import topic_codec
@@ -283,10 +284,19 @@
             suspect_codec.CODEC,
         )
         self.notices = upstream_notices.UpstreamNotices(
-            self.state, self._log.note
+            self.state,
+            self.peers,
+            notice_codec.CODEC,
+            self.peers.send_soon,
+            self._log.note,
+            self._close_idle_connections,
         )
-        rates = cold_rates.ColdRates(
-            self.state, self._service_levels, self.node_registry.members
+        self.peers.on_connect(self.notices.forget_neighbour)
+        rates = shared_rates.SharedRates(
+            self.state,
+            self._service_levels,
+            self.node_registry.settled_members,
+            self.notices.limit_per_s,
         )
         reachability = zone_reachability.ZoneReachability(
             self.state.environment
@@ -301,6 +311,7 @@
             self.directory,
             self.canary_rollouts,
             rates,
+            self.notices,
             self._has_capacity,
             reachability,
             timings,
@@ -352,6 +363,10 @@
         found = manifest.service_by_name.get(service) if manifest else None
         return found.health_path if found is not None else "/"
 
+    def _close_idle_connections(self, upstream: upstreams.Upstream) -> None:
+        key = forward_client.connection_key(upstream.entry)
+        self.upstream_pool.close_idle(key)
+
     def _has_capacity(self, upstream: upstreams.Upstream) -> bool:
         manifest = self.directory.manifest
         pool = upstream.entry.pool
--- a/src/lycheegw/request_explanation.py
+++ b/src/lycheegw/request_explanation.py
@@ -41,6 +41,10 @@
     " that may be outdated: see dependency_lost",
     reasons.RefusalReason.NO_UPSTREAM: "the service had no available upstream:"
     " see upstream and upstream_gone",
+    reasons.RefusalReason.UPSTREAM_LIMIT: "all upstreams were at limits, some"
+    " of which they announced: see upstream_notice",
+    reasons.RefusalReason.UPSTREAMS_PAUSED: "all upstreams had asked for a"
+    " pause: see upstream_notice",
     reasons.RefusalReason.COLD_LIMIT: "all upstreams were cold and at their"
     " limit: see upstream with cold_s, and zones_closed",
     reasons.RefusalReason.SHED: "upstreams rejected it: see attempt_failed",
--- a/src/lycheegw/state/reasons.py
+++ b/src/lycheegw/state/reasons.py
@@ -23,6 +23,8 @@
     QUEUE_FULL = "queue_full"
     SHED = "shed"
     COLD_LIMIT = "cold_limit"
+    UPSTREAM_LIMIT = "upstream_limit"
+    UPSTREAMS_PAUSED = "upstreams_paused"
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     MAY_HAVE_RUN = "may_have_run"
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -819,6 +819,10 @@
     """srv_crash while the store is down: no entry reports their restart."""
     async with fleet_harness.fleet() as fleet:
         node = fleet.nodes[0]
+        # A new node gets no share of the rate of a cold upstream.
+        await fleet_harness.wait_until(
+            lambda: node.node_registry.settled_members() is not None
+        )
         fleet.store.fault = "busy"
         table = node.state.upstreams.by_id
         now_s = node.state.environment.monotonic_s()
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -4,8 +4,6 @@
 from collections.abc import Sequence
 import time
 
-import pytest
-
 from tests.platform import fleet_harness
 from tests.platform import platform_standins
 
@@ -51,7 +49,6 @@
 
 # Guards against an upstream in need that gets more requests than it takes, as
 # nodes ignore its limit or each of them uses all of it.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 24")
 async def test_requests_of_all_nodes_stay_within_an_announced_limit() -> None:
     async with fleet_harness.fleet(nodes=3) as fleet:
         upstream = fleet.upstream_by_name["d1"]
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -56,6 +56,15 @@
     def unreachable(self) -> frozenset[str]:
         return frozenset()
 
+    def is_leaving(self, upstream: object) -> bool:
+        return False
+
+    def pause_s(self, upstream: object) -> float:
+        return 0.0
+
+    def limit_per_s(self, upstream: object) -> None:
+        return None
+
 
 class _Node:
     """A node's balancer with its backlogs and response times."""
@@ -80,6 +89,7 @@
             fleet,  # type: ignore[arg-type]
             fleet,  # type: ignore[arg-type]
             fleet,  # type: ignore[arg-type]
+            fleet,  # type: ignore[arg-type]
             lambda _: True,
             fleet,  # type: ignore[arg-type]
             self.times,
