--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -43,9 +43,16 @@
     """Checks the response head before anything is forwarded.
 
     Raises:
-        errors.UpstreamError: The response is a rejection, a success without
-            a signature, or a server error (accepted_requests.HttpStatusError).
+        errors.UpstreamError: The response may be for another request, or is a
+            rejection, a success without a signature, or a server error
+            (accepted_requests.HttpStatusError).
     """
+    if not head.is_attributed:
+        raise errors.UpstreamError(
+            reasons.RetryReason.ECHO_MISMATCH,
+            f"status {head.status} without an id on a used connection",
+            _MAY_HAVE_RUN,
+        )
     if head.is_not_run:
         # A connection can be reused only once its response was read.
         await _read_body(call)
@@ -59,6 +66,13 @@
             verdicts.RunVerdict.NOT_RUN,
             head.retry_after_s,
         )
+    if head.claims_not_run:
+        # Clients would take the status for a promise and send it again.
+        raise errors.UpstreamError(
+            reasons.RetryReason.SERVER_ERROR,
+            f"status {head.status} of a request that may have run",
+            _MAY_HAVE_RUN,
+        )
     is_success = 200 <= head.status < 300
     if is_success and (not head.is_signed or head.is_encoded):
         raise errors.UpstreamError(
--- a/src/lycheegw/coordination/upstream_notices.py
+++ b/src/lycheegw/coordination/upstream_notices.py
@@ -180,8 +180,11 @@
                 ", ".join(head.malformed_headers),
             )
         is_misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
-        if is_misdirected or not head.is_attributed:
-            # Another process answered, or an earlier request.
+        if not head.is_attributed:
+            self._state.counters.add("upstreams.unattributed")
+            return
+        if is_misdirected:
+            # Another process answered.
             return
         process = _process(upstream)
         pause_s = 0.0
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -60,17 +60,22 @@
         self._call = call
         self._codec = codec
         self._request_id = request_id
+        self._has_skipped = False
 
     async def head(self) -> forwarded_requests.ResponseHead:
         """Returns the response head; raises errors.UpstreamError."""
         while True:
             head = self._codec.decode_response_head(await self._call.head())
-            is_ours = head.echoed_id == self._request_id
-            is_success = 200 <= head.status < 300
-            if is_ours or (head.echoed_id is None and not is_success):
+            if head.echoed_id == self._request_id:
                 self._call.note_idle_timeout(head.keep_alive_s)
                 return head
+            is_success = 200 <= head.status < 300
+            if head.echoed_id is None and not is_success:
+                # On a used connection it may be for an earlier request.
+                is_used = self._call.is_reused or self._has_skipped
+                return head._replace(is_attributed=not is_used)
             # This is a late, second response to an earlier request.
+            self._has_skipped = True
             await self._call.skip_response()
 
     async def read(self) -> bytes | None:
--- /dev/null
+++ b/tests/platform/test_refusals.py
@@ -0,0 +1,96 @@
+"""A status that promises that a request has not run is true."""
+
+import asyncio
+
+import pytest
+
+from tests.platform import fleet_harness
+from tests.platform import platform_standins
+from tests.platform import raw_upstreams
+
+PROMISES = {408, 421, 429, 503}
+ID = "X-Lycheegw-Attempt-Id"
+
+
+async def _book(
+    fleet: fleet_harness.Fleet, attempt_id: str, path: str = "/book/1"
+) -> platform_standins.Reply:
+    reply = await platform_standins.send_request(
+        fleet.nodes[0].settings.listen, path, "POST", b"crew", {ID: attempt_id}
+    )
+    assert reply is not None
+    return reply
+
+
+# Guards against a refusal of an unsafe request that ran: a second response to
+# the request before it, without an id, was taken for its rejection.
+@pytest.mark.parametrize(
+    "rejection",
+    [
+        b"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+        b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+async def test_rejection_of_an_earlier_request_does_not_refuse_the_next(
+    rejection: bytes,
+) -> None:
+    ran: list[str] = []
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        ran.append(request.header_by_name[ID.lower()])
+        if request.number_on_connection:
+            writer.write(rejection)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        writer.write(raw_upstreams.response(request))
+
+    async with fleet_harness.fleet() as fleet:
+        await fleet.store.delete("keyed.servers", "d2")
+        async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
+            assert (await _book(fleet, "first")).status == 200
+            reply = await _book(fleet, "second")
+            assert ran.count("second") == 1
+            assert reply.status not in PROMISES
+            name = "upstreams.unattributed"
+            assert fleet.nodes[0].state.counters.by_name[name] == 1
+
+
+async def test_rejection_without_an_id_on_a_new_connection_is_believed() -> (
+    None
+):
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        del request
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+            b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        )
+        writer.close()
+
+    async with (
+        fleet_harness.fleet() as fleet,
+        raw_upstreams.raw_upstream(fleet, "d1", "desk", respond),
+    ):
+        for number in range(4):
+            reply = await _book(fleet, f"b{number}")
+            assert reply.status == 200
+
+
+# Guards against a promise that an upstream makes in a response to a request
+# that it ran: clients send the request again.
+@pytest.mark.parametrize("status", sorted(PROMISES - {421}))
+@pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+async def test_promise_of_an_upstream_that_ran_the_request_is_not_passed_on(
+    status: int, path: str
+) -> None:
+    async with fleet_harness.fleet() as fleet:
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].status = status
+        reply = await _book(fleet, "a", path)
+        assert fleet.seen
+        assert reply.status == 502
+        assert "x-lycheegw-response-signature" not in reply.header_by_name
