--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -46,6 +46,13 @@
 _IDLE_MARGIN_S = 0.5
 _MAX_HEAD_BYTES = 64 * 1024
 _READ_BUFFER_BYTES = 256 * 1024
+# Informational responses before the final one, and responses to other requests
+# and their bytes, after which the connection is given up.
+_MAX_INFORMATIONAL = 16
+_MAX_SKIPPED_RESPONSES = 4
+_MAX_SKIPPED_BYTES = 256 * 1024
+# Longest body that `fetch` returns. Pages of the store have up to 1 MB.
+_MAX_FETCHED_BYTES = 8 * 1024 * 1024
 # SO_LINGER with a timeout of 0 s: closing sends a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -115,6 +122,7 @@
         self._error: Exception | None = None
         self._is_eof = False
         self._is_lost = False
+        self._skipped_responses = 0
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -196,7 +204,7 @@
 
     async def head(self) -> RawResponseHead:
         """Returns the head of the next final response."""
-        while True:
+        for _ in range(_MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return RawResponseHead(
@@ -211,6 +219,9 @@
                 raise _connection_lost_error(
                     "the connection closed before a response"
                 )
+        raise _malformed_error(
+            f"more than {_MAX_INFORMATIONAL} informational responses"
+        )
 
     async def read(self) -> bytes | None:
         """Returns the next bytes of the body, None at its end."""
@@ -253,8 +264,20 @@
 
     async def skip_response(self) -> None:
         """Reads the response to another request; resets the parser for ours."""
-        while await self.read() is not None:
-            pass
+        self._skipped_responses += 1
+        if self._skipped_responses > _MAX_SKIPPED_RESPONSES:
+            raise _malformed_error(
+                f"more than {_MAX_SKIPPED_RESPONSES} responses to other"
+                " requests"
+            )
+        skipped_bytes = 0
+        while (data := await self.read()) is not None:
+            skipped_bytes += len(data)
+            if skipped_bytes > _MAX_SKIPPED_BYTES:
+                raise _malformed_error(
+                    "the response to another request exceeds"
+                    f" {_MAX_SKIPPED_BYTES} bytes"
+                )
         rest, _ = self._parser.trailing_data
         if self._request is None or not self.is_open:
             raise _connection_lost_error(
@@ -534,7 +557,8 @@
     """Sends a request; returns the head and the complete body of the response.
 
     Raises:
-        errors.UpstreamError: No complete response within `timeout_s`.
+        errors.UpstreamError: No complete response within `timeout_s`, or one
+            that is too long.
     """
     is_sent = False
     call = None
@@ -546,6 +570,11 @@
             body = bytearray()
             while (data := await call.read()) is not None:
                 body += data
+                if len(body) > _MAX_FETCHED_BYTES:
+                    raise _malformed_error(
+                        f"the response of {address} exceeds"
+                        f" {_MAX_FETCHED_BYTES} bytes"
+                    )
     except TimeoutError as error:
         raise errors.UpstreamError(
             reasons.RetryReason.HEAD_TIMEOUT,
