--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -224,7 +224,11 @@
 
         # A suspect request may crash its upstream and fail all others there.
         await self._dependencies.suspects.choose(
-            accepted.request, choose, lambda _: True
+            accepted.request,
+            choose,
+            lambda upstream: self._dependencies.rates.may_send(
+                upstream, accepted.service
+            ),
         )
         return choices[-1]
 
@@ -779,7 +783,13 @@
             return reasons.RefusalReason.SHED
         if self._left_s(accepted.request) < _MIN_TIME_LEFT_S:
             return reasons.RefusalReason.DEADLINE_TOO_SHORT
-        if not self._dependencies.budgets.allows_attempt(accepted.service.name):
+        # Without an attempt that was sent, the next one is not an extra one.
+        if (
+            progress.sent_count
+            and not self._dependencies.budgets.allows_attempt(
+                accepted.service.name
+            )
+        ):
             return reasons.RefusalReason.RETRY_BUDGET
         return None
 
--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -51,6 +51,7 @@
         self._live_nodes = live_nodes
         self._entries: list[upstreams.HostEntry] = []
         self._settled_s = math.inf
+        self._is_joining = True
 
     def members(self) -> list[str]:
         """Returns the ids of all registered nodes, dead ones included."""
@@ -67,6 +68,23 @@
             return None
         return self.members()
 
+    def budget_member_count(self, window_s: float) -> int | None:
+        """Returns the number of nodes among which a budget is divided.
+
+        Returns None while this node has no part in it: its list is unknown, or
+        it joined so recently that the others may have used larger parts within
+        the window.
+
+        Args:
+            window_s: Window of the budget.
+        """
+        now_s = self._state.environment.monotonic_s()
+        if not self._topic_state.is_known or (
+            self._is_joining and now_s < self._settled_s + window_s
+        ):
+            return None
+        return len(self.members())
+
     def zones(self) -> set[str]:
         """Returns the zones of all registered nodes."""
         return {each.zone for each in self._entries}
@@ -104,6 +122,7 @@
         """Registers this node and reads the list, until cancelled."""
         await self._readers.load_until_known(topics.Topic.NODES)
         is_new = self._topic_state.value(self._state.identity.node_id) is None
+        self._is_joining = is_new and bool(self._topic_state.values())
         await self._register(address)
         now_s = self._state.environment.monotonic_s()
         self._settled_s = now_s + (_SETTLE_S if is_new else 0.0)
--- a/src/lycheegw/coordination/retry_budgets.py
+++ b/src/lycheegw/coordination/retry_budgets.py
@@ -49,8 +49,16 @@
         self,
         state: node_state.NodeState,
         bounds: Callable[[], edge_settings.ServiceLevels],
-        members: Callable[[], int],
+        members: Callable[[], int | None],
     ):
+        """Creates the budgets.
+
+        Args:
+            state: State of this node.
+            bounds: Returns the service levels.
+            members: Returns the number of nodes that share the slack, None
+                while this node has no part in it.
+        """
         self._state = state
         self._bounds = bounds
         self._members = members
@@ -66,7 +74,8 @@
         now_s = self._now_s()
         requests = self._window(self._requests_by_service, service).count(now_s)
         extras = self._window(self._extras_by_service, service).count(now_s)
-        slack = self._bounds().retry_slack / max(1, self._members())
+        members = self._members()
+        slack = self._bounds().retry_slack / members if members else 0.0
         allowed = self._bounds().retry_ratio * requests + slack
         return extras + 1 <= _BOUND_SHARE * allowed
 
--- a/src/lycheegw/coordination/shared_rates.py
+++ b/src/lycheegw/coordination/shared_rates.py
@@ -74,6 +74,8 @@
         self._members = members
         self._announced_limit = announced_limit
         self._sent_s_by_id: dict[str, float] = {}
+        self._ranked_members: Sequence[str] = ()
+        self._rank_by_id: dict[str, int] = {}
 
     def may_send(
         self, upstream: upstreams.Upstream, service: routing.Service
@@ -100,8 +102,7 @@
         if now_s < sent_s + 1 / rate_per_s:
             return False
         count = min(share.senders for share in shares)
-        ranking = rendezvous.order(f"senders {host_id}", members)
-        return self._state.identity.node_id in ranking[:count]
+        return self._own_rank(host_id, members) < count
 
     def note_sent(self, upstream: upstreams.Upstream) -> None:
         """Records a request that was sent, which empties the bucket."""
@@ -111,6 +112,18 @@
         if len(self._sent_s_by_id) > _MAX_UPSTREAMS:
             del self._sent_s_by_id[next(iter(self._sent_s_by_id))]
 
+    def _own_rank(self, host_id: str, members: Sequence[str]) -> int:
+        """Returns this node's rank among the senders to an upstream."""
+        if members != self._ranked_members:
+            self._ranked_members = members
+            self._rank_by_id.clear()
+        rank = self._rank_by_id.get(host_id)
+        if rank is None:
+            ranking = rendezvous.order(f"senders {host_id}", members)
+            rank = ranking.index(self._state.identity.node_id)
+            self._rank_by_id[host_id] = rank
+        return rank
+
     def _cold_share(self, service: routing.Service, members: int) -> _Share:
         """Returns the shares that keep to the bound in any second."""
         service_rate = service.cold_per_s or _DEFAULT_COLD_RATE_PER_S
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -155,6 +155,10 @@
     def _member_count(self) -> int:
         return self.node_registry.member_count()
 
+    def _budget_member_count(self) -> int | None:
+        window_s = self._service_levels().retry_window_s
+        return self.node_registry.budget_member_count(window_s)
+
     def _service_levels(self) -> edge_settings.ServiceLevels:
         return self.settings.service_levels
 
@@ -329,7 +333,7 @@
                 retry_budgets.RetryBudgets(
                     self.state,
                     self._service_levels,
-                    self.node_registry.member_count,
+                    self._budget_member_count,
                 ),
                 self.canary_rollouts,
                 self.suspects,
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -227,6 +227,21 @@
     assert extras <= fakes.BOUNDS.retry_ratio * total + fakes.BOUNDS.retry_slack
 
 
+def test_node_without_a_part_in_the_slack_keeps_to_the_ratio() -> None:
+    """add_nodes, platform_down: it joined, or does not know the other nodes."""
+    clock = fakes.ManualClock()
+    budget = retry_budgets.RetryBudgets(
+        fakes.node(clock, "n1"), _bounds, lambda: None
+    )
+    extras = 0
+    for _ in range(20):
+        budget.note_request("m")
+        while budget.allows_attempt("m"):
+            budget.note_extra_attempt("m")
+            extras += 1
+    assert 0 < extras <= fakes.BOUNDS.retry_ratio * 20
+
+
 def test_service_without_cold_starts_is_not_limited_after_ejection() -> None:
     """zone_cut: a service that was unreachable is used again at once."""
     clock = fakes.ManualClock()
