--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -212,6 +212,8 @@
         announced: Headers that it adds to all its responses.
         received_s: Monotonic seconds at which requests reached it, including
             those that it rejected.
+        received_ids: Ids of these requests.
+        rejected_ids: Ids of the requests that it rejected.
     """
 
     def __init__(
@@ -230,6 +232,8 @@
         self.cancelled_count = 0
         self.announced: forwarded_requests.Headers = ()
         self.received_s: list[float] = []
+        self.received_ids: list[str] = []
+        self.rejected_ids: set[str] = set()
         self._server = _create_server(self._handle)
 
     @property
@@ -268,11 +272,13 @@
             await _respond(exchange, 200, b"", (*instance, *self.announced))
             return
         self.received_s.append(time.monotonic())
+        self.received_ids.append(headers.get("x-lycheegw-attempt-id", ""))
         if headers.get("x-lycheegw-expected-instance") != self.name:
             await _respond(exchange, 421)
             return
         if self.is_full:
             attempt_id = headers["x-lycheegw-attempt-id"].encode()
+            self.rejected_ids.add(self.received_ids[-1])
             rejection = (
                 (b"X-Lycheegw-Not-Executed", b"1"),
                 (b"X-Lycheegw-Attempt-Id", attempt_id),
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -42,6 +42,14 @@
     bad_answers: int = 50
     # Requests that a cold upstream may get in one second.
     cold_requests: int = 17
+    # Factor on an announced limit, requests beyond it, and the window.
+    limit_overage: float = 1.5
+    limit_slack: int = 5
+    limit_window_s: float = 4.0
+    # Time after an announcement from which it binds a node that passed it on.
+    told_s: float = 0.5
+    # Requests that may reach an upstream in a pause that it asked for.
+    paused_requests: int = 2
 
 
 class Sent(NamedTuple):
@@ -103,6 +111,24 @@
     until_s: float
 
 
+class Limit(NamedTuple):
+    """A time in which an upstream announced a limit in its responses."""
+
+    upstream: str
+    per_s: float
+    from_s: float
+    until_s: float
+
+
+class Pause(NamedTuple):
+    """A pause that an upstream asked a node for."""
+
+    upstream: str
+    node: str
+    from_s: float
+    until_s: float
+
+
 class Violation(NamedTuple):
     """A broken rule, with the lines that show it."""
 
@@ -122,6 +148,11 @@
         bad_versions: Roll-outs of bad versions.
         zone_by_upstream: Zone of each upstream.
         cold_until_s: Until when an upstream was cold.
+        limits: Limits that upstreams announced.
+        pauses: Pauses that upstreams asked for.
+        offers: Requests that reached upstreams, rejected ones included.
+        told_s: When a node first passed on what an upstream announced ("limit"
+            or "leaving"), by node, upstream and announcement.
         own_lags: Times from and until which the recording process lagged.
     """
 
@@ -137,6 +168,10 @@
         self.bad_versions: list[BadVersion] = []
         self.zone_by_upstream: dict[str, str] = {}
         self.cold_until_s: dict[str, float] = {}
+        self.limits: list[Limit] = []
+        self.pauses: list[Pause] = []
+        self.offers: list[Arrival] = []
+        self.told_s: dict[tuple[str, str, str], float] = {}
         self.own_lags: list[tuple[float, float]] = []
 
     def is_in_touch(self, names: set[str], since_s: float, at_s: float) -> bool:
@@ -148,6 +183,15 @@
             for each in self.disturbances
         )
 
+    def is_disturbed(self, name: str, since_s: float, at_s: float) -> bool:
+        """Returns whether what has a name was disturbed, or is again."""
+        return any(
+            each.name == name
+            and each.until_s >= since_s
+            and each.from_s <= at_s
+            for each in self.disturbances
+        )
+
     def is_reliable(self, at_s: float) -> bool:
         """Returns whether the recording process ran without a lag then."""
         return not any(
@@ -192,9 +236,106 @@
         *_lost_at_stops(record, bounds),
         *_exposure(record, bounds),
         *_late_roll_backs(record, bounds),
+        *_told_leaving(record, bounds),
+        *_announced_limits(record, bounds),
+        *_announced_pauses(record, bounds),
     ]
 
 
+def _told_leaving(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests by a node to an upstream whose leaving it had passed on."""
+    found = []
+    for arrival in record.arrivals:
+        sent = record.sent_by_id[arrival.attempt_id]
+        key = (sent.node, arrival.upstream, "leaving")
+        told_s = record.told_s.get(key, math.inf)
+        if (
+            sent.at_s > told_s + bounds.drain_s
+            and record.is_reliable(arrival.at_s)
+            and not record.is_disturbed(sent.node, told_s, arrival.at_s)
+        ):
+            found.append(
+                Violation(
+                    "DRAIN",
+                    arrival.attempt_id,
+                    f"{told_s:8.3f} {sent.node} passes on that"
+                    f" {arrival.upstream} leaves, {sent.at_s:8.3f} sent,"
+                    f" {arrival.at_s:8.3f} arrives",
+                )
+            )
+    return found
+
+
+def _announced_limits(record: Record, bounds: Bounds) -> list[Violation]:
+    """Windows in which an upstream got more than it had announced."""
+    found = []
+    for limit in record.limits:
+        arrivals = [
+            each
+            for each in record.offers
+            if each.upstream == limit.upstream
+            and limit.from_s + bounds.contact_s <= each.at_s <= limit.until_s
+            and _is_bound(record, bounds, each, limit)
+        ]
+        arrivals.sort(key=lambda each: each.at_s)
+        allowed = int(
+            bounds.limit_overage * bounds.limit_window_s * limit.per_s
+            + bounds.limit_slack
+        )
+        for first, last in zip(arrivals, arrivals[allowed:], strict=False):
+            if (
+                last.at_s - first.at_s < bounds.limit_window_s
+                and record.is_reliable(last.at_s)
+            ):
+                found.append(
+                    Violation(
+                        "LIMIT",
+                        last.attempt_id,
+                        f"{first.at_s:8.3f} to {last.at_s:8.3f} over {allowed}"
+                        f" requests at {limit.upstream}, which takes"
+                        f" {limit.per_s} a second since {limit.from_s:8.3f}",
+                    )
+                )
+    return found
+
+
+def _is_bound(
+    record: Record, bounds: Bounds, offer: Arrival, limit: Limit
+) -> bool:
+    """Returns whether the node that sent a request had passed on the limit."""
+    node = record.sent_by_id[offer.attempt_id].node
+    told_s = record.told_s.get((node, limit.upstream, "limit"), math.inf)
+    return offer.at_s >= told_s + bounds.told_s and not record.is_disturbed(
+        node, limit.from_s, offer.at_s
+    )
+
+
+def _announced_pauses(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests in a pause that an upstream had asked a node for."""
+    found = []
+    for pause in record.pauses:
+        offers = [
+            each
+            for each in record.offers
+            if each.upstream == pause.upstream
+            and record.sent_by_id[each.attempt_id].node == pause.node
+            and pause.from_s + bounds.told_s < each.at_s < pause.until_s
+        ]
+        if len(offers) > bounds.paused_requests and not record.is_disturbed(
+            pause.node, pause.from_s, pause.until_s
+        ):
+            found.append(
+                Violation(
+                    "BUDGET",
+                    offers[-1].attempt_id,
+                    f"{pause.from_s:8.3f} {pause.upstream} asks {pause.node}"
+                    f" for a pause until {pause.until_s:8.3f} and gets"
+                    f" {len(offers)} requests",
+                )
+            )
+    return found
+
+
 def _late_arrivals(record: Record, bounds: Bounds) -> list[Violation]:
     """Requests at upstreams that left longer ago than `drain_s`."""
     found = []
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -36,6 +36,10 @@
 
 # Share of soaks with a roll-out.
 _ROLLOUT_SHARE = 0.5
+# Bounds of the time between two announcements of upstreams in their responses,
+# and of how long one holds.
+_ANNOUNCEMENT_GAP_S = (1.0, 5.0)
+_ANNOUNCEMENT_S = (3.0, 12.0)
 
 
 class Fault(NamedTuple):
@@ -72,9 +76,28 @@
         )
         at_s += generator.uniform(*_GAP_S)
     faults += _draw_rollout(seed, seconds)
+    faults += _draw_announcements(seed, seconds)
     return sorted(faults)
 
 
+def _draw_announcements(seed: int, seconds: float) -> list[Fault]:
+    """Returns limits and pauses that upstreams announce."""
+    generator = random.Random(f"announcements of {seed}")
+    faults = []
+    at_s = _QUIET_START_S
+    while at_s < seconds:
+        faults.append(
+            Fault(
+                round(at_s, 2),
+                generator.choice(("announce_limit", "announce_pause")),
+                generator.randrange(1000),
+                round(generator.uniform(*_ANNOUNCEMENT_S), 2),
+            )
+        )
+        at_s += generator.uniform(*_ANNOUNCEMENT_GAP_S)
+    return faults
+
+
 def _draw_rollout(seed: int, seconds: float) -> list[Fault]:
     """Returns the roll-out of a bad version, in half of all soaks."""
     # A separate generator: the other faults do not depend on it.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -57,6 +57,10 @@
 # Longer than the time limit that callers send.
 _CALL_TIMEOUT_S = 3.5
 _CALLERS = 12
+# Limits that upstreams announce, in requests per second.
+_LIMITS_PER_S = (0.0, 0.1, 1.0, 1.5, 4.0)
+# Pause that upstreams ask for.
+_PAUSE_S = 2.0
 
 
 class _Upstream(NamedTuple):
@@ -139,6 +143,7 @@
             await asyncio.sleep(max(0.0, self._seconds - self._now_s()))
             for caller in callers:
                 caller.cancel()
+            self._record_offers()
         finally:
             await self._stop()
         if self._failures:
@@ -284,6 +289,7 @@
         upstream = self._upstreams[name]
         self._state_by_name[name] = "draining" if is_announced else "removed"
         if is_announced:
+            upstream.standin.announced += ((b"Server-Leaving", b"1"),)
             await self._put_entry(name, 1_000_000)
         else:
             await self._store.delete("keyed.servers", name)
@@ -356,8 +362,26 @@
             ended = checker.Ended(
                 head.status, body, signature.decode(), self._now_s()
             )
+            self._note_told(node.name, head, ended)
         self.record.ended_by_id[attempt_id] = ended
 
+    def _note_told(
+        self,
+        node: str,
+        head: connection_pool.RawResponseHead,
+        ended: checker.Ended,
+    ) -> None:
+        """Records that a node passed on what an upstream announced."""
+        upstream = ended.signature.removeprefix("sig-")
+        for header, announcement in (
+            (b"server-leaving", "leaving"),
+            (b"server-limit", "limit"),
+        ):
+            if head.value(header) is not None:
+                self.record.told_s.setdefault(
+                    (node, upstream, announcement), ended.at_s
+                )
+
     def _pick_key(self) -> str:
         """Returns a key in force, sometimes one that was removed."""
         removed = list(self.record.key_removed_s)
@@ -397,6 +421,14 @@
             names = sorted(self._upstreams)
             name = names[fault.target % len(names)]
             await self._disturb(fault, name, self._harm_upstream(fault, name))
+        elif fault.kind.startswith("announce_"):
+            names = [
+                name
+                for name, state in sorted(self._state_by_name.items())
+                if state == "ready"
+            ]
+            name = names[fault.target % len(names)]
+            await self._announce(fault, name)
         elif fault.kind == "evacuate":
             await self._evacuate(fault)
         elif fault.kind == "rollout_bad":
@@ -464,6 +496,49 @@
         await asyncio.sleep(fault.for_s)
         proxy.set_mode("")
 
+    async def _announce(self, fault: schedule.Fault, name: str) -> None:
+        """Lets an upstream announce a limit, or reject and ask for a pause."""
+        standin = self._upstreams[name].standin
+        if standin.announced:
+            return
+        per_s = _LIMITS_PER_S[fault.target % len(_LIMITS_PER_S)]
+        if fault.kind == "announce_limit":
+            announced = (b"Server-Limit", b"%.2f" % per_s)
+        else:
+            announced = (b"Retry-After", b"%.2f" % _PAUSE_S)
+            standin.is_full = True
+        standin.announced = (announced,)
+        from_s = self._now_s()
+        await asyncio.sleep(fault.for_s)
+        if fault.kind == "announce_limit":
+            self.record.limits.append(
+                checker.Limit(name, per_s, from_s, self._now_s())
+            )
+        standin.is_full = False
+        # It may have announced meanwhile that it leaves.
+        standin.announced = tuple(
+            each for each in standin.announced if each != announced
+        )
+
+    def _record_offers(self) -> None:
+        """Records the requests and rejections that the stand-ins counted."""
+        for name, upstream in self._upstreams.items():
+            standin = upstream.standin
+            for attempt_id, received_s in zip(
+                standin.received_ids, standin.received_s, strict=True
+            ):
+                sent = self.record.sent_by_id.get(attempt_id)
+                if sent is None:
+                    continue
+                at_s = received_s - self._started_s
+                self.record.offers.append(
+                    checker.Arrival(attempt_id, name, at_s)
+                )
+                if attempt_id in standin.rejected_ids:
+                    self.record.pauses.append(
+                        checker.Pause(name, sent.node, at_s, at_s + _PAUSE_S)
+                    )
+
     async def _evacuate(self, fault: schedule.Fault) -> None:
         """Closes a zone for longer than the bound, and opens it again."""
         if self._is_zone_closed:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -170,6 +170,52 @@
     assert not _broken_rules(record)
 
 
+def test_request_after_a_node_passed_on_the_leaving_is_found() -> None:
+    record = _record()
+    told_s = 10.0 - BOUNDS.drain_s - 0.01
+    record.told_s[NODE, "desk-0", "leaving"] = told_s
+    assert _broken_rules(record) == ["DRAIN"]
+    # The store excuses nothing, a restart of the node does.
+    record.disturbances.append(checker.Disturbance("", "busy", told_s, 12.0))
+    assert _broken_rules(record) == ["DRAIN"]
+    restart = checker.Disturbance(NODE, "kill", told_s + 0.1, told_s + 0.2)
+    record.disturbances.append(restart)
+    assert not _broken_rules(record)
+
+
+def _offers(count: int, interval_s: float) -> checker.Record:
+    """Returns a record of requests at an upstream from 20 s on."""
+    record = checker.Record()
+    for number in range(count):
+        at_s = 20.0 + interval_s * number
+        sent = checker.Sent(NODE, False, "key-1", at_s)
+        record.sent_by_id[f"e{number}"] = sent
+        record.offers.append(checker.Arrival(f"e{number}", "desk-0", at_s))
+    return record
+
+
+@pytest.mark.parametrize(("count", "is_broken"), [(11, False), (12, True)])
+def test_more_requests_than_an_announced_limit_are_found(
+    count: int, is_broken: bool
+) -> None:
+    record = _offers(count, 0.3)
+    limit = checker.Limit("desk-0", 1.0, 20.0 - BOUNDS.contact_s, 40.0)
+    record.limits.append(limit)
+    assert not _broken_rules(record)
+    record.told_s[NODE, "desk-0", "limit"] = 20.0 - BOUNDS.told_s
+    assert ("LIMIT" in _broken_rules(record)) == is_broken
+    record.disturbances.append(checker.Disturbance(NODE, "kill", 19.0, 19.5))
+    assert not _broken_rules(record)
+
+
+@pytest.mark.parametrize(("count", "is_broken"), [(2, False), (3, True)])
+def test_requests_in_a_pause_are_found(count: int, is_broken: bool) -> None:
+    record = _offers(count, 0.1)
+    pause = checker.Pause("desk-0", NODE, 19.99 - BOUNDS.told_s, 25.0)
+    record.pauses.append(pause)
+    assert ("BUDGET" in _broken_rules(record)) == is_broken
+
+
 def test_schedule_depends_on_the_seed_alone() -> None:
     assert schedule.draw(3, 60.0) == schedule.draw(3, 60.0)
     assert schedule.draw(3, 60.0) != schedule.draw(4, 60.0)
