--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -127,6 +127,10 @@
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
+        if self._server.is_stopped:
+            # It was accepted before the listener closed.
+            self.abort()
+            return
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
         self._start_timer(self._limits.idle_timeout_s, self.close)
@@ -219,6 +223,10 @@
         request = self._request
         if request is None:
             return
+        if self._server.is_stopped:
+            # The process may end before the request does.
+            self.abort()
+            return
         self._request_count += 1
         incoming = forwarded_requests.IncomingRequest(
             bytes(request.method),
@@ -367,6 +375,7 @@
         limits: Returns the current limits.
         running: Number of requests being handled.
         is_closing: Whether responses contain `Connection: close`.
+        is_stopped: Whether no more requests are handled.
     """
 
     def __init__(
@@ -385,6 +394,7 @@
         self.note_rejected = note_rejected
         self.running = 0
         self.is_closing = False
+        self.is_stopped = False
 
     @property
     def address(self) -> str:
@@ -406,7 +416,8 @@
         self._listen = (host, port)
 
     def stop_listening(self) -> None:
-        """Stops accepting connections and closes idle ones."""
+        """Accepts no more connections or requests, and closes idle ones."""
+        self.is_stopped = True
         if self._server is not None:
             self._server.close()
         self.close_idle()
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -209,6 +209,8 @@
         delay_s: Seconds before it responds.
         break_at_event: Number of the event in which it breaks a stream, once.
         confidence: Confidence that it reports, by model.
+        extra_answer: Bytes that it writes before its response to each request
+            but the first on a connection.
         announced: Headers that it adds to all its responses.
         received_s: Monotonic seconds at which requests reached it, including
             those that it rejected.
@@ -292,6 +294,8 @@
                 self.name, target, headers, incoming.body, self.received_s[-1]
             )
         )
+        if not incoming.is_first_on_connection:
+            exchange._connection._transport.write(self.extra_answer)
         try:
             await asyncio.sleep(self.delay_s)
             await self._run(exchange, headers)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -36,6 +36,8 @@
 
 # Share of soaks with a roll-out.
 _ROLLOUT_SHARE = 0.5
+# Kinds of announcements of upstreams.
+_ANNOUNCEMENTS = ("announce_limit", "announce_pause", "announce_twice")
 # Bounds of the time between two announcements of upstreams in their responses,
 # and of how long one holds.
 _ANNOUNCEMENT_GAP_S = (1.0, 5.0)
@@ -81,7 +83,7 @@
 
 
 def _draw_announcements(seed: int, seconds: float) -> list[Fault]:
-    """Returns limits and pauses that upstreams announce."""
+    """Returns limits, pauses and repeated rejections of upstreams."""
     generator = random.Random(f"announcements of {seed}")
     faults = []
     at_s = _QUIET_START_S
@@ -89,7 +91,7 @@
         faults.append(
             Fault(
                 round(at_s, 2),
-                generator.choice(("announce_limit", "announce_pause")),
+                generator.choice(_ANNOUNCEMENTS),
                 generator.randrange(1000),
                 round(generator.uniform(*_ANNOUNCEMENT_S), 2),
             )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -59,6 +59,11 @@
 _CALLERS = 12
 # Limits that upstreams announce, in requests per second.
 _LIMITS_PER_S = (0.0, 0.1, 1.0, 1.5, 4.0)
+# Second response to a request, which a later one gets before its own.
+_EXTRA_REJECTION = (
+    b"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 # Pause that upstreams ask for.
 _PAUSE_S = 2.0
 
@@ -497,8 +502,13 @@
         proxy.set_mode("")
 
     async def _announce(self, fault: schedule.Fault, name: str) -> None:
-        """Lets an upstream announce a limit, or reject and ask for a pause."""
+        """Lets an upstream announce a limit, a pause, or rejections twice."""
         standin = self._upstreams[name].standin
+        if fault.kind == "announce_twice":
+            standin.extra_answer = _EXTRA_REJECTION
+            await asyncio.sleep(fault.for_s)
+            standin.extra_answer = b""
+            return
         if standin.announced:
             return
         per_s = _LIMITS_PER_S[fault.target % len(_LIMITS_PER_S)]
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -154,3 +154,27 @@
             await _open(server)
         writer.close()
         idle_writer.close()
+
+
+# Guards against requests that a process takes while it ends: they would reach
+# an upstream, and their callers would get no answer.
+@pytest.mark.parametrize("sent", [b"", b"POST /1 HTTP/1.1\r\nHost: h\r\n"])
+async def test_request_read_after_the_server_stopped_is_not_handled(
+    sent: bytes,
+) -> None:
+    handled: list[bytes] = []
+
+    async def handle(exchange: ingress.Exchange) -> None:
+        handled.append(exchange.incoming.target)
+        await _echo(exchange)
+
+    async with _server(handle) as server:
+        reader, writer = await _open(server)
+        if sent:
+            writer.write(sent)
+            await asyncio.sleep(0.05)
+        server.stop_listening()
+        writer.write(b"POST /1 HTTP/1.1\r\nHost: h\r\n\r\n"[len(sent) :])
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+        assert not handled
