--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -1,9 +1,8 @@
 """Load balancing: selects the upstream of an attempt at a forwarded request.
 
-Zones, reachability, versions, cold-start limits and the announcements of
-upstreams decide which upstreams may
-get the request. Among these, prefix-cache affinity is weighed against the
-expected wait.
+Zones, reachability, versions, shared rates and what upstreams announce decide
+which upstreams may get the request. Among these, prefix-cache affinity is
+weighed against the expected wait.
 """
 
 from collections.abc import Callable
--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -61,8 +61,8 @@
     def settled_members(self) -> list[str] | None:
         """Returns the ids of all registered nodes once they know this one.
 
-        Returns None before, and as long as the list is unknown. Two nodes that
-        get a list then have lists that differ only by nodes that get none.
+        Returns None before, and as long as the list is unknown. The lists of
+        two nodes then differ only by nodes for which this returns None.
         """
         if self._state.environment.monotonic_s() < self._settled_s:
             return None
