--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -185,7 +185,9 @@
             ]
         assert set(statuses) == {200}
         upstream.is_full, upstream.announced = False, ()
-        await asyncio.sleep(0.8)
+        # Beside load, sending takes longer than the pause, and begins another.
+        ended_s = upstream.received_s[-1] + 2.5 * 1.1
+        await asyncio.sleep(max(0.0, ended_s + 0.1 - time.monotonic()))
         count = len(upstream.received_s)
         await _send_steadily(fleet, 40, 0.5)
         assert len(upstream.received_s) > count
