Nodes log and count what a check of a broken upstream found

The lines did not tell which requests an upstream crashed under, which parts their prompts had, or that a crash was left out since its zone seemed lost.

upstream_checked has the request, the upstream, the finding and the parts of the prompt that other requests may have; three counters by finding.

--- a/src/lycheegw/app.py
+++ b/src/lycheegw/app.py
@@ -175,6 +175,7 @@
                 self.upstream_client,
                 self.peers,
                 suspect_codec.CODEC,
+                self._trace_event,
             ),
             timed_upstream_client.TimedUpstreamClient(
                 self.state,
@@ -192,6 +193,11 @@
         self.dispatcher = dispatcher.Dispatcher(self.state, self.dependencies)
         self._build_rollouts()
 
+    def _trace_event(
+        self, event: str, request_id: str = "", **details: object
+    ) -> None:
+        self.state.trace(request_id, event, **details)
+
     def _build_quality_tracking(self) -> None:
         """Adds components that estimate quality and detect bad versions."""
         self.quality = quality_exchange.QualityExchange(
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -295,6 +295,7 @@
         None,
         route.kind is routing.RequestKind.IDEMPOTENT or is_resumable,
         _fingerprint(work),
+        prompt_parts=tuple(part.part_id for part in traits.prompt[:-1]),
     )
 
 
--- a/src/lycheegw/coordination/suspects.py
+++ b/src/lycheegw/coordination/suspects.py
@@ -43,6 +43,10 @@
         reasons.RetryReason.SEND_FAILED,
     }
 )
+# Findings of a check of an upstream, for log and counters.
+_CRASHED = "crashed"
+_NOT_CRASHED = "not_crashed"
+_ZONE_DOWN = "zone_down"
 _PROBE_TIMEOUT_S = 0.5
 _UPDATE_TIMEOUT_S = 0.5
 _RUN_LEASE_TIMEOUT_S = 0.5
@@ -86,11 +90,22 @@
         client: interfaces.ReportClient,
         peers: interfaces.PeerBus,
         codec: Codec,
+        note: Callable[..., None],
     ):
+        """Creates an empty table of suspects.
+
+        Args:
+            state: State of this node.
+            client: Probes upstreams that seem to have crashed.
+            peers: Links to the other nodes.
+            codec: Codec of the messages about suspects.
+            note: Writes a line to the event log.
+        """
         self._state = state
         self._client = client
         self._peers = peers
         self._codec = codec
+        self._note = note
         self._crash_table = crash_table.CrashTable(state.environment)
         self._run_leases = suspect_leases.SuspectLeases(state.environment)
         self._recent_updates: list[_ReceivedUpdate] = []
@@ -254,9 +269,16 @@
         upstream: upstreams.Upstream,
         started_at_s: float,
     ) -> None:
-        if await self._has_crashed(
-            upstream, started_at_s
-        ) and not await self._is_zone_down(upstream):
+        finding = await self._find_cause(upstream, started_at_s)
+        self._state.counters.add(f"suspects.found.{finding}")
+        self._note(
+            "upstream_checked",
+            request_id=request.request_id,
+            upstream=upstream.entry.host_id,
+            finding=finding,
+            prompt=request.prompt_parts,
+        )
+        if finding == _CRASHED:
             crash = crash_table.Crash(
                 request.fingerprint, upstream.entry.host_id, started_at_s
             )
@@ -267,6 +289,14 @@
             await self._broadcast(crash_table.SuspectUpdate(crashes=(crash,)))
         self.release(request, upstream)
 
+    async def _find_cause(
+        self, upstream: upstreams.Upstream, started_at_s: float
+    ) -> str:
+        """Returns what became of an upstream whose connection broke."""
+        if not await self._has_crashed(upstream, started_at_s):
+            return _NOT_CRASHED
+        return _ZONE_DOWN if await self._is_zone_down(upstream) else _CRASHED
+
     async def _has_crashed(
         self, upstream: upstreams.Upstream, started_at_s: float
     ) -> bool:
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -286,6 +286,7 @@
             ),
             self.peers,
             suspect_codec.CODEC,
+            self._log.note,
         )
         self.notices = upstream_notices.UpstreamNotices(
             self.state,
--- a/src/lycheegw/state/requests.py
+++ b/src/lycheegw/state/requests.py
@@ -67,6 +67,8 @@
         fingerprint: Hash of the content, equal for re-sent requests.
         is_first_send: Whether the client states that it has not sent this
             idempotency key before.
+        prompt_parts: Ids of the parts of the prompt that other requests may
+            have in common with it, in order.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     is_idempotent: bool
     fingerprint: str
     is_first_send: bool = False
+    prompt_parts: tuple[str, ...] = ()
 
 
 class AnswerMetadata(NamedTuple):
