--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -208,6 +208,9 @@
         is_full: Whether it rejects requests.
         delay_s: Seconds before it responds.
         break_at_event: Number of the event in which it breaks a stream, once.
+        crash_part: Id of the prompt part on which it crashes once it begins
+            to answer, or None.
+        on_crash: Called after such a crash.
         confidence: Confidence that it reports, by model.
         extra_answer: Bytes that it writes before its response to each request
             but the first on a connection.
@@ -228,6 +231,8 @@
         self.is_full = False
         self.delay_s = 0.0
         self.break_at_event: int | None = None
+        self.crash_part: str | None = None
+        self.on_crash: Callable[[Upstream], None] = lambda _: None
         self.loses_answers = False
         self.extra_answer = b""
         self.confidence: dict[str, int] = {}
@@ -341,6 +346,10 @@
             await _respond(exchange, self.status, b"bad", answer)
             return
         await exchange.start(200, answer, None)
+        if self.crash_part is not None and has_part(headers, self.crash_part):
+            await self._server.stop()
+            self.on_crash(self)
+            return
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, 6):
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
@@ -354,6 +363,12 @@
         await exchange.finish()
 
 
+def has_part(headers: dict[str, str], part_id: str) -> bool:
+    """Returns whether a request's prompt has a part, not counting its last."""
+    parts = headers.get("x-lycheegw-prompt-prefix", "").split(",")
+    return part_id in [part.partition(":")[0].strip() for part in parts[:-1]]
+
+
 def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Returns a manifest with a route of each kind."""
 
