A zone counts as lost only by upstreams that had not crashed before

Cause: the check took any unreachable upstream of the zone as a sign of a lost zone. Class: one symptom for two faults, told apart by nothing.

Change: upstreams that are known to have crashed, and not to have started again, are not asked. Before: ZONE_DOWN, as with no known crash; after: CRASHED (tests/test_crash_checks.py).

--- a/src/lycheegw/coordination/crash_checks.py
+++ b/src/lycheegw/coordination/crash_checks.py
@@ -1,6 +1,7 @@
 """Finds out whether an upstream crashed after a connection to it broke."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 
 from lycheegw.coordination import interfaces
@@ -39,9 +40,19 @@
         self,
         state: node_state.NodeState,
         client: interfaces.ReportClient,
+        crashed_upstreams: Callable[[], set[str]],
     ):
+        """Creates a checker.
+
+        Args:
+            state: State of this node.
+            client: Sends the probes.
+            crashed_upstreams: Returns the ids of upstreams that are known to
+                have crashed and not to have restarted.
+        """
         self._state = state
         self._client = client
+        self._crashed_upstreams = crashed_upstreams
         self._task_by_process: dict[
             tuple[str, float], asyncio.Task[Finding]
         ] = {}
@@ -93,11 +104,15 @@
         """Returns whether other upstreams of the zone are unreachable, too.
 
         No single request takes down a zone; those that ran there aren't blamed.
+        Upstreams that crashed before, one by one, don't count.
         """
+        crashed = self._crashed_upstreams()
         others = [
             other
             for other in self._state.upstreams.by_id.values()
-            if other.entry.zone == upstream.entry.zone and other is not upstream
+            if other.entry.zone == upstream.entry.zone
+            and other is not upstream
+            and other.entry.host_id not in crashed
         ]
         count = min(_MAX_ZONE_PROBES, len(others))
         probed = self._state.environment.random.sample(others, count)
--- a/src/lycheegw/coordination/suspects.py
+++ b/src/lycheegw/coordination/suspects.py
@@ -142,7 +142,9 @@
         self._parts = prompt_parts.PartTable(
             state.environment, self._crash_table
         )
-        self._checker = crash_checks.CrashChecker(state, client)
+        self._checker = crash_checks.CrashChecker(
+            state, client, self.crashed_upstreams
+        )
         self._run_leases = suspect_leases.SuspectLeases(state.environment)
         self._lease_by_run: dict[tuple[str, str], str] = {}
         self._unreported: list[crash_table.Crash] = []
