Peers serve the requests of a node that reaches no upstream

Cause: such a node had no other way than its own connections, and refused what it got. What it found did not last, either: a zone counted as unreachable for 2 s after timeouts, so that the node called itself ready again and again during one cut. Class: a node that takes its own view for the fleet's.

Change: two upstreams out of reach begin a check of four in all zones; if none accepts a connection the node is cut off until one does. Failures of upstreams noted during the cut are forgotten.

After: tests/platform/test_cut_off_nodes.py passes with all kinds of cuts, and for unsafe requests, lost peers, loops, cancellation and the end of a cut.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -17,11 +17,13 @@
 from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
+from lycheegw.coordination import relays
 from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
 from lycheegw.coordination import shared_rates
 from lycheegw.coordination import suspects
 from lycheegw.coordination import upstream_notices
+from lycheegw.coordination import upstream_reach
 from lycheegw.coordination import wait_queues
 from lycheegw.coordination import zone_reachability
 from lycheegw.state import errors
@@ -127,6 +129,8 @@
         notices: What upstreams announced about themselves.
         client: Sends requests to upstreams.
         reachability: Detects unreachable zones.
+        reach: Tells whether this node is cut off from all upstreams.
+        relays: Lets peers serve requests while it is.
         is_store_read: Returns whether the store was ever read.
         is_closing: Returns whether the process is shutting down.
         member_count: Returns how many nodes share a limit.
@@ -148,6 +152,8 @@
     notices: upstream_notices.UpstreamNotices
     client: interfaces.ForwardClient
     reachability: zone_reachability.ZoneReachability
+    reach: upstream_reach.UpstreamReach
+    relays: relays.Relays
     is_store_read: Callable[[], bool]
     is_closing: Callable[[], bool]
     member_count: Callable[[], int]
@@ -173,11 +179,35 @@
         Raises:
             errors.RefusalError: The request failed.
         """
+        if not accepted.work.incoming.is_relayed:
+            # The node that relays a request has counted it.
+            self._dependencies.budgets.note_request(accepted.service.name)
+        try:
+            await self._serve_here(accepted)
+        except errors.RefusalError:
+            unreached = len(accepted.progress.unreached)
+            if not (
+                unreached
+                and await self._dependencies.reach.check(unreached)
+                and _may_relay(accepted)
+                and await self._dependencies.relays.serve(accepted)
+            ):
+                raise
+
+    async def _serve_here(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> None:
+        """Makes attempts at upstreams as long as these are within reach."""
         progress = accepted.progress
-        self._dependencies.budgets.note_request(accepted.service.name)
         progress.model = model_cascade.first_model(accepted.work)
         while True:
             self._dependencies.suspects.refuse_blocked(accepted.request)
+            if (
+                self._dependencies.reach.is_cut_off
+                and _may_relay(accepted)
+                and await self._dependencies.relays.serve(accepted)
+            ):
+                return
             await self._dependencies.freshness.ensure_current()
             choice = await self._choose(accepted)
             try:
@@ -553,6 +583,7 @@
         upstream = choice.upstream
         now_s = self._now_s()
         upstream.note_reachable()
+        self._dependencies.reach.note_answer()
         upstream.end_connect_failure(now_s, choice.service.cold_s)
         self._dependencies.reachability.note_answer(upstream.entry.zone)
         if head.cold_s is not None:
@@ -755,6 +786,12 @@
             )
         if error.reason in _UNREACHABLE_REASONS:
             upstream.note_unreachable(now_s)
+        if error.reason is reasons.RetryReason.CONNECT_FAILED or (
+            error.reason is reasons.RetryReason.CONNECTION_LOST
+            and error.is_timeout
+        ):
+            accepted.progress.unreached.add(host_id)
+            self._dependencies.reach.note_unreached(upstream)
         if error.is_timeout:
             self._dependencies.reachability.note_timeout(
                 upstream.entry.zone, host_id
@@ -831,6 +868,19 @@
         return self._state.environment.monotonic_s()
 
 
+def _may_relay(accepted: accepted_requests.AcceptedRequest) -> bool:
+    """Returns whether a peer may serve a request in this node's place."""
+    progress = accepted.progress
+    has_not_run = progress.current_verdict() is _NOT_RUN
+    has_attempt = progress.run_count < accepted.work.route.max_attempts
+    return (
+        not accepted.work.incoming.is_relayed
+        and not progress.is_relay_declined
+        and not accepted.sink.is_started
+        and (has_not_run or (accepted.request.is_idempotent and has_attempt))
+    )
+
+
 def _urgency(
     work: forwarded_requests.ForwardedWork, model: str | None
 ) -> int | None:
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import hashlib
 from typing import NamedTuple
@@ -17,6 +18,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import routing
+from lycheegw.state import verdicts
 
 __all__ = ["Codec", "Forwarder"]
 
@@ -58,8 +60,18 @@
         self._codec = codec
         self._dependencies = dependencies
 
-    async def handle(self, sink: accepted_requests.ResponseSink) -> None:
-        """Serves one request and logs how it ended."""
+    async def handle(
+        self,
+        sink: accepted_requests.ResponseSink,
+        decline: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """Serves one request and logs how it ended.
+
+        Args:
+            sink: Where the response is written.
+            decline: Tells the node that relayed the request that it has not
+                run, None if a client sent it.
+        """
         end = _End(sink.incoming)
         try:
             await self._wait_for_startup()
@@ -68,7 +80,7 @@
             end.accepted = self._accept(sink, end.traits)
             await self._serve_until_deadline(end.accepted)
         except errors.RefusalError as error:
-            await self._refuse(sink, end, error)
+            await self._refuse(sink, end, error, decline)
         except (ConnectionError, asyncio.CancelledError) as error:
             self._note_end(end, "caller_gone", error)
             raise
@@ -196,6 +208,7 @@
         sink: accepted_requests.ResponseSink,
         end: "_End",
         error: errors.RefusalError,
+        decline: Callable[[], Awaitable[None]] | None,
     ) -> None:
         """Sends a refusal, or breaks off a response that has begun."""
         if end.accepted is not None:
@@ -206,6 +219,14 @@
         if sink.is_started:
             sink.abort()
             return
+        if (
+            decline is not None
+            and self._dependencies.reach.is_cut_off
+            and error.verdict is verdicts.RunVerdict.NOT_RUN
+        ):
+            # Another peer may reach an upstream.
+            await decline()
+            return
         await sink.send(self._codec.encode_refusal(error))
 
     def _note_end(
@@ -279,6 +300,8 @@
     left_s = route.timeout_s
     if traits.time_left_s is not None:
         left_s = min(left_s, traits.time_left_s)
+    if work.incoming.relayed_time_left_s is not None:
+        left_s = min(left_s, work.incoming.relayed_time_left_s)
     priority = route.priority
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -3,6 +3,7 @@
 Each is implemented by one adapter module of the transport layer.
 """
 
+from collections.abc import AsyncGenerator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -33,6 +34,8 @@
     "RatedAnswer",
     "Rating",
     "RatingsClient",
+    "RelayClient",
+    "RelayedPart",
     "ReportClient",
     "StreamedFrames",
     "TokenStream",
@@ -156,6 +159,43 @@
         """
 
 
+class RelayedPart(NamedTuple):
+    """A part of the response that a peer sends for a relayed request.
+
+    Attributes:
+        status: HTTP status in the first part, 0 in the others.
+        headers: Headers of the response, in the first part.
+        content_length: Length of the body, None if it isn't known.
+        data: Next bytes of the body.
+        is_end: Whether the response is complete.
+        is_declined: Whether the peer has not run the request and will not.
+    """
+
+    status: int = 0
+    headers: forwarded_requests.Headers = ()
+    content_length: int | None = None
+    data: bytes = b""
+    is_end: bool = False
+    is_declined: bool = False
+
+
+class RelayClient(Protocol):
+    """Sends requests to peers that serve them in this node's place."""
+
+    def relay(
+        self,
+        node_id: str,
+        incoming: forwarded_requests.IncomingRequest,
+        time_left_s: float,
+    ) -> AsyncGenerator[RelayedPart, None]:
+        """Yields the parts of the response.
+
+        Raises:
+            errors.PeerUnavailableError: The request was not sent.
+            errors.PeerLostError: The peer may have run the request.
+        """
+
+
 class KeyedStore(Protocol):
     """A shared store of topics that keep the newest record of each key."""
 
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -20,6 +20,7 @@
 from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import node_registry
+from lycheegw.coordination import relays
 from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
 from lycheegw.coordination import shared_rates
@@ -28,6 +29,7 @@
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_readers
 from lycheegw.coordination import upstream_notices
+from lycheegw.coordination import upstream_reach
 from lycheegw.coordination import zone_reachability
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import notice_codec
@@ -50,6 +52,7 @@
 from lycheegw.transport import ingress
 from lycheegw.transport import metrics_page
 from lycheegw.transport import peer_bus
+from lycheegw.transport import peer_relay
 
 __all__ = ["EdgeNode", "PlatformAdapter"]
 
@@ -317,6 +320,15 @@
         reachability = zone_reachability.ZoneReachability(
             self.state.environment
         )
+        self.reach = upstream_reach.UpstreamReach(
+            self.state,
+            self._connect_upstream,
+            self.suspects.crashed_upstreams,
+            self._log.note,
+        )
+        self.relay_client = peer_relay.RelayClient(
+            self.peers, self.state.environment.monotonic_s
+        )
         timings = response_times.ResponseTimes()
         self.backlogs = backlogs.Backlogs(
             self.state, self.peers, backlog_codec.CODEC, self.peers.send_soon
@@ -352,6 +364,13 @@
                 self.notices,
                 self.forward_client,
                 reachability,
+                self.reach,
+                relays.Relays(
+                    self.state,
+                    self.relay_client,
+                    self.peers.live_nodes,
+                    self._log.note,
+                ),
                 self._has_initial_state,
                 lambda: self.is_refusing_streams,
                 self.node_registry.member_count,
@@ -364,6 +383,11 @@
                 self.histograms.observe,
             ),
         )
+        self.peers.serve_relayed = peer_relay.RelayServer(
+            self.forwarder.handle,
+            lambda: self.is_draining or self.reach.is_cut_off,
+            self.state.environment.monotonic_s,
+        ).serve
         self.application.add_task(self._run_rollouts)
         self.application.add_task(self._run_housekeeping)
 
@@ -376,6 +400,9 @@
             is_alone and has_others
         )
 
+    async def _connect_upstream(self, upstream: upstreams.Upstream) -> None:
+        await self.forward_client.connect(upstream.entry)
+
     async def _run_rollouts(self) -> None:
         await self.canary_rollouts.run(
             self.store,
@@ -445,6 +472,7 @@
         return (
             not self.is_draining
             and not self._unreachable_services
+            and not self.reach.is_cut_off
             and self._has_initial_state()
         )
 
@@ -497,6 +525,8 @@
             self._note_loop_lag(self.state.environment.monotonic_s() - due_s)
             self.upstream_pool.close_expired()
             self.directory.expire_lapsed()
+            self.reach.tick()
+            self.relay_client.close_idle()
             self._update_reachability()
             self._log.flush()
 
@@ -512,6 +542,10 @@
         live_zones = set(self.peers.liveness.live_by_zone())
         without_peers = self.node_registry.zones() - live_zones
         unreachable = self.balancer.unreachable_services(without_peers)
+        # Clients reconnect, and the load balancer picks other nodes.
+        self.server.is_closing = (
+            self.is_draining or bool(unreachable) or self.reach.is_cut_off
+        )
         if unreachable == self._unreachable_services:
             return
         self._log.note(
@@ -521,8 +555,6 @@
             without_peers=sorted(without_peers),
         )
         self._unreachable_services = unreachable
-        # Clients reconnect, and the load balancer picks other nodes.
-        self.server.is_closing = self.is_draining or bool(unreachable)
 
     async def watch_settings(
         self, path: pathlib.Path, reload_requested: asyncio.Event
@@ -605,6 +637,7 @@
         self._log.note("stop", running=self.server.running)
         self.upstream_pool.close()
         self._store_pool.close()
+        self.relay_client.close()
         await self.application.stop()
         self._log.flush()
 
--- a/src/lycheegw/protocol/pb/peer_grpc.py
+++ b/src/lycheegw/protocol/pb/peer_grpc.py
@@ -18,6 +18,10 @@
     async def Exchange(self, stream: 'grpclib.server.Stream[lycheegw.protocol.pb.peer_pb2.Frame, lycheegw.protocol.pb.peer_pb2.Frame]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Relay(self, stream: 'grpclib.server.Stream[lycheegw.protocol.pb.peer_pb2.RelayedRequest, lycheegw.protocol.pb.peer_pb2.RelayedPart]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/lycheegw.peer.Peer/Exchange': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 lycheegw.protocol.pb.peer_pb2.Frame,
                 lycheegw.protocol.pb.peer_pb2.Frame,
             ),
+            '/lycheegw.peer.Peer/Relay': grpclib.const.Handler(
+                self.Relay,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                lycheegw.protocol.pb.peer_pb2.RelayedRequest,
+                lycheegw.protocol.pb.peer_pb2.RelayedPart,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             lycheegw.protocol.pb.peer_pb2.Frame,
             lycheegw.protocol.pb.peer_pb2.Frame,
         )
+        self.Relay = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/lycheegw.peer.Peer/Relay',
+            lycheegw.protocol.pb.peer_pb2.RelayedRequest,
+            lycheegw.protocol.pb.peer_pb2.RelayedPart,
+        )
--- a/src/lycheegw/state/errors.py
+++ b/src/lycheegw/state/errors.py
@@ -7,6 +7,7 @@
     "ConfigurationError",
     "LogUnavailableError",
     "LycheeError",
+    "PeerLostError",
     "PeerMessageError",
     "PeerUnavailableError",
     "PlatformError",
@@ -84,6 +85,10 @@
     """Another node can't be reached or did not answer a call in time."""
 
 
+class PeerLostError(LycheeError):
+    """Another node took a request over, and its response broke off."""
+
+
 class PeerMessageError(LycheeError):
     """A message from another node can't be decoded."""
 
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -27,6 +27,8 @@
         body: The complete body.
         received_s: Monotonic second at which the request head was complete.
         is_first_on_connection: Whether no request preceded it there.
+        relayed_time_left_s: Seconds that the client still waits, if another
+            node received the request and relays it; else None.
     """
 
     method: bytes
@@ -35,6 +37,12 @@
     body: bytes
     received_s: float
     is_first_on_connection: bool
+    relayed_time_left_s: float | None = None
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another node received the request from the client."""
+        return self.relayed_time_left_s is not None
 
 
 class PromptPart(NamedTuple):
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -120,6 +120,11 @@
         self._failures = 0
         self._excluded_until_s = 0.0
 
+    def forget_failures(self) -> None:
+        """Forgets failures that this node's own link caused."""
+        self.note_reachable()
+        self.connect_failed_s = None
+
     def is_excluded(self, now_s: float) -> bool:
         """Returns whether it is excluded because it could not be reached."""
         return now_s < self._excluded_until_s
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -458,6 +458,14 @@
         connection.send(request)
         return Call(self, connection)
 
+    async def connect(self, key: str, address: str) -> None:
+        """Opens a connection and keeps it for the next request.
+
+        Raises:
+            errors.UpstreamError: Connecting failed.
+        """
+        self._keep(await self._connect(key, address), _DEFAULT_IDLE_S)
+
     def _reusable_connection(
         self, key: str, max_idle_s: float
     ) -> _Connection | None:
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -135,6 +135,10 @@
         )
         return _ForwardCall(call, self._codec, attempt.work.traits.request_id)
 
+    async def connect(self, entry: upstreams.HostEntry) -> None:
+        """Opens a connection; raises errors.UpstreamError."""
+        await self._pool.connect(connection_key(entry), entry.address)
+
     async def check_health(
         self, entry: upstreams.HostEntry, path: str, timeout_s: float
     ) -> forwarded_requests.ResponseHead:
--- a/src/lycheegw/transport/peer_bus.py
+++ b/src/lycheegw/transport/peer_bus.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 from typing import Any
@@ -50,6 +52,11 @@
 ConnectListener = Callable[[str], None]
 
 
+async def _refuse_relayed(stream: Any) -> None:
+    """Refuses a relayed request, as this node serves none."""
+    raise grpclib.GRPCError(const.Status.UNIMPLEMENTED)
+
+
 class GrpcPeerBus(peer_grpc.PeerBase):
     """Sends and receives calls and deltas over links to other nodes.
 
@@ -59,6 +66,7 @@
         choose_neighbours: Returns the neighbours, to which links are kept open.
         link_callbacks: Callbacks of the links.
         is_reachable: Returns whether a node id may be connected to.
+        serve_relayed: Serves the request of an authenticated stream.
     """
 
     def __init__(
@@ -95,6 +103,7 @@
         self.address = listen
         self.choose_neighbours = neighbours.choose
         self.is_reachable: Callable[[str], bool] = lambda _: True
+        self.serve_relayed: Callable[[Any], Awaitable[None]] = _refuse_relayed
         self.liveness = liveness.Liveness(state)
         self.on_delta(
             _LIVENESS_TOPIC, self._encode_updates_for, self._merge_updates
@@ -322,26 +331,38 @@
         self._spawn(self._run_and_close(link, channel))
         return self._link_by_id[peer.node_id]
 
-    async def _handshake(
-        self, channel: client.Channel, is_neighbour: bool
-    ) -> tuple[liveness.Peer, Any]:
-        """Opens a stream; returns the authenticated peer and the stream."""
+    def sign_introduction(
+        self, is_neighbour: bool = False
+    ) -> tuple[str, dict[str, str]]:
+        """Returns the nonce and the metadata with which to open a stream."""
         nonce = self._state.environment.new_id()
         own = self.liveness.set_address(self.address)
-        metadata = peer_auth.sign_introduction(
+        return nonce, peer_auth.sign_introduction(
             self._peer_key,
             peer_auth.Introduction(own, is_neighbour, nonce),
             self._state.environment.wall_s(),
         )
+
+    def verify_acceptance(
+        self, nonce: str, metadata: Mapping[str, object]
+    ) -> liveness.Peer | None:
+        """Returns the peer that accepted a stream, None if it is a stranger."""
+        peer = peer_auth.verify_acceptance(self._peer_key, nonce, metadata)
+        if peer is None:
+            self._state.counters.add("peers.strangers")
+        return peer
+
+    async def _handshake(
+        self, channel: client.Channel, is_neighbour: bool
+    ) -> tuple[liveness.Peer, Any]:
+        """Opens a stream; returns the authenticated peer and the stream."""
+        nonce, metadata = self.sign_introduction(is_neighbour)
         stream = peer_grpc.PeerStub(channel).Exchange.open(metadata=metadata)
         await stream.__aenter__()
         await stream.send_request()
         await stream.recv_initial_metadata()
-        peer = peer_auth.verify_acceptance(
-            self._peer_key, nonce, stream.initial_metadata or {}
-        )
+        peer = self.verify_acceptance(nonce, stream.initial_metadata or {})
         if peer is None:
-            self._state.counters.add("peers.strangers")
             raise ConnectionError("the peer failed to authenticate")
         peer_link.limit_message_size(stream)
         return peer, stream
@@ -425,6 +446,21 @@
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         """Authenticates and serves a stream that another node opened."""
+        introduction = await self._accept(stream)
+        link = self._add_link(
+            introduction.peer, stream, introduction.is_neighbour, False
+        )
+        await self._run_link(link)
+        with contextlib.suppress(*peer_link.LINK_ERRORS):
+            await stream.cancel()
+
+    async def Relay(self, stream: Any) -> None:  # noqa: N802
+        """Authenticates another node and serves the request that it relays."""
+        await self._accept(stream)
+        await self.serve_relayed(stream)
+
+    async def _accept(self, stream: Any) -> peer_auth.Introduction:
+        """Authenticates the node that opened a stream."""
         introduction = self._verifier.verify(
             stream.metadata, self._state.environment.wall_s()
         )
@@ -439,12 +475,7 @@
             )
         )
         peer_link.limit_message_size(stream)
-        link = self._add_link(
-            introduction.peer, stream, introduction.is_neighbour, False
-        )
-        await self._run_link(link)
-        with contextlib.suppress(*peer_link.LINK_ERRORS):
-            await stream.cancel()
+        return introduction
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(work)
--- /dev/null
+++ b/src/lycheegw/transport/peer_relay.py
@@ -0,0 +1,236 @@
+"""Sends requests to other nodes and serves those that they send.
+
+Each relayed request is one stream, on a connection to the peer that is kept as
+long as it is used.
+"""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
+
+from absl import logging
+from grpclib import client
+
+from lycheegw.coordination import accepted_requests
+from lycheegw.coordination import interfaces
+from lycheegw.coordination import relays
+from lycheegw.protocol import relay_codec
+from lycheegw.protocol.pb import peer_grpc
+from lycheegw.state import errors
+from lycheegw.state import forwarded_requests
+from lycheegw.transport import ingress
+from lycheegw.transport import peer_bus
+from lycheegw.transport import peer_link
+
+__all__ = ["RelayClient", "RelayServer"]
+
+# Time for a peer to accept a request.
+_ACCEPT_TIMEOUT_S = 0.6
+# Largest body that is relayed; a message holds the whole request.
+_MAX_BODY_BYTES = 512 * 1024
+# Time after its last use at which a connection to a peer is closed.
+_IDLE_S = 5.0
+
+
+RelayHandler = Callable[
+    [accepted_requests.ResponseSink, Callable[[], Awaitable[None]]],
+    Awaitable[None],
+]
+
+
+class _PeerConnection:
+    """A connection to a peer and its use."""
+
+    def __init__(self, channel: client.Channel):
+        self.channel = channel
+        self.running = 0
+        self.used_s = 0.0
+
+
+class RelayClient:
+    """Sends requests to peers that serve them in this node's place."""
+
+    def __init__(self, bus: peer_bus.GrpcPeerBus, now_s: Callable[[], float]):
+        self._bus = bus
+        self._now_s = now_s
+        self._connection_by_address: dict[str, _PeerConnection] = {}
+
+    async def relay(
+        self,
+        node_id: str,
+        incoming: forwarded_requests.IncomingRequest,
+        time_left_s: float,
+    ) -> AsyncGenerator[interfaces.RelayedPart, None]:
+        """Yields the parts of the response.
+
+        Raises:
+            errors.PeerUnavailableError: The request was not sent.
+            errors.PeerLostError: The peer may have run the request.
+        """
+        peer = self._bus.liveness.peer(node_id)
+        if peer is None or len(incoming.body) > _MAX_BODY_BYTES:
+            raise errors.PeerUnavailableError(f"can't relay to {node_id}")
+        connection = self._connection(peer.address)
+        connection.running += 1
+        is_sent = False
+        try:
+            nonce, metadata = self._bus.sign_introduction()
+            stub = peer_grpc.PeerStub(connection.channel)
+            async with stub.Relay.open(metadata=metadata) as stream:
+                async with asyncio.timeout(_ACCEPT_TIMEOUT_S):
+                    await stream.send_request()
+                    await stream.recv_initial_metadata()
+                accepted = self._bus.verify_acceptance(
+                    nonce, stream.initial_metadata or {}
+                )
+                if accepted is None or accepted.node_id != node_id:
+                    raise ConnectionError(f"{peer.address} is not {node_id}")
+                peer_link.limit_message_size(stream)
+                is_sent = True
+                await stream.send_message(
+                    relay_codec.encode_request(incoming, time_left_s), end=True
+                )
+                while (message := await stream.recv_message()) is not None:
+                    yield relay_codec.decode_part(message)
+        except peer_link.LINK_ERRORS as error:
+            if not connection.running > 1:
+                self._close(peer.address)
+            if is_sent:
+                raise errors.PeerLostError(f"{node_id}: {error!r}") from error
+            raise errors.PeerUnavailableError(
+                f"{node_id}: {error!r}"
+            ) from error
+        finally:
+            connection.running -= 1
+            connection.used_s = self._now_s()
+
+    def _connection(self, address: str) -> _PeerConnection:
+        connection = self._connection_by_address.get(address)
+        if connection is None:
+            host, _, port = address.rpartition(":")
+            connection = _PeerConnection(client.Channel(host, int(port)))
+            self._connection_by_address[address] = connection
+        return connection
+
+    def _close(self, address: str) -> None:
+        connection = self._connection_by_address.pop(address, None)
+        if connection is not None:
+            connection.channel.close()
+
+    def close_idle(self) -> None:
+        """Closes the connections that were not used for a while."""
+        now_s = self._now_s()
+        for address, connection in list(self._connection_by_address.items()):
+            if not connection.running and now_s > connection.used_s + _IDLE_S:
+                self._close(address)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for address in list(self._connection_by_address):
+            self._close(address)
+
+
+class _RelayedExchange:
+    """The response to a relayed request, written to the peer's stream.
+
+    Attributes:
+        incoming: The request.
+        is_started: Whether the response head was sent.
+        is_finished: Whether the response was sent completely.
+    """
+
+    def __init__(
+        self, stream: Any, incoming: forwarded_requests.IncomingRequest
+    ):
+        self.incoming = incoming
+        self.is_started = False
+        self.is_finished = False
+        self._stream = stream
+
+    async def send(self, response: forwarded_requests.LocalResponse) -> None:
+        """Sends a complete response; raises ingress.CallerGoneError."""
+        await self.start(response.status, response.headers, len(response.body))
+        await self.write(response.body)
+        await self.finish()
+
+    async def start(
+        self,
+        status: int,
+        headers: forwarded_requests.Headers,
+        content_length: int | None,
+    ) -> None:
+        """Sends the response head; raises ingress.CallerGoneError."""
+        self.is_started = True
+        await self._send(
+            interfaces.RelayedPart(status, headers, content_length)
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body; raises ingress.CallerGoneError."""
+        for index in range(0, len(data), peer_link.MAX_PAYLOAD_BYTES):
+            chunk = data[index : index + peer_link.MAX_PAYLOAD_BYTES]
+            await self._send(interfaces.RelayedPart(data=chunk))
+
+    async def finish(self) -> None:
+        """Ends a complete response; raises ingress.CallerGoneError."""
+        await self._send(interfaces.RelayedPart(is_end=True))
+        self.is_finished = True
+
+    async def decline(self) -> None:
+        """Tells the peer that the request has not run and will not."""
+        await self._send(interfaces.RelayedPart(is_declined=True))
+        self.is_finished = True
+
+    def abort(self) -> None:
+        """Leaves the response without its end, which the peer notices."""
+
+    async def _send(self, part: interfaces.RelayedPart) -> None:
+        try:
+            await self._stream.send_message(relay_codec.encode_part(part))
+        except peer_link.LINK_ERRORS as error:
+            raise ingress.CallerGoneError(
+                f"the relaying node is gone: {error!r}"
+            ) from error
+
+
+class RelayServer:
+    """Serves the requests that other nodes relay."""
+
+    def __init__(
+        self,
+        handle: RelayHandler,
+        declines: Callable[[], bool],
+        now_s: Callable[[], float],
+    ):
+        """Creates a server.
+
+        Args:
+            handle: Serves a request; its second argument declines it.
+            declines: Returns whether this node takes no relayed requests.
+            now_s: Returns the monotonic time.
+        """
+        self._handle = handle
+        self._declines = declines
+        self._now_s = now_s
+        self._limit = relays.RelayLimit()
+
+    async def serve(self, stream: Any) -> None:
+        """Serves the request of an authenticated stream."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        try:
+            incoming = relay_codec.decode_request(message, self._now_s())
+        except errors.PeerMessageError as error:
+            logging.warning("relayed request: %s", error)
+            return
+        exchange = _RelayedExchange(stream, incoming)
+        with contextlib.suppress(ingress.CallerGoneError):
+            if self._declines() or self._limit.is_reached:
+                await exchange.decline()
+                return
+            with self._limit.hold():
+                await self._handle(exchange, exchange.decline)
--- a/tests/platform/test_cut_off_nodes.py
+++ b/tests/platform/test_cut_off_nodes.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 import time
+from typing import Any
 
+import grpclib
 import pytest
 
 from tests.platform import fleet_harness
@@ -87,21 +89,7 @@
 
 
 # Guards against refusals by a node that reaches no upstream while its peers do.
-@pytest.mark.parametrize(
-    "kind",
-    [
-        upstream_cuts.KINDS[0],
-        *(
-            pytest.param(
-                kind,
-                marks=pytest.mark.xfail(
-                    strict=True, reason="listed in KNOWN-RED.txt"
-                ),
-            )
-            for kind in upstream_cuts.KINDS[1:]
-        ),
-    ],
-)
+@pytest.mark.parametrize("kind", upstream_cuts.KINDS)
 @pytest.mark.parametrize("cut_count", [1, 3])
 async def test_callers_of_cut_off_nodes_are_served(
     cut_count: int, kind: upstream_cuts.Kind
@@ -127,3 +115,127 @@
             if each.target == "/book/1"
         ]
         assert len(ids) == len(set(ids))
+
+
+async def test_relayed_request_keeps_its_id_deadline_and_response() -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await _wait_for_peers(fleet)
+        first, second = fleet.nodes
+        first.reach.is_cut_off = True
+        lines = fleet.capture_request_events(second)
+        reply = await platform_standins.send_request(
+            first.settings.listen,
+            "/look/1?x=2",
+            headers={"X-Lycheegw-Deadline-Ms": "900"},
+        )
+        assert reply is not None and reply.status == 200
+        (seen,) = fleet.seen
+        assert seen.target == "/look/1?x=2"
+        assert seen.header_by_name["x-lycheegw-tenant"] == "acme"
+        assert 0 < int(seen.header_by_name["x-lycheegw-deadline-ms"]) <= 900
+        assert reply.header_by_name["x-lycheegw-response-signature"]
+        attempt_id = seen.header_by_name["x-lycheegw-attempt-id"]
+        assert reply.header_by_name["x-lycheegw-attempt-id"] == attempt_id
+        assert [
+            line["request_id"] for line in lines if line["event"] == "answered"
+        ] == [attempt_id]
+        assert first.state.counters.by_name["relay.answered"] == 1
+
+
+async def test_two_cut_off_nodes_do_not_relay_in_a_loop() -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await _wait_for_peers(fleet)
+        cuts = []
+        for node in fleet.nodes:
+            node.reach.is_cut_off = True
+            cuts.append(upstream_cuts.begin(node, upstream_cuts.KINDS[2]))
+        started_s = time.monotonic()
+        reply = await platform_standins.send_request(
+            fleet.nodes[0].settings.listen, "/look/1"
+        )
+        assert reply is not None and reply.status == 503
+        assert time.monotonic() - started_s < 1.0
+        counters = fleet.nodes[0].state.counters.by_name
+        assert counters["relay.declined"] == 1
+        assert not fleet.seen
+
+
+async def test_client_that_leaves_cancels_its_relayed_request() -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await _wait_for_peers(fleet)
+        fleet.nodes[0].reach.is_cut_off = True
+        desks = [fleet.upstream_by_name[name] for name in ("d1", "d2")]
+        for upstream in desks:
+            upstream.delay_s = 5.0
+        await platform_standins.send_request(
+            fleet.nodes[0].settings.listen, "/look/1", leave_after_s=0.3
+        )
+        await fleet_harness.wait_until(
+            lambda: sum(each.cancelled_count for each in desks) == 1, 0.5
+        )
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "status", "runs"),
+    [("/look/1", "GET", 200, 2), ("/book/1", "POST", 502, 1)],
+)
+async def test_only_idempotent_requests_go_on_if_the_peer_is_lost(
+    path: str, method: str, status: int, runs: int
+) -> None:
+    async with fleet_harness.fleet(nodes=3) as fleet:
+        await _wait_for_peers(fleet)
+        fleet.nodes[0].reach.is_cut_off = True
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 0.4
+        _lose_first_relay(fleet)
+        reply = await platform_standins.send_request(
+            fleet.nodes[0].settings.listen,
+            path,
+            method,
+            headers={"X-Lycheegw-Deadline-Ms": "1900"},
+        )
+        assert reply is not None and reply.status == status
+        assert len(fleet.seen) == runs
+
+
+def _lose_first_relay(fleet: fleet_harness.Fleet) -> None:
+    """Breaks off the first relayed request once an upstream runs it."""
+    serves = [node.peers.serve_relayed for node in fleet.nodes]
+    lost: list[int] = []
+
+    def wrap(index: int) -> None:
+        async def serve(stream: Any) -> None:
+            if lost:
+                await serves[index](stream)
+                return
+            lost.append(index)
+            task = asyncio.create_task(serves[index](stream))
+            await fleet_harness.wait_until(lambda: len(fleet.seen) == 1)
+            task.cancel()
+            raise grpclib.GRPCError(grpclib.const.Status.UNAVAILABLE)
+
+        fleet.nodes[index].peers.serve_relayed = serve
+
+    for index in range(len(fleet.nodes)):
+        wrap(index)
+
+
+async def test_node_is_ready_again_after_its_cut() -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await _wait_for_peers(fleet)
+        node = fleet.nodes[0]
+        cut = upstream_cuts.begin(node, upstream_cuts.KINDS[1])
+        load = asyncio.create_task(_Load(fleet).run(3.0))
+        await fleet_harness.wait_until(lambda: node.reach.is_cut_off, 4.0)
+        assert not node.is_ready
+        await load
+        cut.end()
+        await fleet_harness.wait_until(lambda: node.is_ready, 2.0)
+        relayed = node.state.counters.by_name["relay.answered"]
+        assert relayed
+        for _ in range(10):
+            reply = await platform_standins.send_request(
+                node.settings.listen, "/look/1"
+            )
+            assert reply is not None and reply.status == 200
+        assert node.state.counters.by_name["relay.answered"] == relayed
