All nodes together keep to the slots of brittle upstreams

Cause: the announcement was not decoded, and nothing bounds what all nodes together send to an upstream without room. Class: a bound over all nodes that each node keeps for itself, or nobody.

Change: nine tenths of a brittle upstream's slots are divided among registered nodes, like announced limits; a choice made before the announcement is made again.

After: test_brittle_upstreams_reject_few_requests_of_all_nodes passes; the model test has 1 to 90 nodes whose lists differ.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -64,7 +64,8 @@
         is_at_limit: Whether some are available but at their limit.
         pause_s: Seconds until the first one wants requests again, if all of
             them asked for a pause; else 0.
-        is_limit_announced: Whether some are at a limit that they announced.
+        is_limit_announced: Whether some are at a limit that they announced, or
+            brittle.
     """
 
     pool_size: int
@@ -148,6 +149,7 @@
         if not sendable:
             is_limit_announced = any(
                 self._notices.limit_per_s(each) is not None
+                or self._notices.is_brittle(each)
                 for each in version_options
             )
             return NoUpstream(
@@ -177,6 +179,7 @@
             "leaving": entry.is_leaving or self._notices.is_leaving(upstream),
             "paused": self._notices.pause_s(upstream) > 0,
             "limited": self._notices.limit_per_s(upstream) is not None,
+            "brittle": self._notices.is_brittle(upstream),
             "zone_closed": entry.zone in self._directory.closed_zones,
             "version": self._rollouts.is_withdrawn(service.name, entry.version),
             "cold": is_cold,
--- a/src/lycheegw/coordination/shared_rates.py
+++ b/src/lycheegw/coordination/shared_rates.py
@@ -1,12 +1,14 @@
-"""Bounds the rate of requests that an upstream gets from all nodes together.
-
-Cold upstreams and those that announce a limit are bounded. Only some nodes may
-send to such an upstream. They are the first ones in the order of rendezvous
-hashing over all registered nodes, so that no messages are needed to agree on
-them, and nodes that die or are cut off leave a gap instead of a duplicate. A
-node that has registered too recently for all others to know it sends nothing,
-so nodes with older lists can't choose more senders than those with newer ones.
-Each sender has a token bucket of one request.
+"""Bounds the requests that an upstream gets from all nodes together.
+
+Cold upstreams and those that announce a limit are bounded in rate, brittle ones
+in the requests that run at a time, so that they need not reject any. Only some
+nodes may send to such an upstream. They are the first ones in the order of
+rendezvous hashing over all registered nodes, so that no messages are needed to
+agree on them, and nodes that die or are cut off leave a gap instead of a
+duplicate. A node that has registered too recently for all others to know it
+sends nothing, so nodes with older lists can't choose more senders than those
+with newer ones. Each sender has a token bucket of one request, and an equal
+part of the slots of a brittle upstream.
 """
 
 from collections.abc import Callable
@@ -33,6 +35,9 @@
 # Requests beyond its announced limit that an upstream tolerates in a window,
 # over all nodes: one burst of this many senders.
 _LIMIT_SLACK = 5
+# Share of a brittle upstream's slots that all nodes together use. Health checks
+# and new connections take slots, too.
+_SLOT_SHARE = 0.9
 # Upstreams whose latest request is remembered.
 _MAX_UPSTREAMS = 4096
 
@@ -58,6 +63,7 @@
         bounds: Callable[[], edge_settings.ServiceLevels],
         members: Callable[[], Sequence[str] | None],
         announced_limit: Callable[[upstreams.Upstream], float | None],
+        is_brittle: Callable[[upstreams.Upstream], bool],
     ):
         """Creates the limits.
 
@@ -68,11 +74,14 @@
                 other nodes may not know of this one.
             announced_limit: Returns the requests per second that an upstream
                 accepts from all nodes together, None without a limit.
+            is_brittle: Returns whether an upstream may fail if it has to reject
+                requests.
         """
         self._state = state
         self._bounds = bounds
         self._members = members
         self._announced_limit = announced_limit
+        self._is_brittle = is_brittle
         self._sent_s_by_id: dict[str, float] = {}
         self._ranked_members: Sequence[str] = ()
         self._rank_by_id: dict[str, int] = {}
@@ -84,11 +93,16 @@
         now_s = self._state.environment.monotonic_s()
         limit_per_s = self._announced_limit(upstream)
         is_cold = _is_cold(upstream, service, now_s)
-        if limit_per_s is None and not is_cold:
+        is_brittle = self._is_brittle(upstream)
+        if limit_per_s is None and not is_cold and not is_brittle:
             return True
         members = self._members()
         if not members:
             return False
+        if is_brittle and not self._has_slot(upstream, members):
+            return False
+        if limit_per_s is None and not is_cold:
+            return True
         shares = []
         if is_cold:
             shares.append(self._cold_share(service, len(members)))
@@ -104,6 +118,17 @@
         count = min(share.senders for share in shares)
         return self._own_rank(host_id, members) < count
 
+    def _has_slot(
+        self, upstream: upstreams.Upstream, members: Sequence[str]
+    ) -> bool:
+        """Returns whether this node's part of an upstream's slots is free."""
+        slots = max(1, int(_SLOT_SHARE * upstream.entry.slots))
+        senders = min(slots, len(members))
+        rank = self._own_rank(upstream.entry.host_id, members)
+        # The first senders get the slots that are left over by an equal split.
+        part = slots // senders + (rank < slots % senders)
+        return rank < senders and upstream.in_flight < part
+
     def note_sent(self, upstream: upstreams.Upstream) -> None:
         """Records a request that was sent, which empties the bucket."""
         host_id = upstream.entry.host_id
--- a/src/lycheegw/coordination/upstream_notices.py
+++ b/src/lycheegw/coordination/upstream_notices.py
@@ -33,6 +33,9 @@
 _MAX_TRANSIT_S = 1.0
 # Time for which the end of a limit is gossiped.
 _ENDED_TTL_S = 60.0
+# Time for which the upstreams of a pool count as brittle after one of them said
+# so. They say it in all responses.
+_BRITTLE_TTL_S = 5.0
 # Longest pause that an upstream may ask for; a longer one is cut to it.
 _MAX_PAUSE_S = 300.0
 # A pause is extended at random by up to this share, so that the nodes don't
@@ -130,6 +133,7 @@
         self._note = note
         self._on_leaving = on_leaving
         self._notices_by_process: dict[Process, _Notices] = {}
+        self._brittle_until_s_by_pool: dict[str, float] = {}
         self._sent_by_neighbour: dict[str, dict[Process, _Sent]] = {}
         peers.on_delta(_TOPIC, self._encode_unknown_limits, self._merge)
 
@@ -154,6 +158,16 @@
         notices = self._find(upstream)
         return None if notices is None else notices.limit_per_s
 
+    def is_brittle(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream may fail if it has to reject requests.
+
+        The upstreams of a pool become brittle together.
+        """
+        if not self._brittle_until_s_by_pool:
+            return False
+        until_s = self._brittle_until_s_by_pool.get(upstream.entry.pool, 0.0)
+        return self._now_s() < until_s
+
     def _find(self, upstream: upstreams.Upstream) -> _Notices | None:
         if not self._notices_by_process:
             return None
@@ -186,6 +200,8 @@
         if is_misdirected:
             # Another process answered.
             return
+        if head.max_rejections_per_s is not None:
+            self._note_brittle(upstream, head.max_rejections_per_s)
         process = _process(upstream)
         pause_s = 0.0
         if head.status in _PAUSING_STATUSES:
@@ -212,6 +228,20 @@
             # An earlier request may have been answered before the limit.
             self._set_limit(process, notices, None, self._now_s())
 
+    def _note_brittle(
+        self, upstream: upstreams.Upstream, max_rejections_per_s: float
+    ) -> None:
+        if not self.is_brittle(upstream):
+            self._state.counters.add("upstreams.brittle_notice")
+            self._note(
+                "upstream_notice",
+                upstream=upstream.entry.host_id,
+                pool=upstream.entry.pool,
+                max_rejections_per_s=max_rejections_per_s,
+            )
+        until_s = self._now_s() + _BRITTLE_TTL_S
+        self._brittle_until_s_by_pool[upstream.entry.pool] = until_s
+
     def _note_pause(
         self, process: Process, notices: _Notices, pause_s: float
     ) -> None:
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -316,6 +316,7 @@
             self._service_levels,
             self.node_registry.settled_members,
             self.notices.limit_per_s,
+            self.notices.is_brittle,
         )
         reachability = zone_reachability.ZoneReachability(
             self.state.environment
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -197,7 +197,12 @@
     is_not_run = b"x-lycheegw-not-executed" in value_by_name
     retry_after_s = _parse_amount(value_by_name.get(b"retry-after"))
     rate_limit_per_s = _parse_amount(value_by_name.get(b"server-limit"))
-    amounts = {b"retry-after": retry_after_s, b"server-limit": rate_limit_per_s}
+    max_rejections_per_s = _parse_amount(value_by_name.get(b"server-brittle"))
+    amounts = {
+        b"retry-after": retry_after_s,
+        b"server-limit": rate_limit_per_s,
+        b"server-brittle": max_rejections_per_s,
+    }
     encoding = value_by_name.get(b"content-encoding", "identity")
     return forwarded_requests.ResponseHead(
         head.status,
@@ -221,6 +226,7 @@
         _parse_keep_alive(value_by_name.get(b"keep-alive", "")),
         value_by_name.get(b"server-leaving") == "1",
         rate_limit_per_s,
+        max_rejections_per_s,
         tuple(
             name.decode()
             for name, amount in amounts.items()
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -114,6 +114,8 @@
         is_leaving: Whether the upstream announces that it will stop.
         rate_limit_per_s: Requests per second that the upstream accepts from
             all nodes together, or None.
+        max_rejections_per_s: Rejections a second for want of room that the
+            upstream survives, or None if it names no such number.
         malformed_headers: Names of the headers whose values were ignored.
         is_attributed: Whether the response certainly is for this attempt.
         claims_not_run: Whether the status tells clients that the request has
@@ -137,6 +139,7 @@
     keep_alive_s: float | None
     is_leaving: bool = False
     rate_limit_per_s: float | None = None
+    max_rejections_per_s: float | None = None
     malformed_headers: tuple[str, ...] = ()
     is_attributed: bool = True
     claims_not_run: bool = False
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -208,6 +208,7 @@
         is_full: Whether it rejects requests.
         delay_s: Seconds before it responds.
         break_at_event: Number of the event in which it breaks a stream, once.
+        slot_count: Requests that it runs at a time, rejecting others, or None.
         crash_part: Id of the prompt part on which it crashes once it begins
             to answer, or None.
         on_crash: Called after such a crash.
@@ -219,6 +220,7 @@
             those that it rejected.
         received_ids: Ids of these requests.
         rejected_ids: Ids of the requests that it rejected.
+        rejected_s: Monotonic seconds at which it rejected requests.
     """
 
     def __init__(
@@ -231,6 +233,8 @@
         self.is_full = False
         self.delay_s = 0.0
         self.break_at_event: int | None = None
+        self.slot_count: int | None = None
+        self.rejected_s: list[float] = []
         self.crash_part: str | None = None
         self.on_crash: Callable[[Upstream], None] = lambda _: None
         self.loses_answers = False
@@ -241,6 +245,7 @@
         self.received_s: list[float] = []
         self.received_ids: list[str] = []
         self.rejected_ids: set[str] = set()
+        self._running = 0
         self._server = _create_server(self._handle)
 
     @property
@@ -283,7 +288,11 @@
         if headers.get("x-lycheegw-expected-instance") != self.name:
             await _respond(exchange, 421)
             return
-        if self.is_full:
+        is_full = self.slot_count is not None and self._running >= (
+            self.slot_count
+        )
+        if self.is_full or is_full:
+            self.rejected_s.append(time.monotonic())
             attempt_id = headers["x-lycheegw-attempt-id"].encode()
             self.rejected_ids.add(self.received_ids[-1])
             rejection = (
@@ -301,12 +310,15 @@
         )
         if not incoming.is_first_on_connection:
             exchange._connection._transport.write(self.extra_answer)
+        self._running += 1
         try:
             await asyncio.sleep(self.delay_s)
             await self._run(exchange, headers)
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
+        finally:
+            self._running -= 1
 
     async def _run(
         self, exchange: ingress.Exchange, headers: dict[str, str]
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -280,3 +280,51 @@
         upstream.announced = ()
         await _send_steadily(fleet, 20, 8.0)
         assert limits() == {None}
+
+
+# Guards against upstreams that fall over since nodes send them more than they
+# have room for, after they said that they are brittle.
+async def test_brittle_upstreams_reject_few_requests_of_all_nodes() -> None:
+    rejections_survived, slots, run_s = 2, 8, 0.4
+    async with fleet_harness.fleet(nodes=3) as fleet:
+        for name in ("d3", "d4"):
+            await fleet.add_upstream(name, "desk")
+        desks = [fleet.upstream_by_name[f"d{number}"] for number in range(1, 5)]
+        for upstream in desks:
+            upstream.slot_count, upstream.delay_s = slots, run_s
+            upstream.announced = ((b"Server-Brittle", b"2"),)
+        await fleet_harness.wait_until(
+            lambda: all(
+                len(node.state.upstreams.by_id) == 6 for node in fleet.nodes
+            )
+        )
+        first_s = time.monotonic()
+        statuses = await _send_steadily(fleet, 125, 7.0)
+        falls = sum(
+            _count_falls(
+                [
+                    each
+                    for each in desk.rejected_s
+                    if each > first_s + CONTACT_S
+                ],
+                rejections_survived,
+            )
+            for desk in desks
+        )
+        assert falls <= 2 + 0.1 * len(desks)
+        capacity = len(desks) * slots / run_s * 7.0
+        assert statuses.count(200) >= 0.5 * min(capacity, len(statuses))
+
+
+def _count_falls(rejected_s: Sequence[float], survived: int) -> int:
+    """Returns how often more than `survived` rejections fell into a second."""
+    falls, first = 0, 0
+    for index, at_s in enumerate(rejected_s):
+        while at_s - rejected_s[first] >= 1.0:
+            first += 1
+        if index - first + 1 > survived:
+            falls += 1
+            first = index + 1
+            if first >= len(rejected_s):
+                break
+    return falls
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -35,7 +35,7 @@
     states = [fakes.node(clock, member) for member in members]
     rates = [
         shared_rates.SharedRates(
-            state, _bounds, lambda: members, lambda _: None
+            state, _bounds, lambda: members, lambda _: None, lambda _: False
         )
         for state in states
     ]
@@ -70,6 +70,7 @@
     def __init__(self, generator: random.Random, nodes: int, settled: int):
         self.clock = fakes.ManualClock()
         self.limit_per_s: float | None = None
+        self.is_brittle = False
         self.sent_s: list[float] = []
         self._upstream_and_rates = []
         ids = [f"n{number}" for number in range(nodes)]
@@ -82,6 +83,7 @@
                 _bounds,
                 lambda members=members: members,  # type: ignore[misc]
                 lambda _: self.limit_per_s,
+                lambda _: self.is_brittle,
             )
             self._upstream_and_rates.append(
                 (fakes.add_upstream(state, "u"), rates)
@@ -169,6 +171,30 @@
     assert _most_in_window(fleet.sent_s, 1.0) <= bound
 
 
+@hypothesis.given(
+    nodes=strategies.integers(1, 90),
+    settled_share=strategies.floats(0.0, 1.0),
+    slots=strategies.integers(1, 100),
+    generator=strategies.randoms(use_true_random=False),
+)
+def test_brittle_upstream_gets_no_more_than_its_slots_from_all_nodes(
+    nodes: int,
+    settled_share: float,
+    slots: int,
+    generator: random.Random,
+) -> None:
+    """Every node sends all that it may, and none of it ends."""
+    fleet = _Fleet(generator, nodes, int(settled_share * nodes))
+    fleet.is_brittle = True
+    running = 0
+    for upstream, rates in fleet._upstream_and_rates:
+        upstream.entry = upstream.entry._replace(slots=slots)
+        while rates.may_send(upstream, SERVICE):
+            upstream.in_flight += 1
+            running += 1
+    assert running <= slots
+
+
 def test_announced_limit_is_used_by_some_node_and_ends_with_it() -> None:
     fleet = _Fleet(random.Random(1), 76, 76)
     fleet.limit_per_s = 1.1
@@ -191,7 +217,7 @@
         upstream = fakes.add_upstream(state, "u")
         upstream.cold_until_s = clock.now_s + 9
         rates = shared_rates.SharedRates(
-            state, _bounds, lambda: members, lambda _: None
+            state, _bounds, lambda: members, lambda _: None, lambda _: False
         )
         sent += rates.may_send(upstream, SERVICE)
     assert 1 <= sent <= 17
@@ -249,7 +275,7 @@
     upstream = fakes.add_upstream(state, "u")
     upstream.connect_failed_s = clock.now_s
     rates = shared_rates.SharedRates(
-        state, _bounds, lambda: ["n1"], lambda _: None
+        state, _bounds, lambda: ["n1"], lambda _: None, lambda _: False
     )
     plain = SERVICE._replace(cold_s=0.0, cold_per_s=0.0)
     for _ in range(5):
