A stream that ends before its first event is not complete

What callers saw: no report. An upstream that ends right after the head of such a stream looked like one that had answered with an empty body, which was passed on as complete.

Change: such a stream counts as broken off, unless it was resumed. A test of an upstream that is silent for 1.3 s passes before and after: its requests go on and nothing is blamed. A comment says that the user timeout, not the number of probes, decides when keepalive gives up.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -159,6 +159,14 @@
             "stream ended within an event",
             _MAY_HAVE_RUN,
         )
+    is_resumed = accepted.progress.last_event is not None
+    if not events and not is_resumed:
+        # Without a length, the end of the connection looks like a whole body.
+        raise errors.UpstreamError(
+            reasons.RetryReason.TRUNCATED,
+            "stream ended before its first event",
+            _MAY_HAVE_RUN,
+        )
     if not accepted.sink.is_started:
         await accepted.sink.start(head.status, head.headers, None)
     await accepted.sink.finish()
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -35,7 +35,8 @@
 # A connection with unacknowledged bytes fails after this time, which is the
 # only sign of a silent peer. The time allows two retransmissions.
 _USER_TIMEOUT_MS = 1500
-# Keepalive probes detect a silent peer while nothing is being sent.
+# Keepalive probes detect a silent peer while nothing is being sent. The user
+# timeout decides when they give up, whatever their number: here at the second.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -208,6 +208,7 @@
         is_full: Whether it rejects requests.
         delay_s: Seconds before it responds.
         break_at_event: Number of the event in which it breaks a stream, once.
+        silence_s: Seconds for which it is silent in the middle of a stream.
         slot_count: Requests that it runs at a time, rejecting others, or None.
         crash_part: Id of the prompt part on which it crashes once it begins
             to answer, or None.
@@ -233,6 +234,7 @@
         self.is_full = False
         self.delay_s = 0.0
         self.break_at_event: int | None = None
+        self.silence_s = 0.0
         self.slot_count: int | None = None
         self.rejected_s: list[float] = []
         self.crash_part: str | None = None
@@ -372,6 +374,8 @@
                 exchange.abort()
                 return
             await exchange.write(event)
+            if number == 3:
+                await asyncio.sleep(self.silence_s)
         await exchange.finish()
 
 
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -894,6 +894,31 @@
         assert ready is not None and ready.status == 503
 
 
+async def test_upstream_that_is_silent_for_a_second_keeps_its_requests() -> (
+    None
+):
+    """It goes on; nothing was lost, and nothing is to blame."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        for name in ("m1", "m2"):
+            fleet.upstream_by_name[name].silence_s = 1.3
+        replies = await asyncio.gather(
+            *(
+                platform_standins.send_request(
+                    node.settings.listen, "/ask/1", "POST", b"q", PROMPT
+                )
+                for _ in range(6)
+            )
+        )
+        for reply in replies:
+            assert reply is not None and reply.status == 200
+            assert reply.body.count(b"data: token") == 5
+        assert len(fleet.seen) == 6
+        counters = node.state.counters.by_name
+        assert counters["suspects.strikes"] == 0
+        assert not node.reach.is_cut_off
+
+
 async def test_request_that_crashes_upstreams_runs_at_most_twice() -> None:
     """A request that crashes upstreams, sent again to another node."""
     async with fleet_harness.fleet(nodes=2) as fleet:
