--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -59,6 +59,9 @@
     def is_leaving(self, upstream: object) -> bool:
         return False
 
+    def is_brittle(self, upstream: object) -> bool:
+        return False
+
     def pause_s(self, upstream: object) -> float:
         return 0.0
 
