The soak's upstreams crash on a part of prompts, and fall silent

In two fifths of the soaks a tenth of the prompts have a part that crashes each upstream that begins to answer; the checker allows three such requests later than 3 s after the fifth crash, at nodes in touch. Upstreams also are silent for 1.2 s in the middle of streams, and say that they are brittle (their falls are not checked).

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -50,6 +50,9 @@
     told_s: float = 0.5
     # Requests that may reach an upstream in a pause that it asked for.
     paused_requests: int = 2
+    # Crashes by a prompt part after which few requests with it may arrive.
+    part_crashes: int = 5
+    part_requests: int = 3
 
 
 class Sent(NamedTuple):
@@ -153,6 +156,8 @@
         offers: Requests that reached upstreams, rejected ones included.
         told_s: When a node first passed on what an upstream announced ("limit"
             or "leaving"), by node, upstream and announcement.
+        crashed_s: When upstreams crashed on a part of a prompt.
+        crashing_ids: Requests whose prompts have that part.
         own_lags: Times from and until which the recording process lagged.
     """
 
@@ -172,6 +177,8 @@
         self.pauses: list[Pause] = []
         self.offers: list[Arrival] = []
         self.told_s: dict[tuple[str, str, str], float] = {}
+        self.crashed_s: list[float] = []
+        self.crashing_ids: set[str] = set()
         self.own_lags: list[tuple[float, float]] = []
 
     def is_in_touch(self, names: set[str], since_s: float, at_s: float) -> bool:
@@ -239,6 +246,36 @@
         *_told_leaving(record, bounds),
         *_announced_limits(record, bounds),
         *_announced_pauses(record, bounds),
+        *_crashing_part(record, bounds),
+    ]
+
+
+def _crashing_part(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests with a part after which upstreams had crashed often enough."""
+    crashed_s = sorted(record.crashed_s)
+    if len(crashed_s) < bounds.part_crashes:
+        return []
+    known_s = crashed_s[bounds.part_crashes - 1] + bounds.contact_s
+    late = [
+        each
+        for each in record.offers
+        if each.attempt_id in record.crashing_ids
+        and each.at_s > known_s
+        and record.is_reliable(each.at_s)
+        and record.is_in_touch(
+            {record.sent_by_id[each.attempt_id].node},
+            each.at_s - bounds.contact_s,
+            each.at_s,
+        )
+    ]
+    return [
+        Violation(
+            "BUDGET",
+            each.attempt_id,
+            f"{each.at_s:8.3f} reaches {each.upstream} with a part after whose"
+            f" fifth crash {known_s:8.3f} was {bounds.contact_s} s later",
+        )
+        for each in late[bounds.part_requests :]
     ]
 
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -36,8 +36,17 @@
 
 # Share of soaks with a roll-out.
 _ROLLOUT_SHARE = 0.5
-# Faults by which upstreams announce something, or answer a request twice.
-RESPONSE_FAULTS = ("announce_limit", "announce_pause", "answer_twice")
+# Share of soaks with a prompt part that crashes upstreams.
+_CRASHING_PART_SHARE = 0.4
+# Faults by which upstreams announce something, answer a request twice, or are
+# silent in the middle of a stream.
+RESPONSE_FAULTS = (
+    "announce_limit",
+    "announce_pause",
+    "answer_twice",
+    "announce_brittle",
+    "fall_silent",
+)
 # Bounds of the time between two of these, and of how long one lasts.
 _RESPONSE_FAULT_GAP_S = (1.0, 5.0)
 _RESPONSE_FAULT_S = (3.0, 12.0)
@@ -77,6 +86,7 @@
         )
         at_s += generator.uniform(*_GAP_S)
     faults += _draw_rollout(seed, seconds)
+    faults += _draw_crashing_part(seed, seconds)
     faults += _draw_response_faults(seed, seconds)
     return sorted(faults)
 
@@ -107,3 +117,12 @@
     if generator.random() < _ROLLOUT_SHARE:
         return [Fault(round(at_s, 2), "rollout_bad", 0, 0.0)]
     return []
+
+
+def _draw_crashing_part(seed: int, seconds: float) -> list[Fault]:
+    """Returns the begin of prompts with a part that crashes upstreams."""
+    generator = random.Random(f"crashing part of {seed}")
+    at_s = generator.uniform(_QUIET_START_S, max(_QUIET_START_S, seconds / 2))
+    if generator.random() < _CRASHING_PART_SHARE:
+        return [Fault(round(at_s, 2), "crashing_part", 0, 0.0)]
+    return []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -66,6 +66,13 @@
 )
 # Pause that upstreams ask for.
 _PAUSE_S = 2.0
+# Time for which upstreams are silent in the middle of a stream.
+_SILENCE_S = 1.2
+# Part of prompts on which upstreams crash, its share of prompts once it comes,
+# and the time after which a crashed upstream is replaced.
+_CRASHING_PART = "dead"
+_CRASHING_SHARE = 0.1
+_REPLACE_S = 2.0
 
 
 class _Upstream(NamedTuple):
@@ -102,7 +109,12 @@
         self.record = checker.Record()
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._faults = schedule.draw(seed, seconds)
+        faults = schedule.draw(seed, seconds)
+        self._faults = [each for each in faults if each.kind != "crashing_part"]
+        self._crashing_part_s = min(
+            (each.at_s for each in faults if each.kind == "crashing_part"),
+            default=math.inf,
+        )
         self._store = platform_standins.Store()
         # Soaks may run at the same time: each has addresses, request ids and
         # names of upstreams of its own.
@@ -233,6 +245,8 @@
         standin = platform_standins.Upstream(name, self._arrivals, version)
         standin.status = 500 if version == _BAD_VERSION else 200
         standin.delay_s = 0.01
+        standin.crash_part = _CRASHING_PART
+        standin.on_crash = lambda each: self._spawn(self._replace(each.name))
         await standin.start()
         proxy = processes.Proxy(standin.address)
         await proxy.start()
@@ -310,6 +324,20 @@
         upstream.proxy.stop()
         await upstream.standin.stop()
 
+    async def _replace(self, name: str) -> None:
+        """Replaces an upstream that crashed on a part of a prompt."""
+        upstream = self._upstreams[name]
+        upstream.proxy.stop()
+        crashed_s = self._now_s()
+        self.record.crashed_s.append(crashed_s)
+        self._state_by_name[name] = "removed"
+        await asyncio.sleep(_REPLACE_S)
+        await self._store.delete("keyed.servers", name)
+        await self._add_upstream(upstream.service, upstream.zone, 0.0)
+        self.record.disturbances.append(
+            checker.Disturbance(name, "crash", crashed_s, self._now_s())
+        )
+
     async def _rotate_keys(self) -> None:
         """Adds a key to the manifest and removes the oldest of three."""
         self._version += 1
@@ -356,6 +384,14 @@
             b"ab",
         )
         self.record.sent_by_id[attempt_id] = sent
+        if kind == "ask":
+            headers["X-Lycheegw-Prompt-Prefix"] = self._draw_prompt(attempt_id)
+            request = request._replace(
+                headers=tuple(
+                    (name.encode(), value.encode())
+                    for name, value in headers.items()
+                )
+            )
         try:
             head, body = await connection_pool.fetch(
                 pool, node.name, node.front, request, _CALL_TIMEOUT_S
@@ -370,6 +406,15 @@
             self._note_told(node.name, head, ended)
         self.record.ended_by_id[attempt_id] = ended
 
+    def _draw_prompt(self, attempt_id: str) -> str:
+        """Returns a prompt, which may have the part that crashes upstreams."""
+        part = f"topic-{self._random.randrange(9)}"
+        is_crashing = self._random.random() < _CRASHING_SHARE
+        if is_crashing and self._now_s() > self._crashing_part_s:
+            part = _CRASHING_PART
+            self.record.crashing_ids.add(attempt_id)
+        return f"first:500,{part}:200,{attempt_id}:200"
+
     def _note_told(
         self,
         node: str,
@@ -502,8 +547,13 @@
         proxy.set_mode("")
 
     async def _change_responses(self, fault: schedule.Fault, name: str) -> None:
-        """Lets an upstream announce a limit or a pause, or answer twice."""
+        """Lets an upstream announce something, answer twice or be silent."""
         standin = self._upstreams[name].standin
+        if fault.kind == "fall_silent":
+            standin.silence_s = _SILENCE_S
+            await asyncio.sleep(fault.for_s)
+            standin.silence_s = 0.0
+            return
         if fault.kind == "answer_twice":
             standin.extra_answer = _EXTRA_REJECTION
             await asyncio.sleep(fault.for_s)
@@ -514,6 +564,8 @@
         per_s = _LIMITS_PER_S[fault.target % len(_LIMITS_PER_S)]
         if fault.kind == "announce_limit":
             announced = (b"Server-Limit", b"%.2f" % per_s)
+        elif fault.kind == "announce_brittle":
+            announced = (b"Server-Brittle", b"2")
         else:
             announced = (b"Retry-After", b"%.2f" % _PAUSE_S)
             standin.is_full = True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -216,6 +216,20 @@
     assert ("BUDGET" in _broken_rules(record)) == is_broken
 
 
+@pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
+def test_requests_with_a_part_that_crashes_upstreams_are_found(
+    count: int, is_broken: bool
+) -> None:
+    record = _record(is_unsafe=False)
+    record.crashed_s = [1.0, 2.0, 3.0, 4.0, 5.0, 9.0]
+    record.crashing_ids = {"a1"}
+    at_s = 5.0 + BOUNDS.contact_s + 0.1
+    record.offers = [checker.Arrival("a1", "desk-0", at_s)] * count
+    assert ("BUDGET" in _broken_rules(record)) == is_broken
+    record.offers = [checker.Arrival("a1", "desk-0", at_s - 0.2)] * count
+    assert not _broken_rules(record)
+
+
 def test_schedule_depends_on_the_seed_alone() -> None:
     assert schedule.draw(3, 60.0) == schedule.draw(3, 60.0)
     assert schedule.draw(3, 60.0) != schedule.draw(4, 60.0)
