A draining node refuses what it could not finish

Cause: streams were refused late in a drain, short requests until the end, though what still runs 0.7 s before the grace time ends is aborted (9.0 + 8.0 - 0.7 = 16.3 s). Class: work accepted without the time to finish it.

Change: once streams are refused, so is any request whose time limit lies beyond that moment, with 503 and a short Retry-After.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -133,6 +133,8 @@
         relays: Lets peers serve requests while it is.
         is_store_read: Returns whether the store was ever read.
         is_closing: Returns whether the process is shutting down.
+        time_to_stop_s: Returns the seconds until it aborts what still runs,
+            infinity unless it is shutting down.
         member_count: Returns how many nodes share a limit.
         refresh_upstreams: Requests an early read of the list of upstreams.
         list_age_s: Returns the age of the list of upstreams.
@@ -156,6 +158,7 @@
     relays: relays.Relays
     is_store_read: Callable[[], bool]
     is_closing: Callable[[], bool]
+    time_to_stop_s: Callable[[], float]
     member_count: Callable[[], int]
     refresh_upstreams: Callable[[], None]
     list_age_s: Callable[[], float]
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -117,16 +117,21 @@
                 "no route for this host and path",
             )
         organisation = self._authenticate(manifest, route, traits)
-        if route.kind is _STREAM and self._dependencies.is_closing():
-            # The stream could outlast the process.
+        work = forwarded_requests.ForwardedWork(sink.incoming, traits, route)
+        request = _request(work, organisation)
+        if self._dependencies.is_closing() and (
+            route.kind is _STREAM
+            or request.deadline_s - self._now_s()
+            > self._dependencies.time_to_stop_s()
+        ):
+            # The response could outlast the process.
             raise errors.RefusalError(
                 reasons.RefusalReason.SHUTTING_DOWN,
                 "the node is shutting down",
                 retry_after_s=forward_attempts.MIN_RETRY_AFTER_S,
             )
-        work = forwarded_requests.ForwardedWork(sink.incoming, traits, route)
         return accepted_requests.AcceptedRequest(
-            _request(work, organisation),
+            request,
             work,
             self._pick_service(manifest, route),
             sink,
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -132,6 +132,7 @@
         self.settings = settings
         self.is_draining = False
         self.is_refusing_streams = False
+        self._drain_end_s = math.inf
         self._unreachable_services: list[str] = []
         self.application = lifecycle.Application()
         self._adapter = adapter
@@ -374,6 +375,7 @@
                 ),
                 self._has_initial_state,
                 lambda: self.is_refusing_streams,
+                self._time_to_stop_s,
                 self.node_registry.member_count,
                 lambda: self.topic_readers.request_refresh(
                     topics.Topic.UPSTREAMS
@@ -392,6 +394,10 @@
         self.application.add_task(self._run_rollouts)
         self.application.add_task(self._run_housekeeping)
 
+    def _time_to_stop_s(self) -> float:
+        """Returns the seconds until running requests are aborted."""
+        return self._drain_end_s - self.state.environment.monotonic_s()
+
     def _lacks_peers(self) -> bool:
         """Returns whether a zone with nodes has no live one but this."""
         live_by_zone = self.peers.liveness.live_by_zone()
@@ -606,21 +612,18 @@
 
     async def drain(self) -> None:
         """Ends running requests within the grace time and stops listening."""
-        started_s = self.state.environment.monotonic_s()
+        grace_s = self.settings.service_levels.grace_s
+        end_s = self.state.environment.monotonic_s() + grace_s - _ABORT_MARGIN_S
+        self._drain_end_s = end_s
         self.is_draining = True
         self.server.is_closing = True
         self._log.note("drain", running=self.server.running)
         await self.peers.leave()
-        await self.state.environment.sleep(
-            min(_ACCEPT_STREAMS_S, self.settings.service_levels.grace_s / 2)
-        )
+        await self.state.environment.sleep(min(_ACCEPT_STREAMS_S, grace_s / 2))
         # If most nodes of a zone shut down together, the load balancer goes on
         # sending, so the listener stays open and short requests are served.
         self.is_refusing_streams = True
         self.server.close_idle()
-        end_s = (
-            started_s + self.settings.service_levels.grace_s - _ABORT_MARGIN_S
-        )
         while self.server.running:
             if self.state.environment.monotonic_s() >= end_s:
                 logging.error(
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -1,6 +1,7 @@
 """A node with the adapter serves clients of the platform."""
 
 import asyncio
+import contextlib
 import json
 import time
 from typing import Any
@@ -814,6 +815,47 @@
         assert reply is not None and reply.status == 200
 
 
+# Guards against requests that a draining node takes and resets when it stops.
+async def test_no_request_is_lost_at_the_end_of_a_drain() -> None:
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        levels = node.settings.service_levels._replace(grace_s=4.0)
+        node.settings = node.settings._replace(service_levels=levels)
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 0.5
+        answered: dict[str, int] = {}
+
+        async def send(number: int) -> None:
+            attempt_id = f"drain-{number}"
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reply = await platform_standins.send_request(
+                    node.settings.listen,
+                    "/book/1",
+                    "POST",
+                    b"crew",
+                    {"X-Lycheegw-Attempt-Id": attempt_id},
+                )
+                if reply is not None and reply.is_whole:
+                    answered[attempt_id] = reply.status
+
+        async def stop() -> None:
+            await node.drain()
+            await node.application.stop()
+
+        stopping = asyncio.create_task(stop())
+        async with asyncio.TaskGroup() as group:
+            for number in range(80):
+                group.create_task(send(number))
+                await asyncio.sleep(0.05)
+        await stopping
+        ran = {
+            each.header_by_name["x-lycheegw-attempt-id"] for each in fleet.seen
+        }
+        assert len(ran) >= 20
+        assert ran <= answered.keys()
+        assert set(answered.values()) <= {200, 503}
+
+
 async def test_ejected_upstreams_are_used_again_without_the_store() -> None:
     """srv_crash while the store is down: no entry reports their restart."""
     async with fleet_harness.fleet() as fleet:
