A node with few upstreams left does not stay cut off

What callers saw: nothing; found by reading the code of relays. If all but one upstream were removed while a node was cut off, it could not check the way any more and would have stayed unready for ever.

Cause: the least number of upstreams for the finding held for its end, too. Change: one suffices for the end, and without any the finding ends.

--- a/src/lycheegw/coordination/upstream_reach.py
+++ b/src/lycheegw/coordination/upstream_reach.py
@@ -97,11 +97,12 @@
             self._check_soon()
 
     async def _check(self) -> None:
-        count = _CHECKED_UPSTREAMS
+        count, needed = _CHECKED_UPSTREAMS, _MIN_UPSTREAMS
         if self.is_cut_off:
-            count = _CHECKED_WHILE_CUT_OFF
+            count, needed = _CHECKED_WHILE_CUT_OFF, 1
         checked = self._sample(count)
-        if len(checked) < _MIN_UPSTREAMS:
+        if len(checked) < needed:
+            self._set_cut_off(False, checked)
             return
         reached = await asyncio.gather(*map(self._is_reached, checked))
         self._set_cut_off(not any(reached), checked)
