Blocked parts are read every two seconds where peers are missing

While a zone has no live node, for good where it was lost, each node read the records of blocked parts once a second: 76 nodes make 76 calls a second, which are priced. Two seconds still lie within the time in which a node has to know of a blocked part.

--- a/src/lycheegw/coordination/block_records.py
+++ b/src/lycheegw/coordination/block_records.py
@@ -22,7 +22,7 @@
 
 # Interval at which failed writes are tried again, and at which a node without
 # peers in some zone reads the records.
-_INTERVAL_S = 1.0
+_INTERVAL_S = 2.0
 # Interval at which a starting node checks whether it is registered.
 _START_POLL_INTERVAL_S = 0.05
 
