A relayed request may have run as long as a peer has it

What callers saw: nothing yet; found by reading the code of relays. If the time of a request passed while a peer held it without a response, the caller got 503, the promise that nothing ran and nothing will, also for an unsafe request.

Cause: the request counted as sent only from the response head on. Class: a verdict that starts later than the work. The same elsewhere: attempts at upstreams count from the first byte on; no other place sends requests.

Change: it counts as under way before the peer is asked, and until the peer says that it did not run it.

--- a/src/lycheegw/coordination/relays.py
+++ b/src/lycheegw/coordination/relays.py
@@ -80,14 +80,16 @@
         Raises:
             errors.RefusalError: The peer was lost, and may have run it.
         """
+        progress = accepted.progress
         for node_id in self._candidates()[:_MAX_PEERS]:
+            # The deadline may pass while the peer has the request.
+            progress.is_in_flight = True
             try:
-                is_taken = await self._serve_by(node_id, accepted)
+                if await self._serve_by(node_id, accepted):
+                    return True
             except errors.PeerUnavailableError as error:
-                is_taken = False
                 self._note_relay(accepted, node_id, "unavailable", str(error))
             except errors.PeerLostError as error:
-                self._avoid(node_id)
                 self._note_relay(accepted, node_id, "lost", str(error))
                 if accepted.sink.is_started or not (
                     accepted.request.is_idempotent
@@ -97,13 +99,11 @@
                         f"the response by {node_id} broke off",
                         verdicts.RunVerdict.MAY_HAVE_RUN,
                     ) from error
-                accepted.progress.verdict = verdicts.RunVerdict.MAY_HAVE_RUN
-                accepted.progress.run_count += 1
-                is_taken = False
-            if is_taken:
-                return True
+                progress.verdict = verdicts.RunVerdict.MAY_HAVE_RUN
+                progress.run_count += 1
+            progress.is_in_flight = False
             self._avoid(node_id)
-        accepted.progress.is_relay_declined = True
+        progress.is_relay_declined = True
         return False
 
     def _candidates(self) -> list[str]:
@@ -145,7 +145,6 @@
                     self._note_relay(accepted, node_id, "declined")
                     return False
                 if part.status:
-                    accepted.progress.is_in_flight = True
                     accepted.progress.upstream = f"node {node_id}"
                     await accepted.sink.start(
                         part.status, part.headers, part.content_length
--- a/tests/platform/test_cut_off_nodes.py
+++ b/tests/platform/test_cut_off_nodes.py
@@ -198,6 +198,30 @@
         assert len(fleet.seen) == runs
 
 
+# Guards against a promise that nothing ran, while a peer has the request.
+async def test_request_that_a_peer_holds_past_its_deadline_may_have_run() -> (
+    None
+):
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await _wait_for_peers(fleet)
+        first, second = fleet.nodes
+        first.reach.is_cut_off = True
+
+        async def hold(stream: Any) -> None:
+            await stream.recv_message()
+            await asyncio.sleep(5.0)
+
+        second.peers.serve_relayed = hold
+        reply = await platform_standins.send_request(
+            first.settings.listen,
+            "/book/1",
+            "POST",
+            b"once",
+            {"X-Lycheegw-Deadline-Ms": "500"},
+        )
+        assert reply is not None and reply.status == 504
+
+
 def _lose_first_relay(fleet: fleet_harness.Fleet) -> None:
     """Breaks off the first relayed request once an upstream runs it."""
     serves = [node.peers.serve_relayed for node in fleet.nodes]
