The soak's checker doesn't count a request whose time limit passed as lost

Trace: the upstream was silent for 1.2 s in the middle of five streams, as the soak has it since; their node, which was stopping, was frozen from 8.28 to 11.09 s, in which their time limit of 2 s passed; all five ended 3.5 s after they were sent, as deadline_passed.

The check was wrong: the rule doesn't count a request whose time limit or route's timeout was reached. It counts the same as before below that limit (new test, both sides of it).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -153,6 +153,18 @@
     return record
 
 
+@pytest.mark.parametrize(("ends_s", "is_broken"), [(11.9, True), (12.1, False)])
+def test_request_past_its_time_limit_is_not_lost_at_a_stop(
+    ends_s: float, is_broken: bool
+) -> None:
+    record = _record(status=None, is_unsafe=False)
+    record.ended_by_id["a1"] = checker.Ended(None, b"", "", ends_s)
+    record.disturbances.append(
+        checker.Disturbance(NODE, "terminate", 9.9, 12.5)
+    )
+    assert ("LOST" in _broken_rules(record)) == is_broken
+
+
 def test_bad_version_beyond_its_share_is_found() -> None:
     allowed = _bad_version_record(30, 6.0)
     assert not _broken_rules(allowed)
