--- a/src/lycheegw/coordination/crash_table.py
+++ b/src/lycheegw/coordination/crash_table.py
@@ -48,7 +48,8 @@
     """A node's request to the grantor of a pool.
 
     Attributes:
-        fingerprint: Suspect that is to run, or has run.
+        fingerprint: Suspect that is to run, or has run: the fingerprint of a
+            request, or the name of a part of prompts.
         upstream: Upstream on which it runs alone.
         is_release: Whether the run has ended.
         seconds: Longest duration of the run.
--- a/src/lycheegw/coordination/suspect_leases.py
+++ b/src/lycheegw/coordination/suspect_leases.py
@@ -19,7 +19,7 @@
     """A granted lease.
 
     Attributes:
-        fingerprint: Fingerprint of the suspect that it lets run.
+        fingerprint: Fingerprint or name of the suspect that it lets run.
         upstream: Upstream on which it runs.
         holder: Node that runs it.
         until_s: Monotonic second at which the lease ends.
