--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import math
 import struct
 import time
 from typing import Any
@@ -24,6 +25,8 @@
 # A request body that crashes the upstream that runs it.
 CRASHING_BODY = b"poison"
 HOST = "desk.example"
+# Interval at which a slow link passes the next bytes.
+_LINK_STEP_S = 0.02
 
 
 def _create_server(
@@ -53,10 +56,12 @@
         silent_reads: Number of next reads of changes that get no response, by
             topic.
         first_offset: Offset of the oldest readable record, by topic.
+        bytes_per_s: Rate at which the links to it pass responses.
     """
 
     def __init__(self) -> None:
         self.calls: dict[str, int] = {}
+        self.bytes_per_s = math.inf
         self.fault = ""
         self.lost_appends = 0
         self.silent_reads: dict[str, int] = {}
@@ -122,7 +127,7 @@
         if path == "/v1/log-append":
             await self._handle_append(exchange, topic, query)
         elif path == "/v1/log-newest":
-            await _respond(exchange, 200, self._newest_page(topic))
+            await self._send_page(exchange, self._newest_page(topic))
         elif path == "/v1/log-read":
             await self._handle_read(exchange, topic, query)
         else:
@@ -186,7 +191,19 @@
         body = struct.pack(">QQ", len(records), first)
         for record in records[start:]:
             body += struct.pack(">I", len(record)) + record
-        await _respond(exchange, 200, body)
+        await self._send_page(exchange, body)
+
+    async def _send_page(self, exchange: ingress.Exchange, body: bytes) -> None:
+        """Sends a response at the rate of the link."""
+        if self.bytes_per_s == math.inf:
+            await _respond(exchange, 200, body)
+            return
+        await exchange.start(200, (), len(body))
+        size = int(self.bytes_per_s * _LINK_STEP_S)
+        for begin in range(0, len(body), size):
+            await asyncio.sleep(_LINK_STEP_S)
+            await exchange.write(body[begin : begin + size])
+        await exchange.finish()
 
 
 class ReceivedRequest(NamedTuple):
