A read that ends before the log confirms nothing

Cause, by reading: a read of the store has a size limit. One that ended before the log counted as confirmed up to its end, so the rest waited for the next planned read, and requests went by a copy that seemed current. A read without any record, as the next one is above the limit, counted as one to the end of the log: the record was skipped for good. A record that was cut off was taken as whole.

Evidence: test_read_that_fails_before_the_end_does_not_renew_a_copy, test_read_goes_on_to_the_end_of_the_log and the tests of the store's client fail on (the page has no such field).

Change: a page tells whether the store has more. Reads go on to the end, and only that confirms the copy.

--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -120,7 +120,8 @@
         """
         topic_state = self.state_by_topic[topic]
         changed = topic_state.apply_page(page)
-        topic_state.confirm(begun_s, self._state.identity.node_id)
+        if not page.has_more:
+            topic_state.confirm(begun_s, self._state.identity.node_id)
         self._on_change(topic, changed)
         self._send_soon()
         return changed
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -104,15 +104,19 @@
 
     async def load(self, topic: topics.Topic) -> bool:
         """Reads a whole topic; returns whether the store answered."""
+        return await self._load_page(topic) is not None
+
+    async def _load_page(self, topic: topics.Topic) -> topics.TopicPage | None:
+        """Reads and applies a whole topic; None if the store didn't answer."""
         begun_s = self._now_s()
         try:
             page = await self._store.newest(topic)
         except errors.StoreError as error:
             self._note_read_failed(topic, error, begun_s)
-            return False
+            return None
         self._note_read(topic)
         self._exchange.apply_read(topic, page, begun_s)
-        return True
+        return page
 
     async def load_until_known(self, topic: topics.Topic) -> None:
         """Retries until a topic is known, from the store or from a peer."""
@@ -165,7 +169,24 @@
             await self._sleep(retry_wait_s * self._jitter())
 
     async def _read(self, topic: topics.Topic, wait_s: float) -> bool:
-        """Reads new records; returns whether the store answered."""
+        """Reads up to the end of the log; returns whether the store answered.
+
+        Args:
+            topic: The topic.
+            wait_s: Seconds that the store may wait for a new record.
+        """
+        has_more = True
+        while has_more:
+            page = await self._read_page(topic, wait_s)
+            if page is None:
+                return False
+            has_more = page.has_more
+        return True
+
+    async def _read_page(
+        self, topic: topics.Topic, wait_s: float
+    ) -> topics.TopicPage | None:
+        """Reads and applies new records; None if the store didn't answer."""
         topic_state = self._exchange.state_by_topic[topic]
         begun_s = self._now_s()
         try:
@@ -174,17 +195,17 @@
             )
         except errors.StoreHistoryLostError:
             self._state.counters.add("store.history_lost")
-            return await self.load(topic)
+            return await self._load_page(topic)
         except errors.StoreError as error:
             self._note_read_failed(topic, error, begun_s)
-            return False
+            return None
         self._note_read(topic)
         if wait_s and not page.records:
             # The reply confirms that nothing changed up to the end of the wait;
             # it may have been received later.
             begun_s = min(self._now_s(), begun_s + wait_s)
         self._exchange.apply_read(topic, page, begun_s)
-        return True
+        return page
 
     async def refresh(self, topic: topics.Topic, timeout_s: float) -> bool:
         """Reads new records; returns whether the store answered in time."""
--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -28,7 +28,7 @@
 # Reading all keys of a deployment with hundreds of routes takes longer.
 _NEWEST_TIMEOUT_S = 2.0
 _MAX_READ_KB = 1024
-_MAX_PAGES = 20
+_MAX_PAGES = 64
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 
@@ -200,12 +200,16 @@
     while position + _RECORD_LENGTH.size <= len(body):
         (length,) = _RECORD_LENGTH.unpack_from(body, position)
         position += _RECORD_LENGTH.size
-        records.append(_decode_record(offset, body[position:][:length]))
+        if position + length > len(body):
+            break
+        data = body[position : position + length]
+        records.append(_decode_record(offset, data))
         position += length
         offset += 1
     # A read that reached its size limit ends before the log does.
-    end = offset if records and offset < end_offset else end_offset
-    return topics.TopicPage(records, end, False)
+    has_more = offset < end_offset
+    end = offset if has_more else end_offset
+    return topics.TopicPage(records, end, False, has_more)
 
 
 def _decode_record(offset: int, data: bytes) -> topics.TopicRecord:
@@ -213,3 +217,8 @@
     key = data[1 : 1 + key_length].decode("utf-8", "replace")
     value = data[1 + key_length :]
     return topics.TopicRecord(key, offset, value or None)
+    if not records and offset < end_offset:
+        raise errors.StoreHistoryLostError(
+            f"no record at {offset} in a read of {len(body)} bytes, though the"
+            f" log ends at {end_offset}"
+        )
--- a/src/lycheegw/state/topics.py
+++ b/src/lycheegw/state/topics.py
@@ -40,11 +40,13 @@
         records: Records, sorted by offset.
         end_offset: Offset of the next record to be written.
         is_complete: Whether the page has every key that exists.
+        has_more: Whether the store has later records already.
     """
 
     records: Sequence[TopicRecord]
     end_offset: int
     is_complete: bool
+    has_more: bool = False
 
 
 class _Entry(NamedTuple):
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -7,6 +7,7 @@
 
 from lycheegw.platform import store_client
 from lycheegw.state import clocks
+from lycheegw.state import errors
 from lycheegw.state import topics
 from lycheegw.transport import connection_pool
 
@@ -60,3 +61,31 @@
     assert page.end_offset == 0
     pool.close()
     listener.close()
+
+
+def _log(end_offset: int, *records: bytes) -> bytes:
+    body = struct.pack(">QQ", end_offset, 0)
+    return body + b"".join(
+        struct.pack(">I", len(each)) + each for each in records
+    )
+
+
+def test_read_that_ends_before_the_log_has_more() -> None:
+    record = b"\x01kvalue"
+    page = store_client._decode_changes(_log(5, record, record), 2)
+    assert [each.offset for each in page.records] == [2, 3]
+    assert (page.end_offset, page.has_more) == (4, True)
+
+
+def test_record_that_is_cut_off_is_left_to_the_next_read() -> None:
+    record = b"\x01kvalue"
+    page = store_client._decode_changes(_log(4, record, record)[:-2], 2)
+    assert [each.value for each in page.records] == [b"value"]
+    assert (page.end_offset, page.has_more) == (3, True)
+
+
+def test_record_above_the_limit_of_a_read_is_not_skipped() -> None:
+    """CONFIG, issue 32: a read without records counted as one to the end."""
+    with pytest.raises(errors.StoreHistoryLostError):
+        store_client._decode_changes(_log(4), 2)
+    assert store_client._decode_changes(_log(2), 2).end_offset == 2
--- a/tests/test_topic_readers.py
+++ b/tests/test_topic_readers.py
@@ -31,7 +31,11 @@
         return topics.TopicPage([], 1, True)
 
     async def changes(
-        self, topic: topics.Topic, offset: int, wait_s: float
+        self,
+        topic: topics.Topic,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
     ) -> topics.TopicPage:
         self.calls_s.append(self._clock.now_s)
         if self.failed_calls_s:
@@ -98,3 +102,53 @@
         await readers.poll(ORDERS)
     pause_s = store.calls_s[1] - store.calls_s[0] - failed_s
     assert (pause_s > 0) == is_pause
+
+
+class _LongLog:
+    """Store whose reads return one record at a time, with failures."""
+
+    def __init__(self, clock: fakes.ManualClock, end_offset: int):
+        self.end_offset = end_offset
+        self.read_offsets: list[int] = []
+        self.fails_at: int | None = None
+        self._clock = clock
+
+    async def newest(self, topic: topics.Topic) -> topics.TopicPage:
+        return topics.TopicPage([], 1, True)
+
+    async def changes(
+        self,
+        topic: topics.Topic,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
+    ) -> topics.TopicPage:
+        self._clock.now_s += 0.1
+        if offset == self.fails_at:
+            raise errors.StoreError("no reply")
+        self.read_offsets.append(offset)
+        record = topics.TopicRecord("config", offset, b"%d" % offset)
+        has_more = offset + 1 < self.end_offset
+        return topics.TopicPage([record], offset + 1, False, has_more)
+
+
+async def test_read_goes_on_to_the_end_of_the_log() -> None:
+    """CONFIG, issue 32: the first part of a long log counted as all of it."""
+    clock = fakes.ManualClock()
+    store = _LongLog(clock, 5)
+    readers = _readers(clock, store)
+    await readers.load(ORDERS)
+    assert await readers._read(ORDERS, 0.0)
+    assert store.read_offsets == [1, 2, 3, 4]
+    assert round(readers.age_s(ORDERS), 3) == 0.1
+
+
+async def test_read_that_fails_before_the_end_does_not_renew_a_copy() -> None:
+    """CONFIG, issue 32: the first part of a long log counted as all of it."""
+    clock = fakes.ManualClock()
+    store = _LongLog(clock, 5)
+    store.fails_at = 3
+    readers = _readers(clock, store)
+    await readers.load(ORDERS)
+    assert not await readers._read(ORDERS, 0.0)
+    assert round(readers.age_s(ORDERS), 3) == 0.3
