A long reply of the store is not given up while it arrives

Cause: a read that requests wait for had 0.25 s for the whole reply, a planned one 1.0 s. 300 KB take 0.5 s on an idle link of 5 Mbit/s. Each read that was given up had used the link for nothing, and counted as an outage of the store, in which requests go on by the copy. So on such a link no node ever got the manifest.

Change: a response may take the timeout of its call plus the time that its bytes take at 128 KiB a second. A response that comes slower, or not at all, ends as before. The limit of a response's length is 32 MiB, as the orders after a long manifest must be read, too.

--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -207,10 +207,17 @@
         """
 
     async def changes(
-        self, topic: topics.Topic, offset: int, wait_s: float
+        self,
+        topic: topics.Topic,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
     ) -> topics.TopicPage:
         """Returns records from `offset` on; waits up to `wait_s` for the first.
 
+        A short reply must arrive within `timeout_s` besides, None for the
+        client's own limit; a long one may take longer.
+
         Raises:
             errors.StoreHistoryLostError: They are no longer kept.
             errors.StoreError: The store did not respond.
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -168,30 +168,36 @@
             retry_wait_s = min(_MAX_RETRY_S, _RETRY_S * 2.0 ** min(failures, 4))
             await self._sleep(retry_wait_s * self._jitter())
 
-    async def _read(self, topic: topics.Topic, wait_s: float) -> bool:
+    async def _read(
+        self,
+        topic: topics.Topic,
+        wait_s: float,
+        timeout_s: float | None = None,
+    ) -> bool:
         """Reads up to the end of the log; returns whether the store answered.
 
         Args:
             topic: The topic.
             wait_s: Seconds that the store may wait for a new record.
+            timeout_s: Time limit of a short reply, None for the store's own.
         """
         has_more = True
         while has_more:
-            page = await self._read_page(topic, wait_s)
+            page = await self._read_page(topic, wait_s, timeout_s)
             if page is None:
                 return False
             has_more = page.has_more
         return True
 
     async def _read_page(
-        self, topic: topics.Topic, wait_s: float
+        self, topic: topics.Topic, wait_s: float, timeout_s: float | None
     ) -> topics.TopicPage | None:
         """Reads and applies new records; None if the store didn't answer."""
         topic_state = self._exchange.state_by_topic[topic]
         begun_s = self._now_s()
         try:
             page = await self._store.changes(
-                topic, topic_state.end_offset, wait_s
+                topic, topic_state.end_offset, wait_s, timeout_s
             )
         except errors.StoreHistoryLostError:
             self._state.counters.add("store.history_lost")
@@ -208,15 +214,13 @@
         return page
 
     async def refresh(self, topic: topics.Topic, timeout_s: float) -> bool:
-        """Reads new records; returns whether the store answered in time."""
-        begun_s = self._now_s()
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._read(topic, 0.0)
-        except TimeoutError:
-            error = errors.StoreError(f"no reply within {timeout_s:.2f} s")
-            self._note_read_failed(topic, error, begun_s)
-            return False
+        """Reads new records; returns whether the store answered in time.
+
+        Args:
+            topic: The topic.
+            timeout_s: Seconds within which a short reply must arrive.
+        """
+        return await self._read(topic, 0.0, timeout_s)
 
     def request_refresh(self, topic: topics.Topic) -> None:
         """Makes the next poll of a topic earlier, since it seems outdated."""
--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -70,9 +70,24 @@
         raise errors.StoreError(f"{topic.value}: more than {_MAX_PAGES} pages")
 
     async def changes(
-        self, topic: topics.Topic, offset: int, wait_s: float
+        self,
+        topic: topics.Topic,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
     ) -> topics.TopicPage:
-        """Returns the records since an offset; raises errors.StoreError."""
+        """Returns records since an offset.
+
+        Args:
+            topic: The topic.
+            offset: Offset of the first record.
+            wait_s: Seconds to wait for a record if there is none.
+            timeout_s: Seconds within which a short reply must arrive, beyond
+                `wait_s`, None for `_TIMEOUT_S`; a long one may take longer.
+
+        Raises:
+            errors.StoreError: The call failed.
+        """
         query = {
             "topic": _NAME_BY_TOPIC[topic],
             "part": "0",
@@ -81,8 +96,10 @@
         }
         if wait_s:
             query["wait_ms"] = str(int(wait_s * 1000))
+        if timeout_s is None:
+            timeout_s = _TIMEOUT_S
         _, body = await self._call(
-            b"GET", "/v1/log-read", query, b"", _TIMEOUT_S + wait_s
+            b"GET", "/v1/log-read", query, b"", timeout_s + wait_s
         )
         return _decode_changes(body, offset)
 
@@ -206,6 +223,11 @@
         records.append(_decode_record(offset, data))
         position += length
         offset += 1
+    if not records and offset < end_offset:
+        raise errors.StoreHistoryLostError(
+            f"no record at {offset} in a read of {len(body)} bytes, though the"
+            f" log ends at {end_offset}"
+        )
     # A read that reached its size limit ends before the log does.
     has_more = offset < end_offset
     end = offset if has_more else end_offset
@@ -217,8 +239,3 @@
     key = data[1 : 1 + key_length].decode("utf-8", "replace")
     value = data[1 + key_length :]
     return topics.TopicRecord(key, offset, value or None)
-    if not records and offset < end_offset:
-        raise errors.StoreHistoryLostError(
-            f"no record at {offset} in a read of {len(body)} bytes, though the"
-            f" log ends at {end_offset}"
-        )
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -52,8 +52,12 @@
 _MAX_INFORMATIONAL = 16
 _MAX_SKIPPED_RESPONSES = 4
 _MAX_SKIPPED_BYTES = 256 * 1024
-# Longest body that `fetch` returns. Pages of the store have up to 1 MB.
-_MAX_FETCHED_BYTES = 8 * 1024 * 1024
+# Longest body that `fetch` returns. Pages of the store have up to 1 MB, or one
+# longer record.
+_MAX_FETCHED_BYTES = 32 * 1024 * 1024
+# Rate at which a response has to arrive at least, beyond the timeout of `fetch`,
+# in bytes a second; a fifth of what a link of 5 Mbit/s passes.
+_MIN_FETCH_RATE = 128 * 1024
 # SO_LINGER with a timeout of 0 s: closing sends a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -565,20 +569,25 @@
 ) -> tuple[RawResponseHead, bytes]:
     """Sends a request; returns the head and the complete body of the response.
 
+    A long response may take longer than `timeout_s`, as long as it arrives at
+    `_MIN_FETCH_RATE`.
+
     Raises:
-        errors.UpstreamError: No complete response within `timeout_s`, or one
-            that is too long.
+        errors.UpstreamError: No complete response in time, or one that is too
+            long.
     """
     is_sent = False
     call = None
+    deadline_s = asyncio.get_running_loop().time() + timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout_at(deadline_s) as deadline:
             call = await pool.send(key, address, request)
             is_sent = True
             head = await call.head()
             body = bytearray()
             while (data := await call.read()) is not None:
                 body += data
+                deadline.reschedule(deadline_s + len(body) / _MIN_FETCH_RATE)
                 if len(body) > _MAX_FETCHED_BYTES:
                     raise _malformed_error(
                         f"the response of {address} exceeds"
