A link logs updates that are too long for it

Cause: an update above 256 KiB was dropped by its receiver, with a counter and no line, while the sender took it as sent. A heartbeat whose updates made more than 1 MiB together closed the link.

Change: sender and receiver log topic, size and neighbour as an error, and the sender doesn't send what would be dropped. Long updates go in several frames.

--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -10,6 +10,7 @@
 import random
 from typing import Any
 
+from absl import logging
 from grpclib import exceptions
 
 from lycheegw.coordination import liveness
@@ -190,7 +191,8 @@
                 await self._send(self._queue.get_nowait())
             if self._now_s() >= heartbeat_s:
                 earliest_heartbeat_s = self._now_s() + _MIN_EARLY_HEARTBEAT_S
-                await self._send(self._heartbeat_frame())
+                for frame in self._heartbeat_frames():
+                    await self._send(frame)
                 heartbeat_s = self._next_heartbeat_s()
             is_woken = await self._wait_until(heartbeat_s)
             if is_woken and self.is_neighbour:
@@ -226,11 +228,33 @@
         self._wake_event.clear()
         return True
 
-    def _heartbeat_frame(self) -> Any:
+    def _heartbeat_frames(self) -> list[Any]:
+        """Returns a heartbeat, in several frames if its deltas are long."""
+        frames = [peer_pb2.Frame()]
         if not self.is_neighbour:
-            return peer_pb2.Frame()
-        return peer_pb2.Frame(
-            deltas=self._callbacks.deltas_for(self.peer.node_id)
+            return frames
+        size = 0
+        for delta in self._callbacks.deltas_for(self.peer.node_id):
+            if len(delta.payload) > MAX_PAYLOAD_BYTES:
+                # The component believes it sent, and sends no more of it.
+                self._note_oversized("not sending to", delta)
+                continue
+            if size and size + len(delta.payload) > MAX_PAYLOAD_BYTES:
+                frames.append(peer_pb2.Frame())
+                size = 0
+            frames[-1].deltas.append(delta)
+            size += len(delta.payload)
+        return frames
+
+    def _note_oversized(self, action: str, delta: Any) -> None:
+        self._state.counters.add("peers.oversized")
+        logging.error(
+            "%s %s: update on %s has %d bytes, the limit is %d",
+            action,
+            self.peer.node_id,
+            delta.topic,
+            len(delta.payload),
+            MAX_PAYLOAD_BYTES,
         )
 
     async def _send(self, frame: Any) -> None:
@@ -262,7 +286,7 @@
 
     def _merge(self, delta: Any) -> None:
         if len(delta.payload) > MAX_PAYLOAD_BYTES:
-            self._state.counters.add("peers.oversized")
+            self._note_oversized("ignoring from", delta)
         elif self.is_neighbour:
             self._callbacks.merge_delta(self.peer.node_id, delta)
 
