--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -193,6 +193,45 @@
         assert len(upstream.received_s) > count
 
 
+# BUDGET, issue 32: pauses on the ways that a request takes to an upstream besides
+# the first attempt of a safe one.
+@pytest.mark.parametrize("path", ["/look/1", "/book/1", "/ask/1"])
+@pytest.mark.parametrize(
+    "others", [(), ((b"Server-Brittle", b"2"),), ((b"Server-Limit", b"9"),)]
+)
+@pytest.mark.parametrize("is_isolated", [False, True])
+async def test_pause_holds_for_each_kind_of_request(
+    path: str, others: forwarded_requests.Headers, is_isolated: bool
+) -> None:
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        if is_isolated:
+            # Each request runs alone, as if it had crashed an upstream.
+            node.suspects.is_suspect = lambda _: True  # type: ignore[method-assign]
+        paused = fleet.upstream_by_name["m1" if "ask" in path else "d1"]
+        paused.is_full = True
+        paused.announced = ((b"Retry-After", b"2"), *others)
+
+        async def send() -> None:
+            method = "GET" if "look" in path else "POST"
+            await platform_standins.send_request(
+                node.settings.listen, path, method, b"q"
+            )
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(60):
+                group.create_task(send())
+                await asyncio.sleep(0.03)
+        assert paused.received_s
+        for rejected_s in paused.received_s:
+            during_pause = [
+                each
+                for each in paused.received_s
+                if rejected_s + TOLD_S < each < rejected_s + 2.0
+            ]
+            assert len(during_pause) <= 2
+
+
 async def test_pause_of_all_upstreams_is_refused_at_once_until_its_end() -> (
     None
 ):
