--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -157,6 +157,10 @@
             second.peers.on_delta(
                 "news", lambda _: None, lambda _, each: seen.append(len(each))
             )
+            (link,) = first.peers.links()
+            delta = peer_pb2.Delta(topic="news", payload=too_large)
+            link._queue.put_nowait(peer_pb2.Frame(deltas=[delta]))
+            link.send_soon()
             payloads = [too_large, b"x"]
             first.peers.on_delta(
                 "news",
@@ -164,6 +168,7 @@
                 lambda *_: None,
             )
             await until(lambda: seen == [1])
+            assert counter(first, "peers.oversized") == 1
             assert counter(second, "peers.oversized") == 1
             with pytest.raises(errors.PeerUnavailableError):
                 await first.peers.call("n2", "session.ask", too_large, 2.0)
