The backlogs of all nodes are added up once, not for each upstream

Cause: each choice of an upstream added up the reports of all nodes for each upstream of the service: 59 nodes times 70 upstreams.

Evidence: test_backlogs_are_added_up_once_for_all_upstreams fails before (no such step).

Change: the sum is kept until a report changes or expires.

--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/backlogs.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import math
 from typing import NamedTuple
 
 from lycheegw.coordination import interfaces
@@ -87,6 +88,9 @@
         self._sequence = 0
         self._own_by_upstream: dict[str, float] = {}
         self._received_by_node: dict[str, _Received] = {}
+        # Sum of the other nodes' reports, until one of them changes or expires.
+        self._others_by_upstream: dict[str, float] = {}
+        self._others_valid_until_s = -math.inf
         self._versions_by_neighbour: dict[str, dict[str, tuple[int, int]]] = {}
         peers.on_delta(_TOPIC, self._encode_unknown_reports, self._merge)
 
@@ -105,15 +109,28 @@
 
     def wait_s(self, upstream_id: str) -> float:
         """Returns the outstanding prefill time at an upstream, of all nodes."""
-        now_s = self._now_s()
-        others_s = sum(
-            received.report.seconds_by_upstream.get(upstream_id, 0.0)
-            for received in self._received_by_node.values()
-            if received.report.node_id != self._own_id
-            and now_s - received.made_s < _EXPIRE_AFTER_S
-        )
+        if self._now_s() >= self._others_valid_until_s:
+            self._sum_others()
+        others_s = self._others_by_upstream.get(upstream_id, 0.0)
         return self._own_by_upstream.get(upstream_id, 0.0) + others_s
 
+    def _sum_others(self) -> None:
+        """Adds up the reports of the other nodes that have not expired."""
+        now_s = self._now_s()
+        total_by_upstream: dict[str, float] = {}
+        until_s = math.inf
+        for node_id, received in self._received_by_node.items():
+            expiry_s = received.made_s + _EXPIRE_AFTER_S
+            if node_id == self._own_id or expiry_s <= now_s:
+                continue
+            until_s = min(until_s, expiry_s)
+            for each, seconds in received.report.seconds_by_upstream.items():
+                total_by_upstream[each] = (
+                    total_by_upstream.get(each, 0.0) + seconds
+                )
+        self._others_by_upstream = total_by_upstream
+        self._others_valid_until_s = until_s
+
     def longest_s(self) -> float:
         """Returns the longest backlog of all listed upstreams."""
         ids = self._state.upstreams.by_id
@@ -209,6 +226,7 @@
             self._received_by_node[report.node_id] = _Received(
                 report, now_s - report.age_s
             )
+            self._others_valid_until_s = -math.inf
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -385,3 +385,48 @@
 TestBacklogMachine.settings = hypothesis.settings(
     max_examples=60, stateful_step_count=30, deadline=None
 )
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 3),
+            strategies.sampled_from(["u0", "u1"]),
+            strategies.floats(0.1, 3.0),
+            strategies.floats(0.0, 2.0),
+        ),
+        max_size=12,
+    )
+)
+@hypothesis.settings(max_examples=100, deadline=None)
+def test_backlog_is_the_sum_of_the_reports_that_have_not_expired(
+    steps: list[tuple[int, str, float, float]],
+) -> None:
+    clock = fakes.ManualClock()
+    nodes = _nodes(clock, 5, 3)
+    watched = nodes[4].backlogs
+    for index, upstream_id, seconds, wait_s in steps:
+        nodes[index].backlogs._add(upstream_id, seconds)
+        nodes[index].bus.send_deltas()
+        clock.now_s += wait_s
+        for each in ("u0", "u1"):
+            expected = sum(
+                received.report.seconds_by_upstream.get(each, 0.0)
+                for received in watched._received_by_node.values()
+                if clock.now_s - received.made_s < backlogs._EXPIRE_AFTER_S
+            )
+            assert watched.wait_s(each) == pytest.approx(expected)
+
+
+def test_backlogs_are_added_up_once_for_all_upstreams() -> None:
+    """Issue 26: each choice added up all nodes' reports for each upstream."""
+    clock = fakes.ManualClock()
+    first, second = _nodes(clock, 2, 3)
+    sums: list[None] = []
+    add_up = second.backlogs._sum_others
+    second.backlogs._sum_others = lambda: sums.append(add_up())  # type: ignore[method-assign]
+    with first.backlogs.track("u1", 4.0):
+        first.bus.send_deltas()
+        for _ in range(10):
+            second.choose(1, LONG_TOKENS)
+    assert len(sums) == 1
