The order of turns is computed when the live nodes change

Each node computed a rendezvous order over all live nodes twenty times a second for each of two topics. test_order_of_turns_is_computed_when_the_live_nodes_change fails before (20 instead of 1).

--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -101,6 +101,7 @@
         self._own_id = state.identity.node_id
         self._refresh_requested: set[topics.Topic] = set()
         self._last_failure_s: dict[topics.Topic, float] = {}
+        self._index_by_id: dict[str, int] = {}
 
     async def load(self, topic: topics.Topic) -> bool:
         """Reads a whole topic; returns whether the store answered."""
@@ -248,13 +249,13 @@
 
     def _max_age_s(self, reader: str) -> float:
         """Returns the age at which this node reads, from its rank."""
-        ids = [each for ids in self._live_by_zone().values() for each in ids]
-        ring = rendezvous.order("store", {*ids, self._own_id})
-        if reader in ring:
-            rank = (ring.index(self._own_id) - ring.index(reader)) % len(ring)
+        index_by_id = self._ring()
+        own_index, count = index_by_id[self._own_id], len(index_by_id)
+        if reader in index_by_id:
+            rank = (own_index - index_by_id[reader]) % count
         else:
-            rank = ring.index(self._own_id) + 1
-        rank = rank or len(ring)
+            rank = own_index + 1
+        rank = rank or count
         step_s = _AGE_STEP_PER_RANK_S * min(rank - 1, _MAX_RANK)
         if rank > _MAX_RANK:
             # Nodes beyond `_MAX_RANK` share one limit: spread their reads.
@@ -265,6 +266,15 @@
             self.read_ages.turn_age_s + step_s, self.read_ages.fallback_age_s
         )
 
+    def _ring(self) -> dict[str, int]:
+        """Returns the place of each live node in the order of turns."""
+        ids = {each for ids in self._live_by_zone().values() for each in ids}
+        ids.add(self._own_id)
+        if ids != self._index_by_id.keys():
+            ring = rendezvous.order("store", ids)
+            self._index_by_id = {each: place for place, each in enumerate(ring)}
+        return self._index_by_id
+
     def _is_watcher(self, topic: topics.Topic) -> bool:
         ids = {each for ids in self._live_by_zone().values() for each in ids}
         first = rendezvous.first(f"watch {topic.value}", {*ids, self._own_id})
--- a/tests/test_topic_readers.py
+++ b/tests/test_topic_readers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lycheegw.coordination import rendezvous
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_readers
 from lycheegw.protocol import topic_codec
@@ -152,3 +153,26 @@
     await readers.load(ORDERS)
     assert not await readers._read(ORDERS, 0.0)
     assert round(readers.age_s(ORDERS), 3) == 0.3
+
+
+async def test_order_of_turns_is_computed_when_the_live_nodes_change(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Issue 26: each node computed it twenty times a second for each topic."""
+    clock = fakes.ManualClock()
+    readers = _readers(clock, _Store(clock))
+    ids = [f"m{number}" for number in range(60)]
+    readers._live_by_zone = lambda: {"z": ["n", *ids]}
+    computed: list[Any] = []
+    order = rendezvous.order
+
+    def count(key: str, members: Any) -> Any:
+        computed.append(key)
+        return order(key, members)
+
+    monkeypatch.setattr(rendezvous, "order", count)
+    ages = {readers._max_age_s("m1") for _ in range(20)}
+    assert ages and len(computed) == 1
+    ids.pop()
+    readers._max_age_s("m1")
+    assert len(computed) == 2
