A confirmation alone does not apply the list of upstreams again

Each message of each neighbour that only confirmed the list had it gone through and compared. test_confirmation_alone_does_not_apply_the_list_again fails before (5 instead of 0). Entries that lapsed are still looked at.

--- a/src/lycheegw/coordination/directory.py
+++ b/src/lycheegw/coordination/directory.py
@@ -89,6 +89,7 @@
         self._entry_by_id: dict[str, upstreams.HostEntry] = {}
         self._expired_s_by_id: dict[str, float] = {}
         self._offset_by_id: dict[str, int] = {}
+        self._applied_end_offset = -1
         self._last_confirmed_s = -math.inf
         self._store_returned_s = -math.inf
         self._former_age_s = math.inf
@@ -101,7 +102,13 @@
             self._apply_outcomes(changed)
         elif topic is topics.Topic.UPSTREAMS:
             self._detect_store_return()
-            self._apply_upstreams()
+            end_offset = self._state_by_topic[topic].end_offset
+            # Confirmations alone change nothing.
+            if changed or end_offset != self._applied_end_offset:
+                self._applied_end_offset = end_offset
+                self._apply_upstreams()
+            else:
+                self.expire_lapsed()
 
     @property
     def is_store_silent(self) -> bool:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -160,3 +160,20 @@
     assert not fixture.directory.is_store_silent
     fixture.clock.now_s += 3.1
     assert fixture.directory.is_store_silent
+
+
+def test_confirmation_alone_does_not_apply_the_list_again() -> None:
+    """Issue 26: each message of each neighbour did."""
+    fixture = DirectoryFixture()
+    fixture.upstream("u1")
+    applied: list[None] = []
+    apply = fixture.directory._apply_upstreams
+    fixture.directory._apply_upstreams = lambda: applied.append(apply())  # type: ignore[method-assign]
+    known = fixture.topics[topics.Topic.UPSTREAMS]
+    for _ in range(5):
+        fixture.clock.now_s += 1.0
+        known.confirm(fixture.clock.now_s, "n1")
+        fixture.directory.apply(topics.Topic.UPSTREAMS, set())
+    assert not applied
+    fixture.upstream("u1", sequence=4)
+    assert len(applied) == 1
