Only replies of the store may arrive slowly, or be long

Found when reading the diff: since any response that is fetched whole, a health check's too, could go on to 32 MiB, and last as long as it came at 128 KiB a second. The caller now names the bound and the rate; the store's client alone does. A health check ends at its timeout again, and at 1 MiB.

--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -28,6 +28,11 @@
 # Reading all keys of a deployment with hundreds of routes takes longer.
 _NEWEST_TIMEOUT_S = 2.0
 _MAX_READ_KB = 1024
+# Longest reply that is read: a page of 1 MB, or one longer record.
+_MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Rate at which a long reply must arrive, in bytes a second; a fifth of what a
+# link of 5 Mbit/s passes.
+_MIN_REPLY_RATE = 128 * 1024
 _MAX_PAGES = 64
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
@@ -154,7 +159,13 @@
         is_answered = False
         try:
             head, answer = await connection_pool.fetch(
-                self._pool, "store", self._address, request, timeout_s
+                self._pool,
+                "store",
+                self._address,
+                request,
+                timeout_s,
+                _MAX_REPLY_BYTES,
+                _MIN_REPLY_RATE,
             )
             is_answered = True
         except errors.UpstreamError as error:
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -52,12 +52,8 @@
 _MAX_INFORMATIONAL = 16
 _MAX_SKIPPED_RESPONSES = 4
 _MAX_SKIPPED_BYTES = 256 * 1024
-# Longest body that `fetch` returns. Pages of the store have up to 1 MB, or one
-# longer record.
-_MAX_FETCHED_BYTES = 32 * 1024 * 1024
-# Rate at which a response has to arrive at least after the timeout of `fetch`,
-# in bytes a second; a fifth of what a link of 5 Mbit/s passes.
-_MIN_FETCH_RATE = 128 * 1024
+# Longest body that `fetch` returns if its caller names no other bound.
+_MAX_FETCHED_BYTES = 1024 * 1024
 # SO_LINGER with a timeout of 0 s: closing sends a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -566,11 +562,20 @@
     address: str,
     request: ClientRequest,
     timeout_s: float,
+    max_bytes: int = _MAX_FETCHED_BYTES,
+    min_rate: float = math.inf,
 ) -> tuple[RawResponseHead, bytes]:
     """Sends a request; returns the head and the complete body of the response.
 
-    A long response may take longer than `timeout_s`, as long as it arrives at
-    `_MIN_FETCH_RATE`.
+    Args:
+        pool: The connections.
+        key: Key of the server in the pool.
+        address: Address of the server.
+        request: The request.
+        timeout_s: Seconds within which a short response must arrive.
+        max_bytes: Length of the longest body.
+        min_rate: Bytes a second at which a response must arrive after
+            `timeout_s`.
 
     Raises:
         errors.UpstreamError: No complete response in time, or one that is too
@@ -587,11 +592,10 @@
             body = bytearray()
             while (data := await call.read()) is not None:
                 body += data
-                deadline.reschedule(deadline_s + len(body) / _MIN_FETCH_RATE)
-                if len(body) > _MAX_FETCHED_BYTES:
+                deadline.reschedule(deadline_s + len(body) / min_rate)
+                if len(body) > max_bytes:
                     raise _malformed_error(
-                        f"the response of {address} exceeds"
-                        f" {_MAX_FETCHED_BYTES} bytes"
+                        f"the response of {address} exceeds {max_bytes} bytes"
                     )
     except TimeoutError as error:
         raise errors.UpstreamError(
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -89,3 +89,39 @@
     with pytest.raises(errors.StoreHistoryLostError):
         store_client._decode_changes(_log(4), 2)
     assert store_client._decode_changes(_log(2), 2).end_offset == 2
+
+
+@pytest.mark.parametrize(
+    ("bytes_per_s", "is_read"), [(500_000, True), (50_000, False)]
+)
+async def test_long_reply_is_read_as_long_as_it_arrives(
+    bytes_per_s: int, is_read: bool
+) -> None:
+    """CONFIG, issue 32: its time limit was that of a short one."""
+    body = _log(1, b"\x01k" + b"v" * 300_000)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        )
+        step = bytes_per_s // 50
+        for begin in range(0, len(body), step):
+            writer.write(body[begin : begin + step])
+            await asyncio.sleep(0.02)
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    pool = connection_pool.ConnectionPool(clocks.system())
+    client = store_client.StoreClient(pool, f"{host}:{port}", _no_wait)
+    read = client.changes(topics.Topic.ORDERS, 0, 0.0, 0.25)
+    if is_read:
+        assert len((await read).records) == 1
+    else:
+        with pytest.raises(errors.StoreError, match="no complete response"):
+            await read
+    pool.close()
+    listener.close()
