--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -193,8 +193,7 @@
         assert len(upstream.received_s) > count
 
 
-# BUDGET, issue 32: pauses on the ways that a request takes to an upstream besides
-# the first attempt of a safe one.
+# Guards against requests in a pause on less usual ways to an upstream (BUDGET).
 @pytest.mark.parametrize("path", ["/look/1", "/book/1", "/ask/1"])
 @pytest.mark.parametrize(
     "others", [(), ((b"Server-Brittle", b"2"),), ((b"Server-Limit", b"9"),)]
