The soak draws long manifests and changes in a row

In half of its seeds the manifest grows by 1,400 routes and changes every 0.3 s for a while. Drawn from a generator of their own, so the other faults of a seed stay.

--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -3,7 +3,18 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["RESPONSE_FAULTS", "Fault", "draw"]
+__all__ = ["ORDERS", "RESPONSE_FAULTS", "Fault", "draw"]
+
+# What an operator does.
+ORDERS = frozenset(
+    {
+        "rotate_keys",
+        "grow_manifest",
+        "change_in_a_row",
+        "evacuate",
+        "rollout_bad",
+    }
+)
 
 # Shares of the kinds of faults.
 _WEIGHT_BY_KIND = {
@@ -38,6 +49,12 @@
 _ROLLOUT_SHARE = 0.5
 # Share of soaks with a prompt part that crashes upstreams.
 _CRASHING_PART_SHARE = 0.4
+# Share of soaks in which the manifest grows by many routes.
+_LONG_MANIFEST_SHARE = 0.5
+# Bounds of the time between two series of changes of the manifest, and of how
+# long one lasts.
+_SERIES_GAP_S = (4.0, 12.0)
+_SERIES_S = (0.5, 3.0)
 # Faults by which upstreams announce something, answer a request twice, or are
 # silent in the middle of a stream.
 RESPONSE_FAULTS = (
@@ -88,6 +105,7 @@
     faults += _draw_rollout(seed, seconds)
     faults += _draw_crashing_part(seed, seconds)
     faults += _draw_response_faults(seed, seconds)
+    faults += _draw_manifests(seed, seconds)
     return sorted(faults)
 
 
@@ -109,6 +127,19 @@
     return faults
 
 
+def _draw_manifests(seed: int, seconds: float) -> list[Fault]:
+    """Returns the growth of the manifest, and series of its changes."""
+    generator = random.Random(f"manifests of {seed}")
+    if generator.random() >= _LONG_MANIFEST_SHARE:
+        return []
+    at_s = generator.uniform(_QUIET_START_S, max(_QUIET_START_S, seconds / 3))
+    faults = [Fault(round(at_s, 2), "grow_manifest", 0, 0.0)]
+    while (at_s := at_s + generator.uniform(*_SERIES_GAP_S)) < seconds:
+        for_s = round(generator.uniform(*_SERIES_S), 2)
+        faults.append(Fault(round(at_s, 2), "change_in_a_row", 0, for_s))
+    return faults
+
+
 def _draw_rollout(seed: int, seconds: float) -> list[Fault]:
     """Returns the roll-out of a bad version, in half of all soaks."""
     # A separate generator: the other faults do not depend on it.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,7 @@
 from lycheegw.state import clocks
 from lycheegw.state import errors
 from lycheegw.transport import connection_pool
+from tests.platform import long_manifests
 from tests.platform import platform_standins
 from tests.soak import checker
 from tests.soak import processes
@@ -64,6 +65,10 @@
     b"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+# Routes by which the manifest grows, and the time between two of its changes in
+# a row.
+_ADDED_ROUTES = 1400
+_SERIES_STEP_S = 0.3
 # Pause that upstreams ask for.
 _PAUSE_S = 2.0
 # Time for which upstreams are silent in the middle of a stream.
@@ -133,6 +138,7 @@
         self._state_by_name: dict[str, str] = {}
         self._keys: list[str] = []
         self._version = 0
+        self._added_routes = 0
         self._tasks: set[asyncio.Task[Any]] = set()
         self._failures: list[BaseException | None] = []
         self._started_s = time.monotonic()
@@ -340,15 +346,31 @@
 
     async def _rotate_keys(self) -> None:
         """Adds a key to the manifest and removes the oldest of three."""
-        self._version += 1
-        self._keys.append(f"key-{self._version}")
-        tenants = [{"name": "acme", "api_keys": self._keys[-2:], "priority": 1}]
-        changed = platform_standins.manifest(self._version, tenants=tenants)
-        await self._store.put("keyed.op", "config", changed)
+        self._keys.append(f"key-{self._version + 1}")
+        await self._publish()
         self.record.key_added_s[self._keys[-1]] = self._now_s()
         for key in self._keys[:-2]:
             self.record.key_removed_s.setdefault(key, self._now_s())
 
+    async def _change_in_a_row(self, fault: schedule.Fault) -> None:
+        """Changes the manifest again and again, but not the keys."""
+        until_s = self._now_s() + fault.for_s
+        while self._now_s() < until_s:
+            await self._publish()
+            await asyncio.sleep(_SERIES_STEP_S)
+
+    async def _publish(self) -> None:
+        """Writes a new version with the two newest keys."""
+        self._version += 1
+        tenants = [{"name": "acme", "api_keys": self._keys[-2:], "priority": 1}]
+        changed = long_manifests.manifest(
+            self._version, self._added_routes, tenants=tenants
+        )
+        if self._added_routes:
+            # The last route is one that no caller uses.
+            changed["routes"][-1]["timeout_ms"] = 1000 + self._version
+        await self._store.put("keyed.op", "config", changed)
+
     # Callers.
 
     async def _call(self) -> None:
@@ -453,8 +475,8 @@
         number = fault.target % len(self._nodes)
         if fault.kind in {"drain", "remove"}:
             await self._retire(fault.target, fault.kind == "drain")
-        elif fault.kind == "rotate_keys":
-            await self._rotate_keys()
+        elif fault.kind in schedule.ORDERS:
+            await self._order(fault)
         elif fault.kind == "freeze":
             await self._disturb(
                 fault, self._nodes[number].name, self._freeze(fault, number)
@@ -479,16 +501,26 @@
             ]
             name = names[fault.target % len(names)]
             await self._change_responses(fault, name)
-        elif fault.kind == "evacuate":
-            await self._evacuate(fault)
-        elif fault.kind == "rollout_bad":
-            await self._roll_out_bad_version()
         elif fault.kind == "store_forgets":
             for topic in _TOPICS:
                 self._store.first_offset[topic] = self._store.end_offset(topic)
         else:
             await self._disturb(fault, "", self._harm_store(fault))
 
+    async def _order(self, fault: schedule.Fault) -> None:
+        """Does what an operator does."""
+        if fault.kind == "rotate_keys":
+            await self._rotate_keys()
+        elif fault.kind == "grow_manifest":
+            self._added_routes = _ADDED_ROUTES
+            await self._publish()
+        elif fault.kind == "change_in_a_row":
+            await self._change_in_a_row(fault)
+        elif fault.kind == "evacuate":
+            await self._evacuate(fault)
+        else:
+            await self._roll_out_bad_version()
+
     async def _disturb(
         self, fault: schedule.Fault, name: str, work: Awaitable[None]
     ) -> None:
