--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,10 +3,13 @@
 import json
 from typing import Any
 
+import pytest
+
 from lycheegw.coordination import directory
 from lycheegw.platform import records
 from lycheegw.state import topics
 from tests import fakes
+from tests.platform import platform_standins
 
 HEARTBEAT_S = 1.2
 ENTRY = {
@@ -177,3 +180,46 @@
     assert not applied
     fixture.upstream("u1", sequence=4)
     assert len(applied) == 1
+
+
+def _manifest(version: int, **changes: Any) -> dict[str, Any]:
+    return platform_standins.manifest(version, **changes)
+
+
+@pytest.mark.parametrize(
+    ("value", "reason"),
+    [
+        (b'{"version": 2, "routes": [', "manifest"),
+        (b"[]", "manifest"),
+        (json.dumps(_manifest(2, routes=[{"name": "r"}])).encode(), "routes/0"),
+        (b'{"version": 2, "fill": "%s"}' % (b"x" * 9_000_000), "at most"),
+    ],
+)
+def test_manifest_that_cannot_be_used_leaves_the_former_one(
+    value: bytes, reason: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """One line tells why, and the orders beside it are applied."""
+    fixture = DirectoryFixture()
+    fixture.put(topics.Topic.ORDERS, "config", _manifest(1))
+    with caplog.at_level("ERROR"):
+        fixture.put(topics.Topic.ORDERS, "config", value)
+        fixture.put(topics.Topic.ORDERS, "evacuate/z-a", {})
+    manifest = fixture.directory.manifest
+    assert manifest is not None and manifest.version == 1
+    assert fixture.directory.closed_zones == {"z-a"}
+    assert len(caplog.records) == 1
+    assert reason in caplog.text
+    fixture.put(topics.Topic.ORDERS, "config", _manifest(3))
+    manifest = fixture.directory.manifest
+    assert manifest is not None and manifest.version == 3
+
+
+def test_first_of_two_routes_with_one_prefix_counts() -> None:
+    fixture = DirectoryFixture()
+    routes = _manifest(1)["routes"]
+    twice = [*routes, {**routes[0], "name": "again"}]
+    fixture.put(topics.Topic.ORDERS, "config", _manifest(1, routes=twice))
+    manifest = fixture.directory.manifest
+    assert manifest is not None
+    route = manifest.find_route(platform_standins.HOST, "/look/1")
+    assert route is not None and route.name == "look"
