A malformed reply of a peer doesn't end the fetches of a node

Found when reading the diff: protobuf's error, or the name of a topic that this version doesn't know, went through the task that fetches and ended it for good; the node was left to its own reads. They are PeerMessageError now, so the next peer is asked. test_malformed_reply_is_counted_and_the_next_peer_is_asked fails before.

--- a/src/lycheegw/protocol/topic_codec.py
+++ b/src/lycheegw/protocol/topic_codec.py
@@ -1,7 +1,10 @@
 """Protobuf encoding of the topic updates that nodes exchange."""
 
+from typing import Any
 import zlib
 
+from google.protobuf import message as protobuf_message
+
 from lycheegw.coordination import topic_exchange
 from lycheegw.coordination import topic_fetcher
 from lycheegw.protocol.pb import topics_pb2
@@ -67,15 +70,32 @@
     )
 
 
+def _parse(message: Any, payload: bytes) -> Any:
+    """Returns a message with its fields set; raises PeerMessageError."""
+    try:
+        message.ParseFromString(payload)
+    except protobuf_message.DecodeError as error:
+        raise errors.PeerMessageError(f"malformed message: {error}") from error
+    return message
+
+
+def _topic(name: str) -> topics.Topic:
+    """Returns a topic by its name; raises PeerMessageError."""
+    try:
+        return topics.Topic(name)
+    except ValueError as error:
+        raise errors.PeerMessageError(f"unknown topic {name!r}") from error
+
+
 def _decode(payload: bytes) -> topic_exchange.TopicMessage:
-    batch = topics_pb2.Batch.FromString(payload)
+    batch = _parse(topics_pb2.Batch(), payload)
     updates = [_update(each) for each in (*batch.news, *batch.patched_news)]
     return topic_exchange.TopicMessage(batch.sent_s, updates)
 
 
 def _update(message: topics_pb2.News) -> topic_exchange.TopicUpdate:
     return topic_exchange.TopicUpdate(
-        topics.Topic(message.topic),
+        _topic(message.topic),
         message.end_offset,
         max(0.0, message.age_s),
         message.from_offset,
@@ -127,9 +147,9 @@
 
 
 def _decode_request(payload: bytes) -> topic_fetcher.Request:
-    message = topics_pb2.Request.FromString(payload)
+    message = _parse(topics_pb2.Request(), payload)
     return topic_fetcher.Request(
-        topics.Topic(message.topic),
+        _topic(message.topic),
         message.after,
         tuple((each.key, bytes(each.digest)) for each in message.known),
         message.part,
@@ -148,7 +168,7 @@
 
 
 def _decode_reply(payload: bytes) -> topic_fetcher.Reply:
-    message = topics_pb2.Reply.FromString(payload)
+    message = _parse(topics_pb2.Reply(), payload)
     return topic_fetcher.Reply(
         message.parts,
         message.end_offset,
@@ -174,7 +194,7 @@
             f"update of {len(data)} bytes is cut short, or has more than"
             f" {_MAX_UPDATE_BYTES} bytes uncompressed"
         )
-    batch = topics_pb2.Batch.FromString(payload)
+    batch = _parse(topics_pb2.Batch(), payload)
     if len(batch.news) != 1:
         raise errors.PeerMessageError(f"{len(batch.news)} updates, expected 1")
     return _update(batch.news[0])
--- a/tests/test_topic_fetcher.py
+++ b/tests/test_topic_fetcher.py
@@ -258,3 +258,31 @@
     assert most < 7000 * 45
     mean = sum(node.bus.bytes_sent for node in nodes) / count
     assert mean < 7000
+
+
+@pytest.mark.parametrize("part", [b"", b"\xff\xff", b"x" * 100])
+async def test_malformed_reply_is_counted_and_the_next_peer_is_asked(
+    part: bytes,
+) -> None:
+    """Found by reading: it ended the fetches of a node for good."""
+    clock = fakes.ManualClock()
+    nodes = [_Node(clock, each) for each in "abc"]
+    one, other, joined = nodes
+    for node in (one, other):
+        node.read(_page(1))
+        _link(node, joined)
+
+    async def reply(peer: str, payload: bytes) -> bytes:
+        broken = topic_fetcher.Reply(1, 2, 0.0, part)
+        return topic_codec.FETCH_CODEC.encode_reply(broken) if part else b"\xff"
+
+    one.bus._handler_by_topic["topics.fetch"] = reply
+    one.bus.send_deltas()
+    other.bus.send_deltas()
+    task = asyncio.ensure_future(joined.fetcher.run())
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert not task.done()
+    task.cancel()
+    assert joined.value == other.value
+    assert joined.counted("topics.fetch_failed") == 1
