A manifest with fields of other types is skipped like any malformed one

By reading: organisations that are no objects, or limits that are no numbers, raised an error that ended the task that reads the store, so that the node went by its copies. Such a manifest is now skipped with a line. Two new cases of test_manifest_that_cannot_be_used_leaves_the_former_one fail before.

--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -212,7 +212,11 @@
         errors.RecordError: The record can't be decoded.
     """
     if key == _MANIFEST_KEY:
-        return decoder.decode(value)
+        try:
+            return decoder.decode(value)
+        except (AttributeError, TypeError, ValueError) as error:
+            # A field that is not looked at closely has another type.
+            raise errors.RecordError([f"manifest: {error!r}"]) from error
     if key.startswith(_EVACUATION_PREFIX):
         return orders.ZoneClosure(key.removeprefix(_EVACUATION_PREFIX))
     if key.startswith(_ROLLOUT_PREFIX):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -192,6 +192,11 @@
         (b'{"version": 2, "routes": [', "manifest"),
         (b"[]", "manifest"),
         (json.dumps(_manifest(2, routes=[{"name": "r"}])).encode(), "routes/0"),
+        (json.dumps(_manifest(2, tenants=["acme"])).encode(), "manifest"),
+        (
+            json.dumps(_manifest(2, limits={"idle_timeout_ms": "1"})).encode(),
+            "manifest",
+        ),
         (b'{"version": 2, "fill": "%s"}' % (b"x" * 9_000_000), "at most"),
     ],
 )
