--- a/tests/platform/test_long_manifests.py
+++ b/tests/platform/test_long_manifests.py
@@ -80,6 +80,20 @@
         await _wait_for_version(fleet.nodes, 2, CONFIG_APPLY_S)
 
 
+# Guards against a manifest longer than a message, even compressed, that never
+# arrives. The bound is that of the size to design for.
+async def test_manifest_above_the_limit_of_a_message_arrives() -> None:
+    async with fleet_harness.fleet(nodes=3) as fleet:
+        await _wait_for_peers(fleet)
+        without_store = fleet.nodes[2]
+        long_manifests.cut_off_store(without_store)
+        await _publish(fleet, 2, 10_000)
+        await _wait_for_version(fleet.nodes, 2, 14.0)
+        by_name = without_store.state.counters.by_name
+        assert by_name["topics.fetched"] >= 1
+        assert not by_name["peers.oversized"]
+
+
 # CONFIG, issue 32: each node got each version whole from each neighbour.
 async def test_change_of_a_long_manifest_takes_few_bytes_between_nodes() -> (
     None
