--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -1,9 +1,9 @@
 """Gossips the store's topics, so that only a few nodes have to read the store.
 
 A neighbour receives the records that it may lack, and the time at which the
-store last confirmed the topic. Of long values it receives what changed. What
-is too long for a message is only announced: a neighbour that lacks it finds a
-gap, and fetches it from one of those that announced it.
+store last confirmed the topic. Changes of long values are sent as patches.
+What is too long for a message is only announced: a neighbour that lacks it
+finds a gap, and fetches it from one of those that announced it.
 """
 
 from collections.abc import Callable
@@ -44,7 +44,7 @@
         from_offset: Offset from which `records` are complete.
         records: The changed records.
         reader: Id of the node that read the topic last.
-        patched: Changed records, told by the changes of their values.
+        patched: Changed records that are encoded as changes of their values.
     """
 
     topic: topics.Topic
@@ -186,7 +186,7 @@
         Args:
             topic_state: This node's copy.
             end_offset: The offset.
-            known: Digests of the long values of the other copy, if it told.
+            known: Digests of the other copy's long values, None if unknown.
         """
         from_offset, changed = topic_state.changes_since(end_offset)
         records, patched = [], []
--- a/src/lycheegw/coordination/topic_fetcher.py
+++ b/src/lycheegw/coordination/topic_fetcher.py
@@ -1,8 +1,8 @@
 """Fetches from a peer what a copy of a topic lacks, in compressed parts.
 
-Gossip tells that a neighbour has more than this node, if its updates leave a
-gap or change a value that this node does not have. One neighbour is asked at a
-time, those that know most first.
+A neighbour has more than this node if its gossip leaves a gap, or has a patch
+for a value that this node lacks. One neighbour is asked at a time, the most
+current one first.
 """
 
 import asyncio
@@ -42,8 +42,8 @@
         after: Offset up to which the copy is complete, 0 if it is empty.
         known: Key and digest of the copy's long values.
         part: Index of the part.
-        end_offset: Offset up to which the update goes, as told with its first
-            part; 0 in the request for that.
+        end_offset: Offset up to which the update goes, from the reply with its
+            first part; 0 in the request for that part.
     """
 
     topic: topics.Topic
--- a/src/lycheegw/protocol/json_arrays.py
+++ b/src/lycheegw/protocol/json_arrays.py
@@ -1,4 +1,4 @@
-"""Decodes versions of a JSON object with a long array, at the cost of changes.
+"""Decodes successive versions of a JSON object with a long array.
 
 Elements whose text is that of an element in the former version are neither
 parsed nor converted again.
--- a/src/lycheegw/state/topics.py
+++ b/src/lycheegw/state/topics.py
@@ -1,7 +1,7 @@
 """Local copies of the store's keyed topics, merged by record offset.
 
-Of long values, a copy keeps by which patches they came about, so that a peer
-that has a former version gets the difference alone.
+For long values, a copy keeps the latest patches, so that a peer with a former
+version needs only the difference.
 """
 
 from collections.abc import Callable
@@ -69,7 +69,7 @@
 
 
 class ValueChange(NamedTuple):
-    """How one version of a long value came about from the one before.
+    """The difference between two successive versions of a long value.
 
     Attributes:
         offset: Offset of the record with the new value.
@@ -85,7 +85,7 @@
 
 
 class PatchedRecord(NamedTuple):
-    """A record whose value is told by the changes of a former one.
+    """A record whose value is encoded as changes of a former value.
 
     Attributes:
         key: Key of the record.
@@ -107,7 +107,7 @@
     Attributes:
         record: The record.
         changed_offset: Offset of the first record with an equal digest.
-        digest: What tells whether a value differs from another.
+        digest: Digest by which a changed value is detected.
         value_digest: Digest of a long value, else None.
         changes: The latest changes of a long value, without a gap.
     """
@@ -208,8 +208,8 @@
     ) -> set[str] | None:
         """Merges records from a peer; returns the keys that changed.
 
-        Returns None if records between the two copies are missing, or the
-        value that a patch changes.
+        Returns None if records between the two copies are missing, or a value
+        to which a patch applies.
         """
         if from_offset > max(0, self.end_offset):
             return None
@@ -246,7 +246,7 @@
     def patched_record(
         self, key: str, offset: int, known_digest: bytes | None = None
     ) -> PatchedRecord | None:
-        """Returns the newest record of a key by the changes of its value.
+        """Returns the newest record of a key, encoded as changes.
 
         Args:
             key: The key.
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -236,7 +236,7 @@
         size = 0
         for delta in self._callbacks.deltas_for(self.peer.node_id):
             if len(delta.payload) > MAX_PAYLOAD_BYTES:
-                # The component believes it sent, and sends no more of it.
+                # Its receiver would drop it. The component counts it as sent.
                 self._note_oversized("not sending to", delta)
                 continue
             if size and size + len(delta.payload) > MAX_PAYLOAD_BYTES:
