A patch that does not give the value is a gap

Leaving out either check of a digest (mutations on a scratch copy) fails it; the model test of copies alone did not notice one without the other.

--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from lycheegw.state import topics
 
@@ -161,3 +162,37 @@
         topics.TopicPage([topics.TopicRecord("a", 3, b"z")], 4, False)
     )
     assert [each.key for each in copy.changes_since(3)[1]] == ["a"]
+
+
+def _long(number: int) -> bytes:
+    return b"{%d}" % number + b"{equal}" * 100
+
+
+def _copy(*numbers: int) -> topics.TopicState:
+    """Returns a copy that has read versions of a long value, one by one."""
+    copy = topics.TopicState(topics.Topic.ORDERS)
+    for number in numbers:
+        record = topics.TopicRecord("a", number, _long(number))
+        copy.apply_page(topics.TopicPage([record], number + 1, False))
+    return copy
+
+
+@pytest.mark.parametrize("fault", ["former", "patch", "digest"])
+def test_patch_that_does_not_give_the_value_is_a_gap(fault: str) -> None:
+    """A copy never gets a value that the store did not have."""
+    patched = _copy(1, 2).patched_record("a", 2)
+    assert patched is not None
+    (change,) = patched.changes
+    receiver = _copy(1)
+    if fault == "former":
+        receiver = _copy(0)
+    elif fault == "patch":
+        change = change._replace(patch=(b"other", *change.patch))
+    else:
+        change = change._replace(digest=b"other")
+    broken = patched._replace(changes=(change,))
+    assert receiver.merge(1, 3, [], [broken]) is None
+    assert receiver.value("a") == _copy(0 if fault == "former" else 1).value(
+        "a"
+    )
+    assert _copy(1).merge(1, 3, [], [patched]) == {"a"}
