The line of an attempt names the session

The lines told version and reason of each attempt, but not which requests belong together, so that no move could be read from them.

Change: `attempt` has the field `session` (null without one).

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -453,6 +453,7 @@
             upstream=upstream.entry.host_id,
             version=upstream.entry.version,
             model=progress.model,
+            session=accepted.work.traits.session,
             number=progress.attempt_count,
             why=choice.selection_reason,
             prompt=balancing.affinity_key(accepted.work.traits)[0],
