Sessions that use the old version stay on it until the ramp

Cause: a canary's share is selected by the hash of the session alone, so sessions under way moved with their next request; so did those that a fallback had served. Change: nodes hold the selected sessions that use the old version and gossip a hash of each; no session begins at the target while orders and holds spread.

--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/balancing.py
@@ -252,8 +252,9 @@
             return same, "same version"
         wants_target = self._rollouts.wants_target(
             service.name,
-            request.session or request.request_id,
+            request.request_id,
             affinity_key(work.traits)[0],
+            request.session,
         )
         if wants_target is None:
             return list(options), ""
--- a/src/lycheegw/coordination/canary_rollouts.py
+++ b/src/lycheegw/coordination/canary_rollouts.py
@@ -5,7 +5,8 @@
 of the roll-out (the canary phase) and then ramps up to all. Nodes exchange
 their counts of answers, and each evaluates the sums. A version that one node
 rejects is rejected by all. One node writes the outcome, under the condition
-that the store holds nothing newer.
+that the store holds nothing newer. A session that has used the old version
+stays on it until the ramp (`session_holds`).
 """
 
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from lycheegw.coordination import directory
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import rendezvous
+from lycheegw.coordination import session_holds
 from lycheegw.coordination import topic_exchange
 from lycheegw.state import edge_settings
 from lycheegw.state import errors
@@ -38,6 +40,9 @@
 # Share of the duration that the canary phase takes. A session may change its
 # version only after it.
 _CANARY_TIME_SHARE = 0.5
+# Share of the canary phase in which no session begins at the target, at most;
+# meanwhile nodes learn of the sessions in progress at the others.
+_MAX_SETTLE_SHARE_OF_CANARY = 0.25
 # Share of the duration in which the share ramps up from the canary share to
 # all. A version that fails under load fails before it gets everything, and its
 # upstreams prefill the shared prompts one after the other.
@@ -72,10 +77,11 @@
 
 
 class RolloutUpdate(NamedTuple):
-    """Counts and rollout statuses that a node sends to a neighbour."""
+    """Counts, statuses and held sessions that a node sends to a neighbour."""
 
     tallies: tuple[tallies.Tally, ...]
     statuses: tuple[tallies.RolloutStatus, ...]
+    held_sessions: tuple[session_holds.HoldUpdate, ...] = ()
 
 
 class Codec(NamedTuple):
@@ -180,6 +186,7 @@
         self._sequence = 0
         self._progress_by_service: dict[str, _RolloutProgress] = {}
         self._tallies = tallies.TallyTable()
+        self._session_holds = session_holds.SessionHolds()
         self._status_by_key: dict[tuple[str, str], tallies.RolloutStatus] = {}
         self._sent_by_neighbour: dict[str, dict[object, int]] = {}
         self._status_set_s = 0.0
@@ -188,6 +195,7 @@
     def forget_neighbour(self, neighbour: str) -> None:
         """Forgets what was sent to a neighbour, since its link is new."""
         self._sent_by_neighbour.pop(neighbour, None)
+        self._session_holds.forget_neighbour(neighbour)
 
     def target(self, service: str) -> str | None:
         """Returns the target version of a service, None without a roll-out."""
@@ -210,31 +218,57 @@
         return self._running_share(progress)
 
     def wants_target(
-        self, service: str, request_key: str, prompt_key: str | None
+        self,
+        service: str,
+        request_id: str,
+        prompt_key: str | None,
+        session: str | None = None,
     ) -> bool | None:
         """Returns whether a request is to go to the target version.
 
-        In the canary phase single requests are selected, since those with a
+        In the canary phase single sessions are selected, since those with a
         popular prompt could exceed the bound. On the ramp all requests with a
         prompt move together, so that each prompt is prefilled once.
 
         Args:
             service: Service that serves the request.
-            request_key: Identifies the request or its session.
+            request_id: Identifies the request.
             prompt_key: Identifies its shared prompt, if it has one.
+            session: Session of the request, if it has one.
 
         Returns:
             None if the service has no roll-out.
         """
-        if service not in self._directory.rollout_by_service:
+        rollout = self._directory.rollout_by_service.get(service)
+        if rollout is None:
             return None
         share = self.share(service)
         canary = min(share, self._canary_share())
+        request_key = session or request_id
         if _hash_fraction(service, request_key) < canary:
-            return True
+            return session is None or not self._keeps_old_version(
+                rollout, session
+            )
         rest = (share - canary) / (1 - canary) if share < 1 else 1.0
         return _hash_fraction(service, prompt_key or request_key) < rest
 
+    def _keeps_old_version(
+        self, rollout: directory.KnownRollout, session: str
+    ) -> bool:
+        """Returns whether a selected session waits for the ramp."""
+        service = rollout.order.service
+        if not self.is_canary_phase(service):
+            return False
+        canary_s = _CANARY_TIME_SHARE * rollout.order.duration_s
+        settle_s = min(
+            self._bounds().config_apply_s,
+            _MAX_SETTLE_SHARE_OF_CANARY * canary_s,
+        )
+        order_age_s = self._now_s() - self._progress(rollout).first_seen_s
+        return order_age_s < settle_s or self._session_holds.is_held(
+            service, rollout.offset, session
+        )
+
     def is_canary_phase(self, service: str) -> bool:
         """Returns whether sessions keep their version (canary phase)."""
         rollout = self._directory.rollout_by_service.get(service)
@@ -279,8 +313,12 @@
         slack = _FALLBACK_SLACK_SHARE * bounds.exposure_slack
         return target.sent < _CANARY_SHARE_OF_BOUND * allowed + slack
 
-    def note_sent(self, service: str, version: str) -> None:
+    def note_sent(
+        self, service: str, version: str, session: str | None = None
+    ) -> None:
         """Records a request that was sent."""
+        if session is not None:
+            self._note_session(service, version, session)
         tally = self._own_tally(service, version)
         if tally is not None:
             self._put(
@@ -289,8 +327,30 @@
                 )
             )
 
-    def note_ended(self, service: str, version: str) -> None:
+    def _note_session(self, service: str, version: str, session: str) -> None:
+        """Records a session's version, and holds it if it is the old one."""
+        now_s = self._now_s()
+        recent = self._session_holds.recent
+        recent.prune(now_s - self._bounds().session_s)
+        recent.note_sent(service, session, version, now_s)
+        rollout = self._directory.rollout_by_service.get(service)
+        if (
+            rollout is not None
+            and version != rollout.order.version
+            and self.is_canary_phase(service)
+            and _hash_fraction(service, session) < self._canary_share()
+            and self._session_holds.hold(service, rollout.offset, session)
+        ):
+            self._send_soon()
+
+    def note_ended(
+        self, service: str, version: str, session: str | None = None
+    ) -> None:
         """Records that a request has ended."""
+        if session is not None:
+            self._session_holds.recent.note_ended(
+                service, session, self._now_s()
+            )
         tally = self._own_tally(service, version)
         if tally is not None:
             in_flight = max(0, tally.in_flight - 1)
@@ -376,8 +436,27 @@
         if progress is None or progress.rollout.offset != rollout.offset:
             progress = _RolloutProgress(rollout)
             self._progress_by_service[rollout.order.service] = progress
+            self._hold_recent_sessions(rollout)
         return progress
 
+    def _hold_recent_sessions(self, rollout: directory.KnownRollout) -> None:
+        """Holds the selected sessions that are in use at the old version."""
+        service, canary_share = rollout.order.service, self._canary_share()
+        recent = self._session_holds.recent
+        recent.prune(self._now_s() - self._bounds().session_s)
+        self._session_holds.begin(
+            service,
+            rollout.offset,
+            [
+                session
+                for session in recent.on_other_versions(
+                    service, rollout.order.version
+                )
+                if _hash_fraction(service, session) < canary_share
+            ],
+        )
+        self._send_soon()
+
     def _outcome(
         self, rollout: directory.KnownRollout
     ) -> orders.RolloutState | None:
@@ -472,8 +551,9 @@
                 for key, each in self._status_by_key.items()
                 if _mark_if_unsent(sent_numbers, key, each)
             ),
+            self._session_holds.updates_for(neighbour),
         )
-        if not update.tallies and not update.statuses:
+        if not any(update):
             return None
         return self._codec.encode(update)
 
@@ -494,6 +574,9 @@
             sent_numbers[key] = max(
                 sent_numbers.get(key, 0), _change_number(status)
             )
+        for holds in update.held_sessions:
+            if self._session_holds.merge(neighbour, holds):
+                self._send_soon()
         for service in services:
             self._evaluate(service)
 
@@ -526,6 +609,10 @@
         while True:
             await self._state.environment.sleep(_TICK_S)
             for rollout in list(self._directory.rollout_by_service.values()):
+                if not self.is_canary_phase(rollout.order.service):
+                    self._session_holds.end(
+                        rollout.order.service, rollout.offset
+                    )
                 if self._outcome(rollout) is None:
                     self._evaluate(rollout.order.service)
                     decision = self._decide(rollout)
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -424,7 +424,7 @@
         finally:
             choice.upstream.in_flight -= 1
             self._dependencies.rollouts.note_ended(
-                accepted.service.name, version
+                accepted.service.name, version, accepted.request.session
             )
 
     def _note_attempt(
@@ -443,7 +443,7 @@
         progress.sent_count += 1
         self._dependencies.rates.note_sent(upstream)
         self._dependencies.rollouts.note_sent(
-            service.name, upstream.entry.version
+            service.name, upstream.entry.version, accepted.request.session
         )
         upstream.note_sent()
         load_age_s = min(_UNKNOWN_LOAD_AGE_S, upstream.report_age_s(now_s))
--- a/src/lycheegw/protocol/rollout_codec.py
+++ b/src/lycheegw/protocol/rollout_codec.py
@@ -1,6 +1,7 @@
 """Protobuf encoding of the roll-out updates that nodes exchange."""
 
 from lycheegw.coordination import canary_rollouts
+from lycheegw.coordination import session_holds
 from lycheegw.protocol.pb import rollouts_pb2
 from lycheegw.state import tallies
 
@@ -30,6 +31,10 @@
         stances=[
             rollouts_pb2.Stance(**each._asdict()) for each in update.statuses
         ],
+        held_sessions=[
+            rollouts_pb2.HeldSessions(**each._asdict())
+            for each in update.held_sessions
+        ],
     )
     return bytes(message.SerializeToString())
 
@@ -68,6 +73,12 @@
             )
             for each in message.stances
         ),
+        tuple(
+            session_holds.HoldUpdate(
+                each.service, each.order_offset, tuple(each.session_hashes)
+            )
+            for each in message.held_sessions
+        ),
     )
 
 
