Roll-out counts are exchanged by change, at a bounded rate

Cause: each frame to each neighbour looked through the counts of all nodes, each count changed four times a request and went to all nodes, each status went out every 0.3 s although nothing had changed, and the sums were added up anew for each evaluation. Change: neighbours get what changed since their last message (`ChangeTracker`, which now also leaves out what a neighbour has from others); the sums are kept up to date; counts of old versions are reported at most each 0.02 s times the nodes, failures and those of the target at once; a status is sent at each new stage and tells the age of its order as of the time of sending. A node begins the ramp no later than one that is ahead. Also: a neighbour whose link is new gets back what it had told before it restarted.

--- a/src/lycheegw/coordination/canary_rollouts.py
+++ b/src/lycheegw/coordination/canary_rollouts.py
@@ -16,6 +16,7 @@
 
 import xxhash
 
+from lycheegw.coordination import change_tracker
 from lycheegw.coordination import directory
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import rendezvous
@@ -73,7 +74,14 @@
 # Delay between one node and the next in rank before it writes an outcome.
 _WRITER_RANK_DELAY_S = 0.8
 _TICK_S = 0.1
-_STATUS_INTERVAL_S = 0.3
+# Shortest time between two reports of a node's counts of an old version, and
+# the part of it for each node, which bounds the reports on each link to 50 a
+# second. Those of the target and failures are reported at once.
+_MIN_REPORT_INTERVAL_S = 0.3
+_REPORT_INTERVAL_S_PER_NODE = 0.02
+# Counts and statuses that are kept for neighbours, and sent in one message.
+_MAX_GOSSIPED = 8192
+_MAX_PER_UPDATE = 500
 
 
 class RolloutUpdate(NamedTuple):
@@ -188,13 +196,21 @@
         self._tallies = tallies.TallyTable()
         self._session_holds = session_holds.SessionHolds()
         self._status_by_key: dict[tuple[str, str], tallies.RolloutStatus] = {}
-        self._sent_by_neighbour: dict[str, dict[object, int]] = {}
-        self._status_set_s = 0.0
+        self._tallies_to_gossip: change_tracker.ChangeTracker[tallies.Tally] = (
+            change_tracker.ChangeTracker(_MAX_GOSSIPED)
+        )
+        self._statuses_to_gossip: change_tracker.ChangeTracker[
+            tallies.RolloutStatus
+        ] = change_tracker.ChangeTracker(_MAX_GOSSIPED)
+        # Own counts that were changed since they were last reported.
+        self._unreported_keys: set[tallies.TallyKey] = set()
+        self._reported_s = -math.inf
         peers.on_delta(_TOPIC, self._update_for, self._merge_update)
 
     def forget_neighbour(self, neighbour: str) -> None:
         """Forgets what was sent to a neighbour, since its link is new."""
-        self._sent_by_neighbour.pop(neighbour, None)
+        self._tallies_to_gossip.forget_sent(neighbour)
+        self._statuses_to_gossip.forget_sent(neighbour)
         self._session_holds.forget_neighbour(neighbour)
 
     def target(self, service: str) -> str | None:
@@ -420,13 +436,55 @@
         key = tallies.TallyKey(service, version, self._own_id)
         tally = self._tallies.get(key)
         if tally is None or tally.order_offset != rollout.offset:
-            self._tallies.drop_other_orders(service, rollout.offset)
+            for dropped in self._tallies.drop_other_orders(
+                service, rollout.offset
+            ):
+                self._tallies_to_gossip.discard(_gossip_key(dropped))
+                self._unreported_keys.discard(dropped)
             return tallies.Tally(key, self._started_ms, 0, rollout.offset)
         return tally
 
     def _put(self, tally: tallies.Tally) -> None:
+        """Stores an own tally, and reports it now or with the next ones."""
         self._sequence += 1
-        self._tallies.put(tally._replace(sequence=self._sequence))
+        previous = self._tallies.get(tally.key)
+        tally = tally._replace(sequence=self._sequence)
+        self._tallies.put(tally)
+        if self._is_urgent(previous, tally):
+            self._unreported_keys.discard(tally.key)
+            self._tallies_to_gossip.put(_gossip_key(tally.key), tally)
+        else:
+            self._unreported_keys.add(tally.key)
+
+    def _is_urgent(
+        self, previous: tallies.Tally | None, tally: tallies.Tally
+    ) -> bool:
+        """Returns whether other nodes need a change of a tally at once."""
+        failed = previous.failed if previous is not None else 0
+        if tally.failed > failed:
+            return True
+        service = tally.key.service
+        if tally.key.version == self.target(service):
+            # Its exposure is bounded over all nodes.
+            return self.share(service) <= self._canary_share()
+        # The roll-out completes once nothing runs at the old versions.
+        return not tally.in_flight and self.share(service) >= 1.0
+
+    def _report_tallies(self) -> None:
+        """Lets neighbours have the own counts, at a bounded rate."""
+        interval_s = max(
+            _MIN_REPORT_INTERVAL_S,
+            _REPORT_INTERVAL_S_PER_NODE * len(self._peers.live_nodes()),
+        )
+        now_s = self._now_s()
+        if not self._unreported_keys or now_s - self._reported_s < interval_s:
+            return
+        self._reported_s = now_s
+        for key in self._unreported_keys:
+            tally = self._tallies.get(key)
+            if tally is not None:
+                self._tallies_to_gossip.put(_gossip_key(key), tally)
+        self._unreported_keys.clear()
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
@@ -538,18 +596,16 @@
         self._send_soon()
 
     def _update_for(self, neighbour: str) -> bytes | None:
-        """Returns the counts and statuses not yet sent to a neighbour."""
-        sent_numbers = self._sent_by_neighbour.setdefault(neighbour, {})
+        """Returns what changed and was not yet sent to a neighbour."""
         update = RolloutUpdate(
             tuple(
-                each
-                for each in self._tallies.values()
-                if _mark_if_unsent(sent_numbers, each.key, each)
+                self._tallies_to_gossip.take_unsent(neighbour, _MAX_PER_UPDATE)
             ),
             tuple(
-                each
-                for key, each in self._status_by_key.items()
-                if _mark_if_unsent(sent_numbers, key, each)
+                self._with_order_age(each)
+                for each in self._statuses_to_gossip.take_unsent(
+                    neighbour, _MAX_PER_UPDATE
+                )
             ),
             self._session_holds.updates_for(neighbour),
         )
@@ -557,43 +613,57 @@
             return None
         return self._codec.encode(update)
 
+    def _with_order_age(
+        self, status: tallies.RolloutStatus
+    ) -> tallies.RolloutStatus:
+        """Returns a status with the age that its order has now."""
+        rollout = self._directory.rollout_by_service.get(status.service)
+        if rollout is None or rollout.offset != status.order_offset:
+            return status
+        age_s = self._now_s() - self._progress(rollout).first_seen_s
+        return status._replace(order_age_s=age_s)
+
     def _merge_update(self, neighbour: str, payload: bytes) -> None:
         update = self._codec.decode(payload)
-        sent_numbers = self._sent_by_neighbour.setdefault(neighbour, {})
         services = set()
         for tally in update.tallies:
-            if tally.key.node_id != self._own_id and self._tallies.put(tally):
+            key = _gossip_key(tally.key)
+            if tally.key.node_id == self._own_id:
+                continue
+            if self._tallies.put(tally):
                 services.add(tally.key.service)
-            sent_numbers[tally.key] = max(
-                sent_numbers.get(tally.key, 0), _change_number(tally)
-            )
+                self._tallies_to_gossip.put(key, tally, neighbour)
+            elif self._tallies.get(tally.key) == tally:
+                self._tallies_to_gossip.note_known(key, neighbour)
         for status in update.statuses:
             if status.node_id != self._own_id:
-                self._merge_status(status)
-            key = (status.service, status.node_id)
-            sent_numbers[key] = max(
-                sent_numbers.get(key, 0), _change_number(status)
-            )
+                self._merge_status(neighbour, status)
         for holds in update.held_sessions:
             if self._session_holds.merge(neighbour, holds):
                 self._send_soon()
         for service in services:
             self._evaluate(service)
 
-    def _merge_status(self, status: tallies.RolloutStatus) -> None:
+    def _merge_status(
+        self, neighbour: str, status: tallies.RolloutStatus
+    ) -> None:
         key = (status.service, status.node_id)
+        gossip_key = "\n".join(key)
         known_status = self._status_by_key.get(key)
         if known_status is not None and _change_number(
             known_status
         ) >= _change_number(status):
+            self._statuses_to_gossip.note_known(gossip_key, neighbour)
             return
         self._status_by_key[key] = status
+        self._statuses_to_gossip.put(gossip_key, status, neighbour)
         rollout = self._directory.rollout_by_service.get(status.service)
         if rollout is None or rollout.offset != status.order_offset:
             return
         progress = self._progress(rollout)
         seen_s = self._now_s() - status.order_age_s
         progress.first_seen_s = min(progress.first_seen_s, seen_s)
+        self._follow_ramp(progress, status.share)
         if status.is_condemned and not progress.is_rejected:
             self._reject(
                 progress, f"told by {status.node_id}", *self._totals(rollout)
@@ -608,6 +678,7 @@
         """Decides the roll-outs and writes outcomes until cancelled."""
         while True:
             await self._state.environment.sleep(_TICK_S)
+            self._report_tallies()
             for rollout in list(self._directory.rollout_by_service.values()):
                 if not self.is_canary_phase(rollout.order.service):
                     self._session_holds.end(
@@ -682,35 +753,50 @@
                 return False
         return True
 
+    def _follow_ramp(self, progress: _RolloutProgress, share: float) -> None:
+        """Begins the ramp no later than a node that has a greater share."""
+        ramped_share = share - self._canary_share()
+        is_canary_phase = self.is_canary_phase(progress.rollout.order.service)
+        if ramped_share <= 0 or is_canary_phase:
+            return
+        ramp_s = _RAMP_TIME_SHARE * progress.rollout.order.duration_s
+        started_s = self._now_s() - ramped_share * ramp_s
+        if progress.ramp_started_s is None:
+            progress.ramp_started_s = started_s
+        else:
+            progress.ramp_started_s = min(progress.ramp_started_s, started_s)
+
     def _set_own_status(self, rollout: directory.KnownRollout) -> None:
-        """Updates the status of this node that its neighbours get."""
+        """Reports this node's status to its neighbours at each new stage."""
         progress = self._progress(rollout)
         share = self.share(rollout.order.service)
         key = (rollout.order.service, self._own_id)
         previous = self._status_by_key.get(key)
-        now_s = self._now_s()
-        is_same = (
+        if (
             previous is not None
             and previous.order_offset == rollout.offset
-            and previous.share == share
+            and self._stage(previous.share) == self._stage(share)
             and previous.is_condemned == progress.is_rejected
-        )
-        if is_same and now_s - self._status_set_s < _STATUS_INTERVAL_S:
+        ):
             return
-        self._status_set_s = now_s
         self._sequence += 1
-        self._status_by_key[key] = tallies.RolloutStatus(
+        status = tallies.RolloutStatus(
             rollout.order.service,
             self._own_id,
             self._started_ms,
             self._sequence,
             rollout.offset,
-            now_s - progress.first_seen_s,
+            self._now_s() - progress.first_seen_s,
             share,
             progress.is_rejected,
         )
-        if not is_same:
-            self._send_soon()
+        self._status_by_key[key] = status
+        self._statuses_to_gossip.put("\n".join(key), status)
+        self._send_soon()
+
+    def _stage(self, share: float) -> int:
+        """Returns 0 in the canary phase, 1 on the ramp, 2 after it."""
+        return (share > self._canary_share()) + (share >= 1.0)
 
     def _is_turn_to_write(self, rollout: directory.KnownRollout) -> bool:
         """Returns whether it is this node's turn to write the outcome."""
@@ -787,19 +873,10 @@
     return digest / 2.0**64
 
 
-def _change_number(item: tallies.Tally | tallies.RolloutStatus) -> int:
-    """Returns a number that grows with each change of a count or status."""
-    return (item.started_ms << 32) | item.sequence
+def _gossip_key(key: tallies.TallyKey) -> str:
+    return "\n".join(key)
 
 
-def _mark_if_unsent(
-    sent_numbers: dict[object, int],
-    key: object,
-    item: tallies.Tally | tallies.RolloutStatus,
-) -> bool:
-    """Returns whether a change is yet to be sent, and marks it as sent."""
-    number = _change_number(item)
-    if sent_numbers.get(key, 0) >= number:
-        return False
-    sent_numbers[key] = number
-    return True
+def _change_number(status: tallies.RolloutStatus) -> int:
+    """Returns a number that grows with each change of a status."""
+    return (status.started_ms << 32) | status.sequence
--- a/src/lycheegw/coordination/change_tracker.py
+++ b/src/lycheegw/coordination/change_tracker.py
@@ -13,7 +13,7 @@
 class _Change(NamedTuple, Generic[Value]):
     sequence: int
     value: Value
-    source: str | None
+    sources: set[str]
 
 
 class ChangeTracker(Generic[Value]):
@@ -35,11 +35,18 @@
     def put(self, key: str, value: Value, source: str | None = None) -> None:
         """Sets a value; `source` is the neighbour that sent it, if any."""
         self._sequence += 1
-        self._change_by_key[key] = _Change(self._sequence, value, source)
+        sources = set() if source is None else {source}
+        self._change_by_key[key] = _Change(self._sequence, value, sources)
         self._change_by_key.move_to_end(key)
         while len(self._change_by_key) > self.max_keys:
             self._change_by_key.popitem(last=False)
 
+    def note_known(self, key: str, neighbour: str) -> None:
+        """Records that a neighbour has the value of a key as well."""
+        change = self._change_by_key.get(key)
+        if change is not None:
+            change.sources.add(neighbour)
+
     def discard(self, key: str) -> None:
         """Removes a key."""
         self._change_by_key.pop(key, None)
@@ -56,7 +63,7 @@
     def take_unsent(self, neighbour: str, limit: int) -> list[Value]:
         """Returns up to `limit` changed values to send, oldest change first.
 
-        They count as sent. Values that the neighbour sent are left out.
+        They count as sent. Values that the neighbour has are left out.
         """
         sent_sequence = self._sent_sequence_by_neighbour.get(neighbour, 0)
         unsent = []
@@ -67,8 +74,12 @@
         selected = unsent[::-1][:limit]
         if selected:
             self._sent_sequence_by_neighbour[neighbour] = selected[-1].sequence
-        return [each.value for each in selected if each.source != neighbour]
+        return [
+            each.value for each in selected if neighbour not in each.sources
+        ]
 
     def forget_sent(self, neighbour: str) -> None:
         """Forgets what was sent to a neighbour, since its link is new."""
         self._sent_sequence_by_neighbour.pop(neighbour, None)
+        for change in self._change_by_key.values():
+            change.sources.discard(neighbour)
--- a/src/lycheegw/state/tallies.py
+++ b/src/lycheegw/state/tallies.py
@@ -88,11 +88,27 @@
     log_pace_sum: float = 0.0
 
 
+class _VersionKey(NamedTuple):
+    """A version in the roll-out of an order."""
+
+    service: str
+    order_offset: int
+    version: str
+
+
+_NO_COUNTS = TallySums(0, 0, 0, 0, 0.0, 0, frozenset())
+
+
 class TallyTable:
-    """The latest tally of each version and node."""
+    """The latest tally of each version and node, and their sums.
+
+    The sums are kept up to date with each change, so that reading them takes
+    no longer with more nodes.
+    """
 
     def __init__(self) -> None:
         self._by_key: dict[TallyKey, Tally] = {}
+        self._sums_by_version: dict[_VersionKey, TallySums] = {}
 
     def get(self, key: TallyKey) -> Tally | None:
         """Returns a tally, or None."""
@@ -104,12 +120,17 @@
         if known is not None and _recency(known) >= _recency(tally):
             return False
         self._by_key[tally.key] = tally
+        if known is not None:
+            self._add(known, -1)
+        self._add(tally, 1)
+        if known is not None and (
+            known.order_offset != tally.order_offset
+            or not known.failing_upstreams <= tally.failing_upstreams
+        ):
+            # A later process or order; only adding up again can shrink a set.
+            self._collect_failing_upstreams(_version_key(known))
         return True
 
-    def values(self) -> list[Tally]:
-        """Returns all tallies."""
-        return list(self._by_key.values())
-
     def sums(
         self, service: str, order_offset: int, is_target: bool, version: str
     ) -> TallySums:
@@ -121,32 +142,88 @@
             is_target: Whether to sum for `version`, else for all others.
             version: Target version of the roll-out.
         """
-        chosen = [
-            each
-            for each in self._by_key.values()
-            if each.key.service == service
-            and each.order_offset == order_offset
-            and (each.key.version == version) == is_target
+        total = _NO_COUNTS
+        for key, sums in self._sums_by_version.items():
+            if (
+                key.service == service
+                and key.order_offset == order_offset
+                and (key.version == version) == is_target
+            ):
+                total = _combine(total, sums, 1)
+        return total
+
+    def drop_other_orders(
+        self, service: str, current_offset: int
+    ) -> list[TallyKey]:
+        """Drops a service's tallies except those of the order at an offset.
+
+        Returns:
+            The keys of the dropped tallies.
+        """
+        dropped = [
+            key
+            for key, each in self._by_key.items()
+            if key.service == service and each.order_offset != current_offset
         ]
-        return TallySums(
-            sum(each.sent for each in chosen),
-            sum(each.answered for each in chosen),
-            sum(each.failed for each in chosen),
-            sum(each.timed for each in chosen),
-            sum(each.log_time_sum for each in chosen),
-            sum(each.in_flight for each in chosen),
-            frozenset().union(*(each.failing_upstreams for each in chosen)),
-            sum(each.paced for each in chosen),
-            sum(each.log_pace_sum for each in chosen),
+        for key in dropped:
+            del self._by_key[key]
+        for version_key in list(self._sums_by_version):
+            if (
+                version_key.service == service
+                and version_key.order_offset != current_offset
+            ):
+                del self._sums_by_version[version_key]
+        return dropped
+
+    def _add(self, tally: Tally, sign: int) -> None:
+        """Adds a tally to the sums of its version, or subtracts it."""
+        key = _version_key(tally)
+        counts = TallySums(
+            tally.sent,
+            tally.answered,
+            tally.failed,
+            tally.timed,
+            tally.log_time_sum,
+            tally.in_flight,
+            tally.failing_upstreams,
+            tally.paced,
+            tally.log_pace_sum,
+        )
+        sums = self._sums_by_version.get(key, _NO_COUNTS)
+        self._sums_by_version[key] = _combine(sums, counts, sign)
+
+    def _collect_failing_upstreams(self, version_key: _VersionKey) -> None:
+        """Adds up the failing upstreams of a version from its tallies."""
+        self._sums_by_version[version_key] = self._sums_by_version[
+            version_key
+        ]._replace(
+            failing_upstreams=frozenset().union(
+                *(
+                    each.failing_upstreams
+                    for each in self._by_key.values()
+                    if _version_key(each) == version_key
+                )
+            )
         )
 
-    def drop_other_orders(self, service: str, current_offset: int) -> None:
-        """Drops a service's tallies except those of the order at an offset."""
-        self._by_key = {
-            key: each
-            for key, each in self._by_key.items()
-            if key.service != service or each.order_offset == current_offset
-        }
+
+def _version_key(tally: Tally) -> _VersionKey:
+    return _VersionKey(tally.key.service, tally.order_offset, tally.key.version)
+
+
+def _combine(left: TallySums, right: TallySums, sign: int) -> TallySums:
+    """Returns the sums with others added; `sign` -1 subtracts their counts."""
+    return TallySums(
+        left.sent + sign * right.sent,
+        left.answered + sign * right.answered,
+        left.failed + sign * right.failed,
+        left.timed + sign * right.timed,
+        left.log_time_sum + sign * right.log_time_sum,
+        left.in_flight + sign * right.in_flight,
+        left.failing_upstreams | right.failing_upstreams,
+        left.paced + sign * right.paced,
+        left.log_pace_sum + sign * right.log_pace_sum,
+    )
 
 
 def _recency(tally: Tally) -> tuple[int, int]:
--- a/tests/test_canary_rollouts.py
+++ b/tests/test_canary_rollouts.py
@@ -50,6 +50,7 @@
     def tick(self) -> None:
         """Lets each node decide and send updates to the others."""
         for known, rollout in zip(self.directories, self.rollouts, strict=True):
+            rollout._report_tallies()
             rollout._decide(known.rollout_by_service["m"])
             rollout._set_own_status(known.rollout_by_service["m"])
         for peer in self.peers:
--- a/tests/test_rollout_sessions.py
+++ b/tests/test_rollout_sessions.py
@@ -11,20 +11,13 @@
 
 import pytest
 
-from lycheegw.coordination import canary_rollouts
-from lycheegw.coordination import directory
-from lycheegw.coordination import neighbours
-from lycheegw.protocol import rollout_codec
-from lycheegw.state import orders
 from tests import fakes
+from tests import rollout_fleet
 
-_SERVICE = "m"
-_DURATION_S = 24.0
 # Time from the start of a simulation to the order.
 _ORDER_S = 8.0
 _GOSSIP_INTERVAL_S = 0.1
 _TICK_S = 0.1
-_ZONES = 3
 
 
 class _Run(NamedTuple):
@@ -45,77 +38,6 @@
     end_s: float
 
 
-class _Fleet:
-    """Nodes with the links of the product, each with its own roll-outs."""
-
-    def __init__(self, count: int):
-        self.clock = fakes.ManualClock()
-        self.begin_s = self.clock.now_s
-        self.buses = [fakes.FakePeerBus(f"n{index}") for index in range(count)]
-        self._link(count)
-        self.directories: list[directory.Directory] = []
-        self.rollouts: list[canary_rollouts.CanaryRollouts] = []
-        for bus in self.buses:
-            state = fakes.node(self.clock, bus.node_id)
-            known = directory.Directory(
-                state, None, {}, 1.2, lambda *_, **__: None
-            )
-            self.directories.append(known)
-            self.rollouts.append(
-                canary_rollouts.CanaryRollouts(
-                    state,
-                    known,
-                    bus,
-                    rollout_codec.CODEC,
-                    lambda: fakes.BOUNDS,
-                    lambda: None,
-                    lambda *_, **__: None,
-                )
-            )
-
-    def _link(self, count: int) -> None:
-        ids_by_zone = {
-            f"z{zone}": [f"n{index}" for index in range(zone, count, _ZONES)]
-            for zone in range(_ZONES)
-        }
-        bus_by_id = {bus.node_id: bus for bus in self.buses}
-        for index, bus in enumerate(self.buses):
-            zone = f"z{index % _ZONES}"
-            for other in neighbours.choose(bus.node_id, zone, ids_by_zone):
-                if bus_by_id[other] not in bus.others:
-                    bus.others.append(bus_by_id[other])
-                    bus_by_id[other].others.append(bus)
-
-    def order(self, node: int, version: str, offset: int) -> None:
-        """Makes an order known at a node."""
-        self.directories[node].rollout_by_service[_SERVICE] = (
-            directory.KnownRollout(
-                orders.RolloutOrder(_SERVICE, version, _DURATION_S),
-                offset,
-                self.clock.now_s,
-            )
-        )
-
-    def tick(self) -> None:
-        """Lets each node look at its roll-outs, and send its deltas."""
-        for known, rollouts in zip(
-            self.directories, self.rollouts, strict=True
-        ):
-            for rollout in known.rollout_by_service.values():
-                rollouts._decide(rollout)
-                rollouts._set_own_status(rollout)
-        for bus in self.buses:
-            bus.send_deltas()
-
-    def version(self, node: int, session: str, request: int) -> str:
-        """Returns the version that a node sends a request to."""
-        rollouts = self.rollouts[node]
-        wants_target = rollouts.wants_target(
-            _SERVICE, f"r{request}", None, session
-        )
-        return rollouts.target(_SERVICE) or "" if wants_target else "v1"
-
-
 def _play(
     nodes: int,
     sessions_per_s: float,
@@ -132,7 +54,7 @@
         until_s: Seconds to play.
         seed: Seed of the traffic.
     """
-    fleet = _Fleet(nodes)
+    fleet = rollout_fleet.RolloutFleet(nodes)
     generator = random.Random(seed)
     numbers = itertools.count()
     # Time, tie-breaker, kind and what it is about.
@@ -161,13 +83,19 @@
             push(at_s + _TICK_S, "tick")
         elif kind == "end":
             node, version, session = details
-            fleet.rollouts[node].note_ended(_SERVICE, version, session)
+            fleet.rollouts[node].note_ended(
+                rollout_fleet.SERVICE, version, session
+            )
         else:
             session, left = details
             node = generator.randrange(nodes)
             version = fleet.version(node, session, number)
-            fleet.rollouts[node].note_sent(_SERVICE, version, session)
-            fleet.rollouts[node].note_answer(_SERVICE, version, 0.2)
+            fleet.rollouts[node].note_sent(
+                rollout_fleet.SERVICE, version, session
+            )
+            fleet.rollouts[node].note_answer(
+                rollout_fleet.SERVICE, version, 0.2
+            )
             end_s = at_s + generator.uniform(0.5, 3.0)
             push(end_s, "end", node, version, session)
             runs.append(_Run(session, node, version, at_s, end_s))
@@ -187,7 +115,7 @@
     by_session: dict[str, list[_Run]] = {}
     for run in runs:
         by_session.setdefault(run.session, []).append(run)
-    half_s = _ORDER_S + _DURATION_S / 2
+    half_s = _ORDER_S + rollout_fleet.DURATION_S / 2
     return [
         (before, run)
         for session_runs in by_session.values()
@@ -197,12 +125,16 @@
     ]
 
 
-@pytest.mark.parametrize(("nodes", "sessions_per_s"), [(3, 20.0), (72, 90.0)])
+@pytest.mark.parametrize(
+    ("nodes", "sessions_per_s"), [(3, 20.0), (72, 90.0), (186, 90.0)]
+)
 def test_sessions_under_way_keep_the_old_version_as_a_canary_begins(
     nodes: int, sessions_per_s: float
 ) -> None:
     """rollout_good: the order comes while sessions go from node to node."""
-    runs = _play(nodes, sessions_per_s, 0.4, _ORDER_S + _DURATION_S / 2)
+    runs = _play(
+        nodes, sessions_per_s, 0.4, _ORDER_S + rollout_fleet.DURATION_S / 2
+    )
     canaries = [run for run in runs if run.version == "v2"]
     assert not _moves(runs)
     assert len(canaries) >= 12
@@ -211,7 +143,7 @@
 @pytest.mark.parametrize("nodes", [3, 72])
 def test_session_served_by_a_fallback_keeps_the_old_version(nodes: int) -> None:
     """The target has no upstream yet, so the old version gets a canary."""
-    fleet = _Fleet(nodes)
+    fleet = rollout_fleet.RolloutFleet(nodes)
     for node in range(nodes):
         fleet.order(node, "v2", 7)
     fleet.tick()
@@ -220,7 +152,7 @@
     canaries = [each for each in sessions if fleet.version(0, each, 0) == "v2"]
     assert canaries
     for session in canaries:
-        fleet.rollouts[0].note_sent(_SERVICE, "v1", session)
+        fleet.rollouts[0].note_sent(rollout_fleet.SERVICE, "v1", session)
     for _ in range(10):
         fleet.clock.now_s += _GOSSIP_INTERVAL_S
         fleet.tick()
@@ -233,10 +165,10 @@
 
 def test_node_that_joins_learns_which_sessions_are_held() -> None:
     """add_nodes, roll_term: a node without a memory gets the holds at once."""
-    fleet = _Fleet(3)
+    fleet = rollout_fleet.RolloutFleet(3)
     sessions = [f"s{number}" for number in range(300)]
     for session in sessions:
-        fleet.rollouts[0].note_sent(_SERVICE, "v1", session)
+        fleet.rollouts[0].note_sent(rollout_fleet.SERVICE, "v1", session)
     for node in range(2):
         fleet.order(node, "v2", 7)
     for _ in range(50):
@@ -253,35 +185,39 @@
     None
 ):
     """Two roll-outs in a row: the latest version in use counts as the old."""
-    fleet = _Fleet(3)
+    fleet = rollout_fleet.RolloutFleet(3)
     for node in range(3):
         fleet.order(node, "v2", 7)
     sessions = [f"s{number}" for number in range(300)]
     for session in sessions:
-        fleet.rollouts[1].note_sent(_SERVICE, "v2", session)
+        fleet.rollouts[1].note_sent(rollout_fleet.SERVICE, "v2", session)
     for node in range(3):
         fleet.order(node, "v3", 9)
     for _ in range(40):
         fleet.clock.now_s += _GOSSIP_INTERVAL_S
         fleet.tick()
     assert not any(
-        fleet.rollouts[node].wants_target(_SERVICE, "r", None, each)
+        fleet.rollouts[node].wants_target(
+            rollout_fleet.SERVICE, "r", None, each
+        )
         for each in sessions
         for node in range(3)
     )
     assert any(
-        fleet.rollouts[0].wants_target(_SERVICE, "r", None, f"t{number}")
+        fleet.rollouts[0].wants_target(
+            rollout_fleet.SERVICE, "r", None, f"t{number}"
+        )
         for number in range(300)
     )
 
 
 def test_held_sessions_are_sent_once_on_each_link() -> None:
     """Cost grows with the holds that are new, not with those known."""
-    fleet = _Fleet(2)
+    fleet = rollout_fleet.RolloutFleet(2)
     for node in range(2):
         fleet.order(node, "v2", 7)
     for number in range(2000):
-        fleet.rollouts[0].note_sent(_SERVICE, "v1", f"s{number}")
+        fleet.rollouts[0].note_sent(rollout_fleet.SERVICE, "v1", f"s{number}")
     fleet.tick()
     fleet.tick()
     sent_bytes = fleet.buses[0].bytes_sent
