The list of registered nodes is sorted when it changes

Change: the list is built when the registry's topic changes; `shared_rates` sees a new list by identity instead of comparing all ids.

--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -50,6 +50,7 @@
         self._apply_host_list = apply_host_list
         self._live_nodes = live_nodes
         self._entries: list[upstreams.HostEntry] = []
+        self._members: Sequence[str] = [state.identity.node_id]
         self._settled_s = math.inf
         self._is_joining = True
         self._is_restarted: bool | None = None
@@ -61,12 +62,11 @@
         """
         return self._is_restarted
 
-    def members(self) -> list[str]:
+    def members(self) -> Sequence[str]:
         """Returns the ids of all registered nodes, dead ones included."""
-        own_id = self._state.identity.node_id
-        return sorted({own_id, *(each.host_id for each in self._entries)})
+        return self._members
 
-    def settled_members(self) -> list[str] | None:
+    def settled_members(self) -> Sequence[str] | None:
         """Returns the ids of all registered nodes once they know this one.
 
         Returns None before, and as long as the list is unknown. The lists of
@@ -124,6 +124,9 @@
                 )
                 continue
             self._entries.append(entry)
+        own_id = self._state.identity.node_id
+        ids = {own_id, *(each.host_id for each in self._entries)}
+        self._members = sorted(ids)
         self._apply_host_list(self._entries)
 
     async def run(self, address: str) -> None:
--- a/src/lycheegw/coordination/shared_rates.py
+++ b/src/lycheegw/coordination/shared_rates.py
@@ -139,7 +139,8 @@
 
     def _own_rank(self, host_id: str, members: Sequence[str]) -> int:
         """Returns this node's rank among the senders to an upstream."""
-        if members != self._ranked_members:
+        # The list is replaced as a whole when it changes.
+        if members is not self._ranked_members:
             self._ranked_members = members
             self._rank_by_id.clear()
         rank = self._rank_by_id.get(host_id)
