Backlog reports are looked up by change, not by node

Cause: each frame to each neighbour sorted the reports of all nodes and compared each with what the neighbour has. Change: `ChangeTracker` keeps the reports in the order of change and leaves out those that the neighbour has; its limit now counts only what is sent.

--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/backlogs.py
@@ -13,6 +13,7 @@
 import math
 from typing import NamedTuple
 
+from lycheegw.coordination import change_tracker
 from lycheegw.coordination import interfaces
 from lycheegw.state import node_state
 
@@ -28,6 +29,8 @@
 _MIN_REPORT_GAP_S = 0.1
 # Maximum reports in a frame; the rest go with later frames.
 _MAX_REPORTS = 16
+# Nodes whose reports are kept for neighbours.
+_MAX_NODES = 2_000
 # A report that is not empty is repeated after this time. After three times as
 # long without a repetition, its node is taken to be gone.
 _REPEAT_AFTER_S = 1.0
@@ -91,12 +94,17 @@
         # Sum of the other nodes' reports, until one of them changes or expires.
         self._others_by_upstream: dict[str, float] = {}
         self._others_valid_until_s = -math.inf
-        self._versions_by_neighbour: dict[str, dict[str, tuple[int, int]]] = {}
+        self._reports_to_gossip: change_tracker.ChangeTracker[_Received] = (
+            change_tracker.ChangeTracker(_MAX_NODES)
+        )
+        # Sequence of the latest own report that each neighbour got.
+        self._own_sent_by_neighbour: dict[str, int] = {}
         peers.on_delta(_TOPIC, self._encode_unknown_reports, self._merge)
 
     def forget_neighbour(self, neighbour: str) -> None:
         """Forgets what was sent to a neighbour, since its link is new."""
-        self._versions_by_neighbour.pop(neighbour, None)
+        self._reports_to_gossip.forget_sent(neighbour)
+        self._own_sent_by_neighbour.pop(neighbour, None)
 
     @contextlib.contextmanager
     def track(self, upstream_id: str, seconds: float) -> Iterator[None]:
@@ -119,9 +127,13 @@
         now_s = self._now_s()
         total_by_upstream: dict[str, float] = {}
         until_s = math.inf
-        for node_id, received in self._received_by_node.items():
+        for node_id, received in list(self._received_by_node.items()):
             expiry_s = received.made_s + _EXPIRE_AFTER_S
-            if node_id == self._own_id or expiry_s <= now_s:
+            if node_id == self._own_id:
+                continue
+            if expiry_s <= now_s:
+                del self._received_by_node[node_id]
+                self._reports_to_gossip.discard(node_id)
                 continue
             until_s = min(until_s, expiry_s)
             for each, seconds in received.report.seconds_by_upstream.items():
@@ -187,45 +199,40 @@
         is_empty = not self._own_by_upstream
         if self._unreported_change_s() > 0 or (is_due and not is_empty):
             self._update_own_report()
-        known_versions = self._versions_by_neighbour.setdefault(neighbour, {})
         reports: list[Report] = []
-        for node_id, received in self._reports_to_send():
-            if len(reports) >= _MAX_REPORTS:
-                break
+        own = self._received_by_node.get(self._own_id)
+        if (
+            own is not None
+            and self._own_sent_by_neighbour.get(neighbour)
+            != own.report.sequence
+        ):
+            self._own_sent_by_neighbour[neighbour] = own.report.sequence
+            reports.append(own.report._replace(age_s=now_s - own.made_s))
+        for received in self._reports_to_gossip.take_unsent(
+            neighbour, _MAX_REPORTS - len(reports)
+        ):
             age_s = now_s - received.made_s
-            if age_s > _EXPIRE_AFTER_S and node_id != self._own_id:
-                del self._received_by_node[node_id]
-            elif known_versions.get(node_id, (0, 0)) < _version(
-                received.report
-            ):
-                known_versions[node_id] = _version(received.report)
+            if age_s <= _EXPIRE_AFTER_S:
                 reports.append(received.report._replace(age_s=age_s))
         return self._codec.encode(reports) if reports else None
 
-    def _reports_to_send(self) -> list[tuple[str, _Received]]:
-        """Returns this node's report, then the others from oldest to newest."""
-        return sorted(
-            self._received_by_node.items(),
-            key=lambda item: (item[0] != self._own_id, item[1].made_s),
-        )
-
     def _merge(self, neighbour: str, payload: bytes) -> None:
         """Merges the reports of a neighbour that are new to this node."""
-        known_versions = self._versions_by_neighbour.setdefault(neighbour, {})
         now_s = self._now_s()
         for report in self._codec.decode(payload):
+            if report.node_id == self._own_id:
+                continue
             version = _version(report)
-            known_versions[report.node_id] = max(
-                known_versions.get(report.node_id, (0, 0)), version
-            )
             previous = self._received_by_node.get(report.node_id)
-            if report.node_id == self._own_id or (
-                previous is not None and _version(previous.report) >= version
-            ):
+            if previous is not None and _version(previous.report) >= version:
+                if _version(previous.report) == version:
+                    self._reports_to_gossip.note_known(
+                        report.node_id, neighbour
+                    )
                 continue
-            self._received_by_node[report.node_id] = _Received(
-                report, now_s - report.age_s
-            )
+            received = _Received(report, now_s - report.age_s)
+            self._received_by_node[report.node_id] = received
+            self._reports_to_gossip.put(report.node_id, received, neighbour)
             self._others_valid_until_s = -math.inf
 
     def _now_s(self) -> float:
--- a/src/lycheegw/coordination/change_tracker.py
+++ b/src/lycheegw/coordination/change_tracker.py
@@ -71,12 +71,14 @@
             if change.sequence <= sent_sequence:
                 break
             unsent.append(change)
-        selected = unsent[::-1][:limit]
-        if selected:
-            self._sent_sequence_by_neighbour[neighbour] = selected[-1].sequence
-        return [
-            each.value for each in selected if neighbour not in each.sources
-        ]
+        selected: list[Value] = []
+        for change in reversed(unsent):
+            if len(selected) >= limit:
+                break
+            if neighbour not in change.sources:
+                selected.append(change.value)
+            self._sent_sequence_by_neighbour[neighbour] = change.sequence
+        return selected
 
     def forget_sent(self, neighbour: str) -> None:
         """Forgets what was sent to a neighbour, since its link is new."""
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -430,3 +430,29 @@
         for _ in range(10):
             second.choose(1, LONG_TOKENS)
     assert len(sums) == 1
+
+
+def test_reports_that_a_neighbour_has_are_not_sent_to_it() -> None:
+    """Hundreds of nodes: a frame holds new reports, not those known."""
+    clock = fakes.ManualClock()
+    nodes = _nodes(clock, 40, 3)
+    middle, last = nodes[20], nodes[39]
+    for node in nodes:
+        node.backlogs._add("u1", 1.0)
+    for _ in range(4):
+        for node in nodes:
+            node.bus.send_deltas()
+    assert middle.backlogs.wait_s("u1") == pytest.approx(40.0)
+    assert last.backlogs._encode_unknown_reports("n0") is None
+    # A neighbour that restarted has none, and gets all in a few frames.
+    last.backlogs.forget_neighbour("n0")
+    decoded = [
+        backlog_codec.CODEC.decode(payload)
+        for payload in (
+            last.backlogs._encode_unknown_reports("n0") for _ in range(4)
+        )
+        if payload is not None
+    ]
+    told = {report.node_id for reports in decoded for report in reports}
+    assert told == {f"n{number}" for number in range(40)}
+    assert max(map(len, decoded)) <= backlogs._MAX_REPORTS
