A node looks at whose turn it is when a read may be due

Change: it sleeps until the read is due, at most 0.25 s, and wakes when a refresh is requested; the list of live nodes stays the same object while they are the same, so that the order of turns isn't compared node by node. When a read is due hasn't changed.

--- a/src/lycheegw/coordination/liveness.py
+++ b/src/lycheegw/coordination/liveness.py
@@ -239,10 +239,15 @@
         return sorted(each for ids in by_zone.values() for each in ids)
 
     def live_by_zone(self) -> Mapping[str, Sequence[str]]:
-        """Returns the ids of live nodes by zone, this one included, sorted."""
+        """Returns the ids of live nodes by zone, this one included, sorted.
+
+        The same object as before is returned unless they have changed.
+        """
         if self._now_s() >= self._live_cache_until_s:
             self._expire()
-            self._live_cache = self._live_by_zone()
+            live_by_zone = self._live_by_zone()
+            if live_by_zone != self._live_cache:
+                self._live_cache = live_by_zone
             self._live_cache_until_s = self._now_s() + _LIVE_CACHE_S
         return self._live_cache
 
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -40,7 +40,8 @@
 # Longer than the timeout of any read. One that fails after a longer time was
 # delayed by this process, and its reply may have come in time.
 _MIN_STALLED_READ_S = 2.5
-_TICK_S = 0.05
+# Longest time between two looks at whose turn it is; it changes as nodes die.
+_TURN_CHECK_S = 0.25
 
 
 class ReadAges(NamedTuple):
@@ -99,8 +100,11 @@
         self._live_by_zone = live_by_zone
         self._dependency = dependency
         self._own_id = state.identity.node_id
-        self._refresh_requested: set[topics.Topic] = set()
+        self._refresh_by_topic = {
+            topic: asyncio.Event() for topic in topics.Topic
+        }
         self._last_failure_s: dict[topics.Topic, float] = {}
+        self._ring_members: Mapping[str, Sequence[str]] | None = None
         self._index_by_id: dict[str, int] = {}
 
     async def load(self, topic: topics.Topic) -> bool:
@@ -225,7 +229,7 @@
 
     def request_refresh(self, topic: topics.Topic) -> None:
         """Makes the next poll of a topic earlier, since it seems outdated."""
-        self._refresh_requested.add(topic)
+        self._refresh_by_topic[topic].set()
 
     async def _wait_for_turn(self, topic: topics.Topic, failures: int) -> None:
         """Returns once the copy is older than this node's limit for it."""
@@ -236,16 +240,33 @@
         while True:
             topic_state = self._exchange.state_by_topic[topic]
             max_age_s = self._max_age_s(topic_state.reader)
-            if topic in self._refresh_requested:
+            if self._refresh_by_topic[topic].is_set():
                 max_age_s = min(max_age_s, _REFRESH_AGE_S)
             due_s = topic_state.confirmed_s + max_age_s
             wait_s = max(due_s, not_before_s) - self._now_s()
             if wait_s <= 0:
-                self._refresh_requested.discard(topic)
+                self._refresh_by_topic[topic].clear()
                 return
-            # Updates from peers postpone the read, and requested refreshes
-            # advance it, so both are checked again each tick.
-            await self._sleep(min(wait_s, _TICK_S))
+            # Updates from peers meanwhile postpone the read.
+            await self._sleep_until_refresh(topic, min(wait_s, _TURN_CHECK_S))
+
+    async def _sleep_until_refresh(
+        self, topic: topics.Topic, seconds: float
+    ) -> None:
+        """Sleeps, for less time if a refresh is requested meanwhile."""
+        refresh = self._refresh_by_topic[topic]
+        if refresh.is_set():
+            await self._sleep(seconds)
+            return
+        tasks = {
+            asyncio.ensure_future(refresh.wait()),
+            asyncio.ensure_future(self._sleep(seconds)),
+        }
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
 
     def _max_age_s(self, reader: str) -> float:
         """Returns the age at which this node reads, from its rank."""
@@ -268,11 +289,16 @@
 
     def _ring(self) -> dict[str, int]:
         """Returns the place of each live node in the order of turns."""
-        ids = {each for ids in self._live_by_zone().values() for each in ids}
-        ids.add(self._own_id)
-        if ids != self._index_by_id.keys():
-            ring = rendezvous.order("store", ids)
-            self._index_by_id = {each: place for place, each in enumerate(ring)}
+        live_by_zone = self._live_by_zone()
+        if live_by_zone is not self._ring_members:
+            self._ring_members = live_by_zone
+            ids = {each for ids in live_by_zone.values() for each in ids}
+            ids.add(self._own_id)
+            if ids != self._index_by_id.keys():
+                ring = rendezvous.order("store", ids)
+                self._index_by_id = {
+                    each: place for place, each in enumerate(ring)
+                }
         return self._index_by_id
 
     def _is_watcher(self, topic: topics.Topic) -> bool:
--- a/tests/test_topic_readers.py
+++ b/tests/test_topic_readers.py
@@ -176,3 +176,43 @@
     ids.pop()
     readers._max_age_s("m1")
     assert len(computed) == 2
+
+
+async def test_node_whose_turn_is_far_wakes_seldom() -> None:
+    """Issue 26: each node woke twenty times a second for each topic."""
+    clock = fakes.ManualClock()
+    readers = _readers(clock, _Store(clock))
+    await readers.load(ORDERS)
+    wakes = []
+    sleep = readers._sleep
+
+    async def count(seconds: float) -> None:
+        wakes.append(seconds)
+        await sleep(seconds)
+
+    readers._sleep = count  # type: ignore[method-assign]
+    begun_s = clock.now_s
+    await readers._wait_for_turn(ORDERS, 0)
+    assert clock.now_s - begun_s >= readers.read_ages.turn_age_s - 0.2
+    assert len(wakes) <= 6
+
+
+async def test_requested_refresh_ends_the_wait_for_a_turn() -> None:
+    """A connect failure shows that the list of upstreams is outdated."""
+    clock = fakes.ManualClock()
+    readers = _readers(clock, _Store(clock))
+    await readers.load(ORDERS)
+    is_asleep = asyncio.Event()
+
+    async def sleep(seconds: float) -> None:
+        del seconds
+        is_asleep.set()
+        await asyncio.Event().wait()
+
+    readers._sleep = sleep  # type: ignore[method-assign]
+    waiting = asyncio.ensure_future(readers._wait_for_turn(ORDERS, 0))
+    await is_asleep.wait()
+    clock.now_s += 0.2
+    readers.request_refresh(ORDERS)
+    async with asyncio.timeout(5.0):
+        await waiting
