The end of a block reaches the store whoever finds it

Cause: a part that was blocked wrongly for 0.1 s was refuted by nodes that had never held the block, which wrote no record; all nodes read the block as they started again. Change: a refuted block counts as recorded; its writer also writes its end; a verdict that comes during a write is written next. Result: three tests that failed before.

--- a/src/lycheegw/coordination/block_records.py
+++ b/src/lycheegw/coordination/block_records.py
@@ -90,6 +90,9 @@
         self._reads_again = reads_again
         self._unwritten: dict[str, bytes] = {}
         self._recorded: set[str] = set()
+        # Parts whose block this node writes; it also writes the end of it, as
+        # its own write may arrive after that of another node.
+        self._blocked_here: set[str] = set()
         self._has_unwritten = asyncio.Event()
 
     def note_verdict(
@@ -98,9 +101,12 @@
         """Writes a verdict soon, if it is this node's and others need it."""
         if verdict.status is prompt_parts.PartStatus.BLOCKED:
             self._recorded.add(verdict.part_id)
+            if is_own:
+                self._blocked_here.add(verdict.part_id)
         elif verdict.part_id not in self._recorded:
             return
-        if is_own:
+        is_end = verdict.status is prompt_parts.PartStatus.SOUND
+        if is_own or (is_end and verdict.part_id in self._blocked_here):
             self._unwritten[verdict.part_id] = self._encode(verdict)
             self._has_unwritten.set()
 
@@ -134,7 +140,8 @@
                 return False
             if self._unwritten.get(part_id) == value:
                 del self._unwritten[part_id]
-        self._has_unwritten.clear()
+        if not self._unwritten:
+            self._has_unwritten.clear()
         return True
 
     async def _load(self) -> bool:
--- a/src/lycheegw/coordination/suspects.py
+++ b/src/lycheegw/coordination/suspects.py
@@ -489,6 +489,8 @@
             return
         if self._parts.is_refuted(verdict):
             self._state.counters.add("suspects.parts_refuted")
+            # The store may hold the refuted verdict.
+            self.on_verdict(verdict, False)
             verdict = self._parts.exonerate(verdict.part_id)
             self._parts.apply(verdict)
             source = None
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import itertools
+import json
 import random
 from typing import Any
 
@@ -361,3 +362,69 @@
     fifth_s = fleet.arrivals_s[:5][-1]
     assert sum(each > fifth_s + 3.0 for each in fleet.arrivals_s) <= 3
     assert fleet.refused_sound <= 5
+
+
+def _recorded_status(fleet: _Fleet, part: str) -> str:
+    return str(json.loads(fleet.store.value_by_key[part])["status"])
+
+
+def _blocked(part: str) -> prompt_parts.PartVerdict:
+    return prompt_parts.PartVerdict(
+        part, prompt_parts.PartStatus.BLOCKED, 1, 0.1, 0.4
+    )
+
+
+async def test_block_that_a_peer_refutes_is_not_kept_in_the_store() -> None:
+    """cold_return, then power_off_all: sound prompts were refused again.
+
+    Upstreams of a zone restarted, and a part that all prompts share was blocked
+    for 0.1 s. The node that refuted it had never held the block, so the record
+    stayed, and all nodes read it as they started again.
+    """
+    fleet = _Fleet(2, 1)
+    first, second = fleet.suspects_by_id["n0"], fleet.suspects_by_id["n1"]
+    request = _request("r0", "shared own", fleet.clock.now_s)
+    state = fakes.node(fleet.clock, "n1")
+    second.note_success(request, fakes.add_upstream(state, "u0"))
+    first._apply_verdict(_blocked("shared"), None)
+    await fleet.records_by_id["n0"]._write()
+    assert _recorded_status(fleet, "shared") == "BLOCKED"
+    second._apply_verdict(_blocked("shared"), "n0")
+    await fleet.records_by_id["n1"]._write()
+    assert _recorded_status(fleet, "shared") == "SOUND"
+    fleet.start_node("n2")
+    await fleet.records_by_id["n2"]._load()
+    fleet.suspects_by_id["n2"].refuse_blocked(request)
+
+
+async def test_record_of_a_block_that_lands_late_is_corrected() -> None:
+    """platform_slow: the block is written after its end was."""
+    fleet = _Fleet(2, 1)
+    first, second = fleet.suspects_by_id["n0"], fleet.suspects_by_id["n1"]
+    first._apply_verdict(_blocked("shared"), None)
+    second._apply_verdict(_blocked("shared"), "n0")
+    sound = second._parts.exonerate("shared")
+    second._apply_verdict(sound, None)
+    await fleet.records_by_id["n1"]._write()
+    await fleet.records_by_id["n0"]._write()
+    first._apply_verdict(sound, "n1")
+    await fleet.records_by_id["n0"]._write()
+    assert _recorded_status(fleet, "shared") == "SOUND"
+
+
+async def test_verdict_that_comes_during_a_write_is_written_next() -> None:
+    fleet = _Fleet(1, 1)
+    node, records = fleet.suspects_by_id["n0"], fleet.records_by_id["n0"]
+    put = fleet.store.put
+    node._apply_verdict(_blocked("shared"), None)
+
+    async def put_slowly(*arguments: Any) -> int:
+        if not fleet.store.value_by_key:
+            node._apply_verdict(node._parts.exonerate("shared"), None)
+        return await put(*arguments)
+
+    records._store.put = put_slowly
+    await records._write()
+    assert records._has_unwritten.is_set()
+    await records._write()
+    assert _recorded_status(fleet, "shared") == "SOUND"
