A stalled stream ends although a byte comes now and then

Other operators saw stalled streams that never ended. Here each byte of an unfinished event began a new gap, at the platform's streams and at the chat interface's, so that the caller waited until its deadline instead of getting the rest from another upstream. Change: the gap counts from the last whole event (frame); the time that a slow client takes to read doesn't count.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -141,9 +141,14 @@
     parser = event_streams.EventParser()
     events = 0
     gap_s = max(_MIN_GAP_S, _GAP_FACTOR * accepted.work.route.target_gap_s)
-    while (data := await _read_within(call, gap_s)) is not None:
+    loop = asyncio.get_running_loop()
+    # Counted from the last whole event: a stalled upstream may still send a
+    # byte now and then. The time that the client takes to read doesn't count.
+    due_s = loop.time() + gap_s
+    while (data := await _read_before(call, due_s, gap_s)) is not None:
         for event in parser.feed(data):
             await _forward_event(accepted, event, head, version)
+            due_s = loop.time() + gap_s
             events += 1
             if events == PACE_EVENTS:
                 note_pace()
@@ -172,12 +177,21 @@
     await accepted.sink.finish()
 
 
-async def _read_within(
-    call: interfaces.ForwardCall, gap_s: float
+async def _read_before(
+    call: interfaces.ForwardCall, due_s: float, gap_s: float
 ) -> bytes | None:
-    """Returns the next bytes; raises errors.UpstreamError on a timeout."""
+    """Returns the next bytes, None at the end of the stream.
+
+    Args:
+        call: Call from which the body is read.
+        due_s: Time of the event loop at which the next event is overdue.
+        gap_s: Longest time between two events, for the message.
+
+    Raises:
+        errors.UpstreamError: The next event is overdue.
+    """
     try:
-        async with asyncio.timeout(gap_s):
+        async with asyncio.timeout_at(due_s):
             return await call.read()
     except TimeoutError:
         raise errors.UpstreamError(
--- a/src/lycheegw/transport/upstream_client.py
+++ b/src/lycheegw/transport/upstream_client.py
@@ -4,6 +4,7 @@
 the totals and the end marker of each token stream.
 """
 
+import asyncio
 from collections.abc import Mapping
 import json
 from typing import Any
@@ -114,8 +115,11 @@
         """Returns the next complete frames; raises errors.UpstreamError."""
         if self._deferred_error is not None:
             raise self._deferred_error
+        # A stalled engine may still send a byte of a frame now and then.
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self._token_gap_timeout_s
         while True:
-            data = await self._receive()
+            data = await self._receive(max(0.0, due_s - loop.time()))
             complete, separator, self._partial = (
                 self._partial + data
             ).rpartition(engine_api.FRAME_END)
@@ -129,13 +133,13 @@
                 if valid_frames is not None:
                     return valid_frames
 
-    async def _receive(self) -> bytes:
+    async def _receive(self, timeout_s: float) -> bytes:
         try:
-            data = await self._stream.read(self._token_gap_timeout_s)
+            data = await self._stream.read(timeout_s)
         except TimeoutError as error:
             raise self._stream_error(
                 reasons.RetryReason.TOKEN_GAP,
-                "no data within the token gap timeout",
+                "no frame within the token gap timeout",
             ) from error
         except OSError as error:
             raise self._stream_error(
