--- a/tests/test_zone_reachability.py
+++ b/tests/test_zone_reachability.py
@@ -1,5 +1,7 @@
 """Two upstreams that time out mark their zone as unreachable for a while."""
 
+import pytest
+
 from lycheegw.coordination import zone_reachability
 from tests import fakes
 
@@ -50,3 +52,18 @@
     assert reach.cut_off({"b", "c"}) == {"b"}
     reach.note_answer("b")
     assert reach.cut_off({"b", "c"}) == set()
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED: a cut that resets")
+def test_zone_whose_upstreams_refuse_connections_is_unreachable() -> None:
+    """zone_cut, reset: connections are refused at once instead of timing out.
+
+    The nodes of the zone stayed ready for a service whose upstreams were all in
+    other zones, and refused its requests.
+    """
+    clock = fakes.ManualClock()
+    reach = zone_reachability.ZoneReachability(clock.environment())
+    for upstream_id in ("u1", "u2", "u3"):
+        reach.note_refused("a", upstream_id)
+    assert reach.unreachable() == {"a"}
+    assert reach.cut_off({"a"}) == {"a"}
