A late status doesn't hide the newer one from its sender

Found by reading the diff: a neighbour that sent an older status of a roll-out was marked as having the newer one, and got it from others only. Change: only an equal status marks it.

--- a/src/lycheegw/coordination/canary_rollouts.py
+++ b/src/lycheegw/coordination/canary_rollouts.py
@@ -650,11 +650,12 @@
         key = (status.service, status.node_id)
         gossip_key = "\n".join(key)
         known_status = self._status_by_key.get(key)
-        if known_status is not None and _change_number(
-            known_status
-        ) >= _change_number(status):
-            self._statuses_to_gossip.note_known(gossip_key, neighbour)
-            return
+        if known_status is not None:
+            known_number = _change_number(known_status)
+            if known_number == _change_number(status):
+                self._statuses_to_gossip.note_known(gossip_key, neighbour)
+            if known_number >= _change_number(status):
+                return
         self._status_by_key[key] = status
         self._statuses_to_gossip.put(gossip_key, status, neighbour)
         rollout = self._directory.rollout_by_service.get(status.service)
--- a/src/lycheegw/state/recent_sessions.py
+++ b/src/lycheegw/state/recent_sessions.py
@@ -75,10 +75,6 @@
             if key.service == service and use.version != version
         ]
 
-    def __len__(self) -> int:
-        """Returns the number of sessions."""
-        return len(self._use_by_key)
-
     def _put(self, key: _Key, use: _Use) -> None:
         self._use_by_key[key] = use
         self._use_by_key.move_to_end(key)
--- a/tests/test_rollout_gossip.py
+++ b/tests/test_rollout_gossip.py
@@ -117,3 +117,15 @@
     )
     age_s = fleet.clock.now_s - progress.first_seen_s
     assert age_s == pytest.approx(10.0, abs=0.2)
+
+
+def test_neighbour_with_an_older_status_gets_the_newer_one() -> None:
+    """A late message must not mark the newer status as known there."""
+    fleet = _ordered_fleet(2)
+    first, second = fleet.rollouts
+    older = first._status_by_key[rollout_fleet.SERVICE, "n0"]
+    newer = older._replace(sequence=older.sequence + 5, share=1.0)
+    second._merge_status("n2", newer)
+    second._merge_status("n0", older)
+    statuses = second._statuses_to_gossip.take_unsent("n0", 10)
+    assert newer in statuses
