A drain looks at its connections by poll, in plainer words

Found by reading the diff: select refuses descriptors above 1,023, so that such a connection counted as one without input.

--- a/src/lycheegw/app.py
+++ b/src/lycheegw/app.py
@@ -361,17 +361,15 @@
         A connection may have been accepted whose request no thread has read
         yet; closing it would leave the client without an answer.
         """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _MAX_LAST_REQUESTS_S
         quiet_polls = 0
-        end_s = asyncio.get_running_loop().time() + _MAX_LAST_REQUESTS_S
-        while (
-            quiet_polls < _QUIET_POLLS
-            and asyncio.get_running_loop().time() < end_s
-        ):
+        while quiet_polls < _QUIET_POLLS and loop.time() < end_s:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
-            is_quiet = not self.server.has_unread_requests()
-            quiet_polls = (quiet_polls + 1) * (
-                is_quiet and not self.api.running
-            )
+            if self.api.running or self.server.has_unread_requests():
+                quiet_polls = 0
+            else:
+                quiet_polls += 1
 
     async def stop(self) -> None:
         """Drains, then stops all components."""
--- a/src/lycheegw/transport/http_server.py
+++ b/src/lycheegw/transport/http_server.py
@@ -218,11 +218,18 @@
             self.server.http_server.start_handler(self, parsed)
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    """Returns whether a read or accept would return at once."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _has_input(connection: _Connection) -> bool:
     """Returns whether bytes of a client wait to be read."""
     try:
         # The socket has a timeout, so that a read of nothing would wait.
-        if not select.select([connection.socket], [], [], 0)[0]:
+        if not _is_readable(connection.socket):
             return False
         return bool(connection.socket.recv(1, socket.MSG_PEEK))
     except (OSError, ValueError):
@@ -364,7 +371,7 @@
         listening_socket = self._cheroot.socket
         if listening_socket is None or listening_socket.fileno() < 0:
             return False
-        return bool(select.select([listening_socket], [], [], 0)[0])
+        return _is_readable(listening_socket)
 
     async def stop(self) -> None:
         """Stops accepting connections, then cancels running handlers."""
