A request's last line names the manifest by which it was accepted; processor time of a node

Nor could they tell whether a node had used up its processor, as the lag of the event loop also comes from the machine.

test_end_of_a_request_tells_by_which_manifest_it_was_accepted and test_ready_and_metrics_pages failed before (2 of 2) and pass now.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -77,7 +77,9 @@
             await self._wait_for_startup()
             await self._dependencies.freshness.ensure_current()
             end.traits = self._codec.decode_traits(sink.incoming)
-            end.accepted = self._accept(sink, end.traits)
+            manifest = self._dependencies.directory.manifest
+            end.manifest_version = manifest.version if manifest else None
+            end.accepted = self._accept(sink, end.traits, manifest)
             await self._serve_until_deadline(end.accepted)
         except errors.RefusalError as error:
             await self._refuse(sink, end, error, decline)
@@ -101,9 +103,9 @@
         self,
         sink: accepted_requests.ResponseSink,
         traits: forwarded_requests.RequestTraits,
+        manifest: routing.Manifest | None,
     ) -> accepted_requests.AcceptedRequest:
         """Authenticates and routes a request; raises errors.RefusalError."""
-        manifest = self._dependencies.directory.manifest
         if manifest is None:
             raise errors.RefusalError(
                 reasons.RefusalReason.NOT_READY,
@@ -254,9 +256,8 @@
                 "run": error.verdict.value,
                 "message": str(error),
             }
-        manifest = self._dependencies.directory.manifest
-        if manifest is not None:
-            fields["manifest"] = manifest.version
+        if end.manifest_version is not None:
+            fields["manifest"] = end.manifest_version
         self._dependencies.note(outcome, **fields)
 
     def _now_s(self) -> float:
@@ -269,12 +270,15 @@
     Attributes:
         incoming: Request as it was read.
         traits: Decoded headers, None if they are invalid.
+        manifest_version: Version by which it was accepted or refused, None if
+            there was none yet.
         accepted: Accepted request, None if it was not accepted.
     """
 
     def __init__(self, incoming: forwarded_requests.IncomingRequest):
         self.incoming = incoming
         self.traits: forwarded_requests.RequestTraits | None = None
+        self.manifest_version: int | None = None
         self.accepted: accepted_requests.AcceptedRequest | None = None
 
 
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import math
 import pathlib
+import time
 from typing import NamedTuple
 
 from absl import logging
@@ -532,6 +533,7 @@
             "requests_running": float(self.server.running),
             "connections_opened": float(self.upstream_pool.opened_count),
             "is_ready": float(self.is_ready),
+            "process_cpu_s": time.process_time(),
             "longest_backlog_s": self.backlogs.longest_s(),
         }
         for topic in topics.Topic:
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -63,6 +63,33 @@
         assert 0 <= line["list_age_s"] < 2.0
 
 
+async def test_end_of_a_request_tells_by_which_manifest_it_was_accepted() -> (
+    None
+):
+    """The manifest may change while the request runs."""
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 1.0
+        lines = fleet.capture_request_events(node)
+        request = asyncio.create_task(
+            platform_standins.send_request(node.settings.listen, "/look/1")
+        )
+        await fleet_harness.wait_until(lambda: bool(fleet.seen))
+        await fleet.store.put(
+            "keyed.op", "config", platform_standins.manifest(2)
+        )
+        await fleet_harness.wait_until(
+            lambda: (
+                (manifest := node.directory.manifest) is not None
+                and manifest.version == 2
+            )
+        )
+        await request
+        assert lines[-1]["event"] == "answered"
+        assert lines[-1]["manifest"] == 1
+
+
 async def test_stalled_event_loop_is_counted() -> None:
     async with fleet_harness.fleet() as fleet:
         node = fleet.nodes[0]
@@ -773,6 +800,7 @@
         )
         assert page is not None
         assert b"lycheegw_manifest_version 1" in page.body
+        assert b"lycheegw_process_cpu_s " in page.body
         assert b'lycheegw_head_seconds_count{of="look"} 1' in page.body
         node.is_draining = True
         ready = await platform_standins.send_request(
