An odd entry in the list of upstreams is skipped

What callers saw: one entry by another writer, nested 100,000 levels or with a number of 400 digits, made every later read of the list fail at every node.

Cause: the decoder passed on RecursionError (json), OverflowError (int to float) and, later, UnicodeEncodeError (lone surrogates in messages to peers); the reader expects RecordError alone. Fields are now read by json_fields, which checks range and encoding; records hold 64-bit numbers, finite floats and text that can be encoded.

Two nodes, one upstream that joins, one that leaves, 20 unsafe requests; counted once at each node.

--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -3,11 +3,12 @@
 from collections.abc import Mapping
 import functools
 import json
+import reprlib
 from typing import Any
-from typing import TypeVar
 
 from lycheegw.protocol import json_arrays
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import orders
 from lycheegw.state import routing
 from lycheegw.state import upstreams
@@ -39,40 +40,6 @@
 _NAME_BY_STATE = {state: name for name, state in _STATE_BY_NAME.items()}
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
-_Type = TypeVar("_Type")
-
-
-def _load(path: str, value: bytes) -> Mapping[str, Any]:
-    try:
-        loaded = json.loads(value)
-    except ValueError as error:
-        raise errors.RecordError([f"{path}: not JSON"]) from error
-    if not isinstance(loaded, dict):
-        raise errors.RecordError([f"{path}: not a JSON object"])
-    return loaded
-
-
-def _field(
-    path: str,
-    value: Mapping[str, Any],
-    name: str,
-    kind: type[_Type],
-    default: _Type | None = None,
-) -> _Type:
-    """Returns a field of the given type; an integer is accepted as a float.
-
-    Raises:
-        errors.RecordError: The field is missing or of another type.
-    """
-    found = value.get(name, default)
-    if kind is float and isinstance(found, int):
-        found = float(found)
-    if found is None or not isinstance(found, kind):
-        raise errors.RecordError([f"{path}/{name}: is no {kind.__name__}"])
-    if isinstance(found, bool) and kind is not bool:
-        raise errors.RecordError([f"{path}/{name}: is no {kind.__name__}"])
-    return found
-
 
 class ManifestDecoder:
     """Decodes manifests; of a new version, the routes that changed."""
@@ -98,10 +65,12 @@
             raise errors.RecordError(["/routes: is no list"])
         services = [
             _service(f"services/{index}", each)
-            for index, each in enumerate(_field("", loaded, "services", list))
+            for index, each in enumerate(
+                json_fields.read("", loaded, "services", list)
+            )
         ]
         return routing.Manifest(
-            _field("", loaded, "version", int),
+            json_fields.read("", loaded, "version", int),
             routing.index_routes(routes),
             {service.name: service for service in services},
             _organisations(loaded.get("tenants")),
@@ -115,17 +84,18 @@
     kind = _KIND_BY_NAME.get(value.get("type", ""))
     if kind is None:
         raise errors.RecordError([f"{path}/type: {value.get('type')!r}"])
-    timeout_ms = _field(path, value, "timeout_ms", float)
+    timeout_ms = json_fields.read(path, value, "timeout_ms", float)
     return routing.Route(
-        _field(path, value, "name", str),
-        _field(path, value, "hostname", str).lower(),
-        _field(path, value, "path_prefix", str),
+        json_fields.read(path, value, "name", str),
+        json_fields.read(path, value, "hostname", str).lower(),
+        json_fields.read(path, value, "path_prefix", str),
         kind,
         timeout_ms / 1000,
-        _field(path, value, "target_latency_ms", float, timeout_ms) / 1000,
-        _field(path, value, "target_gap_ms", float, 0.0) / 1000,
-        int(_field(path, value, "priority", float, 0.0)),
-        int(_field(path, value, "max_attempts", float, 1.0)),
+        json_fields.read(path, value, "target_latency_ms", float, timeout_ms)
+        / 1000,
+        json_fields.read(path, value, "target_gap_ms", float, 0.0) / 1000,
+        int(json_fields.read(path, value, "priority", float, 0.0)),
+        int(json_fields.read(path, value, "max_attempts", float, 1.0)),
         bool(value.get("public", False)),
         bool(value.get("resumable", False)),
         tuple(str(model) for model in value.get("sizes") or ()),
@@ -136,12 +106,12 @@
 def _backends(path: str, value: Mapping[str, Any]) -> tuple[Any, ...]:
     backends = value.get("backends")
     if not backends:
-        name = _field(path, value, "service", str)
+        name = json_fields.read(path, value, "service", str)
         return (routing.Backend(name, 1.0),)
     return tuple(
         routing.Backend(
-            _field(f"{path}/backends", each, "service", str),
-            _field(f"{path}/backends", each, "weight", float, 1.0),
+            json_fields.read(f"{path}/backends", each, "service", str),
+            json_fields.read(f"{path}/backends", each, "weight", float, 1.0),
         )
         for each in backends
     )
@@ -151,11 +121,11 @@
     if not isinstance(value, dict):
         raise errors.RecordError([f"{path}: not a JSON object"])
     return routing.Service(
-        _field(path, value, "name", str),
-        _field(path, value, "health_path", str, "/"),
-        int(_field(path, value, "max_connections", float, 0.0)),
-        _field(path, value, "cold_start_s", float, 0.0),
-        _field(path, value, "cold_per_s", float, 0.0),
+        json_fields.read(path, value, "name", str),
+        json_fields.read(path, value, "health_path", str, "/"),
+        int(json_fields.read(path, value, "max_connections", float, 0.0)),
+        json_fields.read(path, value, "cold_start_s", float, 0.0),
+        json_fields.read(path, value, "cold_per_s", float, 0.0),
         _engine(path, value.get("engine")),
     )
 
@@ -165,10 +135,10 @@
         return None
     path = f"{path}/engine"
     return routing.Engine(
-        int(_field(path, value, "slots", float, 0.0)),
-        int(_field(path, value, "kv_capacity", float, 0.0)),
+        int(json_fields.read(path, value, "slots", float, 0.0)),
+        int(json_fields.read(path, value, "kv_capacity", float, 0.0)),
         {
-            _field(path, each, "name", str): _field(
+            json_fields.read(path, each, "name", str): json_fields.read(
                 path, each, "cost", float, 0.0
             )
             for each in value.get("models") or ()
@@ -185,10 +155,10 @@
         path = f"tenants/{index}"
         priority = each.get("priority")
         organisation = routing.Organisation(
-            _field(path, each, "name", str),
+            json_fields.read(path, each, "name", str),
             priority if isinstance(priority, int) else None,
         )
-        for key in _field(path, each, "api_keys", list, []):
+        for key in json_fields.read(path, each, "api_keys", list, []):
             organisation_by_key[str(key)] = organisation
     return organisation_by_key
 
@@ -220,12 +190,12 @@
     if key.startswith(_EVACUATION_PREFIX):
         return orders.ZoneClosure(key.removeprefix(_EVACUATION_PREFIX))
     if key.startswith(_ROLLOUT_PREFIX):
-        loaded = _load(key, value)
+        loaded = json_fields.load_object(key, value)
         return orders.RolloutOrder(
-            _field(key, loaded, "service", str),
+            json_fields.read(key, loaded, "service", str),
             # "target" is a version, not an upstream.
-            _field(key, loaded, "target", str),
-            _field(key, loaded, "duration_s", float),
+            json_fields.read(key, loaded, "target", str),
+            json_fields.read(key, loaded, "duration_s", float),
         )
     return None
 
@@ -234,13 +204,13 @@
     """Returns the outcome of a roll-out; raises errors.RecordError."""
     if not key.startswith(_ROLLOUT_PREFIX):
         return None
-    loaded = _load(key, value)
+    loaded = json_fields.load_object(key, value)
     state = _STATE_BY_NAME.get(loaded.get("state", ""))
     if state is None:
         raise errors.RecordError([f"{key}/state: {loaded.get('state')!r}"])
     return orders.RolloutOutcome(
         key.removeprefix(_ROLLOUT_PREFIX),
-        _field(key, loaded, "target", str),
+        json_fields.read(key, loaded, "target", str),
         state,
     )
 
@@ -257,30 +227,37 @@
     Raises:
         errors.RecordError: The entry is malformed or not one of an upstream.
     """
-    loaded = _load(key, value)
+    loaded = json_fields.load_object(key, value)
     is_leaving = _IS_LEAVING_BY_STATE.get(str(loaded.get("state")))
     if is_leaving is None:
-        raise errors.RecordError([f"{key}/state: {loaded.get('state')!r}"])
-    host, separator, port = _field(key, loaded, "address", str).rpartition(":")
+        raise errors.RecordError([_unknown(key, loaded, "state")])
+    host, separator, port = json_fields.read(
+        key, loaded, "address", str
+    ).rpartition(":")
     if not (separator and host and port.isdigit()):
         raise errors.RecordError([f"{key}/address: is not ip:port"])
     return upstreams.HostEntry(
         key,
         upstreams.HostRole.SERVICE,
-        _field(key, loaded, "service", str),
+        json_fields.read(key, loaded, "service", str),
         f"{host}:{port}",
-        _field(key, loaded, "zone", str),
+        json_fields.read(key, loaded, "zone", str),
         is_leaving,
         False,
-        _field(key, loaded, "version", str),
-        _field(key, loaded, "slots", int),
+        json_fields.read(key, loaded, "version", str),
+        json_fields.read(key, loaded, "slots", int),
         # "born" is in Unix milliseconds; older upstreams omit it.
-        _field(key, loaded, "born", int, 0),
-        _field(key, loaded, "sequence", int),
-        _field(key, loaded, "cold_remaining_ms", float, 0.0) / 1000,
+        json_fields.read(key, loaded, "born", int, 0),
+        json_fields.read(key, loaded, "sequence", int),
+        json_fields.read(key, loaded, "cold_remaining_ms", float, 0.0) / 1000,
     )
 
 
+def _unknown(path: str, fields: Mapping[str, Any], name: str) -> str:
+    """Returns a message on a field whose value is not one of those known."""
+    return f"{path}/{name}: {reprlib.repr(fields.get(name))}"
+
+
 def upstream_digest(value: bytes) -> Any:
     """Returns the part of an entry whose changes are sent to peers at once.
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -1,5 +1,6 @@
 """The adapter decodes the platform's data; errors name the invalid field."""
 
+import itertools
 import json
 from typing import Any
 
@@ -225,3 +226,48 @@
     settings = settings_file.parse("\n".join(other_lines))
     assert settings.service_levels.grace_s == 8.0
     assert settings.service_levels.retry_ratio == 0.9
+
+
+_ODD_NUMBERS = [
+    int("9" * 400),
+    -int("9" * 400),
+    float("inf"),
+    float("-inf"),
+    float("nan"),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        *itertools.product(
+            ("slots", "born", "sequence", "cold_remaining_ms"), _ODD_NUMBERS
+        ),
+        ("slots", 2**63),
+        ("sequence", 2**63),
+    ],
+)
+def test_entry_with_a_number_out_of_range_is_an_error(
+    name: str, value: float
+) -> None:
+    with pytest.raises(errors.RecordError, match=name):
+        records.decode_upstream(
+            "i-1", json.dumps({**ENTRY, name: value}).encode()
+        )
+
+
+def test_error_of_an_entry_is_short() -> None:
+    """The error is logged with each change of the entry."""
+    for value in ("x" * 100_000, [[["x" * 90_000]]], 7):
+        with pytest.raises(errors.RecordError) as raised:
+            records.decode_upstream(
+                "i-1", json.dumps({**ENTRY, "state": value}).encode()
+            )
+        assert len(str(raised.value)) < 200
+
+
+@pytest.mark.parametrize("levels", [10, 900, 985, 1000, 100_000])
+def test_nested_entry_is_an_error(levels: int) -> None:
+    value = json.dumps(ENTRY)[:-1] + ',"state":' + "[" * levels + "]" * levels
+    with pytest.raises(errors.RecordError):
+        records.decode_upstream("i-1", value.encode() + b"}")
--- /dev/null
+++ b/tests/platform/test_odd_entries.py
@@ -0,0 +1,92 @@
+"""Entries that can't be used harm neither a node nor the other upstreams."""
+
+import json
+from typing import Any
+
+import pytest
+
+from tests.platform import fleet_harness
+from tests.platform import platform_standins
+
+_REQUESTS = 20
+_LONG_NUMBER = int("9" * 400)
+
+
+def _nested(levels: int) -> bytes:
+    return b'{"service":' + b"[" * levels + b"]" * levels + b"}"
+
+
+def _entry(**changes: Any) -> bytes:
+    """Returns an entry that can be used but for the changes."""
+    fields = {
+        "service": "desk",
+        "address": "127.0.0.1:9",
+        "zone": "z-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1000,
+        **changes,
+    }
+    return json.dumps(fields).encode()
+
+
+async def _serve_all(fleet: fleet_harness.Fleet) -> None:
+    """Checks that each node answers requests that must not be repeated."""
+    for number in range(_REQUESTS):
+        node = fleet.nodes[number % len(fleet.nodes)]
+        reply = await platform_standins.send_request(
+            node.settings.listen, f"/book/{number}", "POST", b"crew"
+        )
+        assert reply is not None
+        assert reply.status == 200
+
+
+# Guards against processes that end, or stop to follow the list of upstreams,
+# because of one entry by another writer.
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(_nested(100_000), id="nested"),
+        pytest.param(b"[" * 200_000, id="nested without end"),
+        pytest.param(_entry(cold_remaining_ms=_LONG_NUMBER), id="cold time"),
+        pytest.param(
+            _entry(cold_remaining_ms=0)[:-1] + b',"cold_remaining_ms":1e999}',
+            id="infinite cold time",
+        ),
+        pytest.param(_entry(slots=_LONG_NUMBER), id="slots"),
+        pytest.param(_entry(slots=-_LONG_NUMBER), id="negative slots"),
+        pytest.param(_entry(born=_LONG_NUMBER), id="start"),
+        pytest.param(_entry(sequence=_LONG_NUMBER), id="sequence"),
+        pytest.param(_entry(version="\ud800"), id="version that is no text"),
+        pytest.param(_entry(zone="\udfff"), id="zone that is no text"),
+        pytest.param(_entry(state=["ready"]), id="state of another type"),
+        pytest.param(b"\xff\xfe\xff", id="not UTF-8"),
+    ],
+)
+async def test_odd_entry_does_not_stop_the_reading_of_the_list(
+    value: bytes,
+) -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await fleet.store.put("keyed.servers", "odd", value)
+        await fleet.add_upstream("d3", "desk")
+        await fleet.store.put(
+            "keyed.servers",
+            "d1",
+            fleet.upstream_by_name["d1"].entry("desk", state="draining"),
+        )
+        await fleet_harness.wait_until(
+            lambda: all(
+                "d3" in (by_id := node.state.upstreams.by_id)
+                and by_id["d1"].entry.is_leaving
+                for node in fleet.nodes
+            )
+        )
+        await _serve_all(fleet)
+        assert {each.upstream for each in fleet.seen} == {"d2", "d3"}
+        for node in fleet.nodes:
+            assert "odd" not in node.state.upstreams.by_id
+            counters = node.state.counters.by_name
+            assert counters["upstreams.unreadable"] == 1
