An upstream whose address can't be connected to is never chosen

Cause: an address passed if str.isdigit() held for its port; a port of 99999 raises OverflowError, a superscript digit ValueError and a host with a lone surrogate or a long label UnicodeError in the pool, which expects OSError. Names were even looked up. addresses.parse accepts an IP address and a port of ASCII digits from 1 to 65535; the decoder skips other entries, and the pool takes such an address from elsewhere for a failure to connect (not run), so that the next upstream is tried.

Evidence: test_entry_with_an_odd_address_is_never_chosen, 9 of 13 failed on, test_address_that_is_none_is_a_failure_to_connect 4 of 4; all pass now.

--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from lycheegw.protocol import json_arrays
+from lycheegw.state import addresses
 from lycheegw.state import errors
 from lycheegw.state import json_fields
 from lycheegw.state import orders
@@ -231,16 +232,16 @@
     is_leaving = _IS_LEAVING_BY_STATE.get(str(loaded.get("state")))
     if is_leaving is None:
         raise errors.RecordError([_unknown(key, loaded, "state")])
-    host, separator, port = json_fields.read(
-        key, loaded, "address", str
-    ).rpartition(":")
-    if not (separator and host and port.isdigit()):
-        raise errors.RecordError([f"{key}/address: is not ip:port"])
+    address = json_fields.read(key, loaded, "address", str)
+    try:
+        addresses.parse(address)
+    except ValueError as error:
+        raise errors.RecordError([_unknown(key, loaded, "address")]) from error
     return upstreams.HostEntry(
         key,
         upstreams.HostRole.SERVICE,
         json_fields.read(key, loaded, "service", str),
-        f"{host}:{port}",
+        address,
         json_fields.read(key, loaded, "zone", str),
         is_leaving,
         False,
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from lycheegw.state import addresses
 from lycheegw.state import clocks
 from lycheegw.state import errors
 from lycheegw.state import reasons
@@ -482,18 +483,18 @@
         return None
 
     async def _connect(self, key: str, address: str) -> _Connection:
-        host, _, port = address.rpartition(":")
         server = self._connections_by_key.setdefault(key, _ServerConnections())
         server.connection_count += 1
         connection = _Connection()
         try:
+            host, port = addresses.parse(address)
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().create_connection(
-                    lambda: connection, host, int(port)
+                    lambda: connection, host, port
                 )
         except BaseException as error:
             server.connection_count -= 1
-            if isinstance(error, (OSError, TimeoutError)):
+            if isinstance(error, (OSError, TimeoutError, ValueError)):
                 raise errors.UpstreamError(
                     reasons.RetryReason.CONNECT_FAILED,
                     f"connecting to {address} failed: {error!r}",
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -90,3 +90,34 @@
             assert "odd" not in node.state.upstreams.by_id
             counters = node.state.counters.by_name
             assert counters["upstreams.unreadable"] == 1
+
+
+# Guards against requests that end without an answer whenever an upstream is
+# chosen whose address can't be connected to.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "127.0.0.1:8\u00b2",
+        "127.0.0.1:\u0663\u0664",
+        "127.0.0.1:" + "9" * 5000,
+        "\ud800:80",
+        "a..b:80",
+        "x" * 70 + ".example:80",
+        "127.0.0.1\x00:80",
+        "upstream.example:80",
+        "127.0.0.1",
+        ":80",
+    ],
+)
+async def test_entry_with_an_odd_address_is_never_chosen(address: str) -> None:
+    async with fleet_harness.fleet() as fleet:
+        await fleet.store.put("keyed.servers", "odd", _entry(address=address))
+        await fleet.add_upstream("d3", "desk")
+        await fleet_harness.wait_until(
+            lambda: "d3" in fleet.nodes[0].state.upstreams.by_id
+        )
+        await _serve_all(fleet)
+        assert "odd" not in fleet.nodes[0].state.upstreams.by_id
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -10,6 +10,7 @@
 
 from lycheegw.state import clocks
 from lycheegw.state import errors
+from lycheegw.state import reasons
 from lycheegw.state import verdicts
 from lycheegw.transport import connection_pool
 
@@ -246,3 +247,18 @@
             await asyncio.sleep(0.1)
         assert pool.opened_count == 2
         pool.close()
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "a..b:80", "127.0.0.1:", "127.0.0.1:8\u00b2"]
+)
+async def test_address_that_is_none_is_a_failure_to_connect(
+    address: str,
+) -> None:
+    pool = _pool()
+    for _ in range(3):
+        with pytest.raises(errors.UpstreamError) as raised:
+            await pool.send("k", address, REQUEST)
+        assert raised.value.reason is reasons.RetryReason.CONNECT_FAILED
+        assert raised.value.verdict is verdicts.RunVerdict.NOT_RUN
+    assert not pool.open_connection_count("k")
