An upstream whose id can't be a header is never chosen

What callers saw: requests that were sent to an upstream listed under an id with a line break or a zero byte ended in a reset connection, as h11 refuses the header that names it. An empty id was used as well.

Cause: an entry's key was taken as it came. Ids are now visible ASCII; an entry under another key is skipped, counted and logged like any that can't be read.

Evidence: test_entry_with_an_odd_id_is_never_chosen: all 4 kinds failed before, and pass now. The stand-in of the store counts the bytes of a key, not its characters.

--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import functools
 import json
+import re
 import reprlib
 from typing import Any
 
@@ -39,6 +40,8 @@
     "rolled_back": orders.RolloutState.ROLLED_BACK,
 }
 _NAME_BY_STATE = {state: name for name, state in _STATE_BY_NAME.items()}
+# Ids are sent to upstreams in a header.
+_UPSTREAM_ID = re.compile(r"[!-~]+")
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -228,6 +231,12 @@
     Raises:
         errors.RecordError: The entry is malformed or not one of an upstream.
     """
+    if not _UPSTREAM_ID.fullmatch(key):
+        raise errors.RecordError([f"{reprlib.repr(key)}: is no id"])
+    return _decode_entry(key, value)
+
+
+def _decode_entry(key: str, value: bytes) -> upstreams.HostEntry:
     loaded = json_fields.load_object(key, value)
     is_leaving = _IS_LEAVING_BY_STATE.get(str(loaded.get("state")))
     if is_leaving is None:
@@ -266,7 +275,7 @@
     is, so each entry of a cold upstream is sent.
     """
     try:
-        entry = decode_upstream("", value)
+        entry = _decode_entry("", value)
     except errors.RecordError:
         return value
     return entry._replace(sequence=0)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -83,7 +83,8 @@
     async def put(self, topic: str, key: str, value: Any) -> None:
         """Appends a record, as the operator or an upstream would."""
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
-        await self._append(topic, bytes([len(key)]) + key.encode() + body)
+        name = key.encode()
+        await self._append(topic, bytes([len(name)]) + name + body)
 
     async def delete(self, topic: str, key: str) -> None:
         await self._append(topic, bytes([len(key)]) + key.encode())
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -121,3 +121,18 @@
         )
         await _serve_all(fleet)
         assert "odd" not in fleet.nodes[0].state.upstreams.by_id
+
+
+# Guards against requests that end without an answer, or get another header,
+# whenever an upstream is chosen whose id can't be a header.
+@pytest.mark.parametrize("key", ["odd\r\nX-Other: 1", "odd\x00", "\u20ac", ""])
+async def test_entry_with_an_odd_id_is_never_chosen(key: str) -> None:
+    async with fleet_harness.fleet() as fleet:
+        listed = fleet.upstream_by_name["d1"].entry("desk")
+        await fleet.store.put("keyed.servers", key, listed)
+        await fleet.add_upstream("d3", "desk")
+        await fleet_harness.wait_until(
+            lambda: "d3" in fleet.nodes[0].state.upstreams.by_id
+        )
+        assert key not in fleet.nodes[0].state.upstreams.by_id
+        await _serve_all(fleet)
