The next attempt at an upstream is made on a new connection

Cause: all attempts of a request bear the client's id, so on a connection on which it was sent twice a response can't be told from a second copy of the first. A request that goes to a process again now gets a new connection, in the place of an idle one if the limit is reached.

Weighed: excluding the connections that the request had used was tried first, and leaves out copies that arrive on another kept connection; closing each connection after a rejection opens one for each rejection of a busy service.

--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -431,6 +431,7 @@
         address: str,
         build_request: Callable[[], ClientRequest | None],
         max_idle_s: float = math.inf,
+        reuses: bool = True,
     ) -> Call:
         """Sends a request that is built once a connection is open.
 
@@ -442,11 +443,14 @@
                 the request is written.
             max_idle_s: Longest idle time of a connection to reuse; after a
                 longer time the server may no longer be reachable on it.
+            reuses: Whether an idle connection may be used.
 
         Raises:
             errors.UpstreamError: The request was not sent.
         """
-        connection = self._reusable_connection(key, max_idle_s)
+        connection = None
+        if reuses:
+            connection = self._reusable_connection(key, max_idle_s)
         if connection is None:
             connection = await self._connect(key, address)
         request = build_request()
@@ -545,6 +549,16 @@
                 if now_s >= connection.idle_until_s or not connection.is_open:
                     connection.abort()
 
+    def make_room(self, key: str, limit: int) -> None:
+        """Closes the connection that was idle longest if `limit` is reached."""
+        server = self._connections_by_key.get(key)
+        if (
+            server is not None
+            and server.idle
+            and server.connection_count >= limit
+        ):
+            server.idle.popleft().abort()
+
     def close_idle(self, key: str) -> None:
         """Closes the idle connections to a server."""
         server = self._connections_by_key.get(key)
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -127,12 +127,22 @@
                 incoming.body,
             )
 
+        # Any used connection may bring another copy of the first response, with
+        # the id of this request.
+        is_repeated = key in attempt.reached
+        if is_repeated:
+            self._pool.make_room(key, attempt.max_connections)
         max_idle_s = math.inf
         if attempt.work.route.kind is routing.RequestKind.ONCE:
             max_idle_s = _MAX_IDLE_ONCE_S
         call = await self._pool.send_built(
-            key, entry.address, build_request, max_idle_s
+            key,
+            entry.address,
+            build_request,
+            max_idle_s,
+            reuses=not is_repeated,
         )
+        attempt.reached.add(key)
         return _ForwardCall(call, self._codec, attempt.work.traits.request_id)
 
     async def connect(self, entry: upstreams.HostEntry) -> None:
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -94,3 +94,82 @@
         assert fleet.seen
         assert reply.status == 502
         assert "x-lycheegw-response-signature" not in reply.header_by_name
+
+
+# Guards against a refusal of an unsafe request that ran: the upstream wrote its
+# rejection of the first attempt once more, before it ran the second one.
+@pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+@pytest.mark.parametrize("status", [503, 429, 421])
+async def test_repeated_rejection_does_not_refuse_the_next_attempt(
+    status: int, path: str
+) -> None:
+    ran: list[str] = []
+    rejected: set[str] = set()
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt_id = request.header_by_name[ID.lower()]
+        rejection = (
+            f"HTTP/1.1 {status} Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+            f"{ID}: {attempt_id}\r\nContent-Length: 0\r\n\r\n"
+        )
+        if attempt_id not in rejected:
+            rejected.add(attempt_id)
+            writer.write(rejection.encode())
+            return
+        if request.number_on_connection:
+            writer.write(rejection.encode())
+            await writer.drain()
+        ran.append(attempt_id)
+        await asyncio.sleep(0.05)
+        writer.write(raw_upstreams.response(request))
+
+    async with fleet_harness.fleet() as fleet:
+        await fleet.store.delete("keyed.servers", "d2")
+        async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
+            for number in range(5):
+                reply = await _book(fleet, f"r{number}", path)
+                assert ran.count(f"r{number}") == 1
+                assert reply.status == 200
+                assert reply.is_whole
+
+
+async def test_next_attempt_at_an_upstream_keeps_to_the_connection_limit() -> (
+    None
+):
+    """It is made on a new connection, in the place of an idle one."""
+    open_connections: set[asyncio.StreamWriter] = set()
+    rejected: set[str] = set()
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        open_connections.add(writer)
+        for each in list(open_connections):
+            if each.is_closing():
+                open_connections.discard(each)
+        attempt_id = request.header_by_name[ID.lower()]
+        await asyncio.sleep(0.05)
+        if attempt_id.startswith("r") and attempt_id not in rejected:
+            rejected.add(attempt_id)
+            writer.write(
+                f"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+                f"{ID}: {attempt_id}\r\nKeep-Alive: timeout=5\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return
+        assert len(open_connections) <= 2
+        writer.write(raw_upstreams.response(request))
+
+    manifest = platform_standins.manifest()
+    manifest["services"][0]["max_connections"] = 3
+    async with fleet_harness.fleet(manifest=manifest) as fleet:
+        await fleet.store.delete("keyed.servers", "d2")
+        async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
+            pool = fleet.nodes[0].upstream_pool
+            await asyncio.gather(_book(fleet, "a"), _book(fleet, "b"))
+            opened = pool.opened_count
+            for number in range(5):
+                assert (await _book(fleet, f"r{number}")).status == 200
+            assert pool.opened_count - opened == 5
