A stream is continued by status 200 alone

What callers saw: a stream broke off, and the next upstream answered with another success (202, 204, 206): its text was forwarded as further events, or the stream ended as if it were complete. With a status from 300 to 499 no text was passed on, but the request ended by an unexpected exception, without its last log line and without a further attempt.

Cause: a response was checked as if it were the first one. Once a part of a stream was forwarded, any other status than 200 is now a failed attempt, so that the stream goes on at the next upstream, or is broken off with a reason.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -38,14 +38,21 @@
 
 
 async def check_head(
-    head: forwarded_requests.ResponseHead, call: interfaces.ForwardCall
+    head: forwarded_requests.ResponseHead,
+    call: interfaces.ForwardCall,
+    has_begun: bool,
 ) -> None:
-    """Checks the response head before anything is forwarded.
+    """Checks the response head before anything of the response is forwarded.
+
+    Args:
+        head: The response head.
+        call: Call from which the body is read.
+        has_begun: Whether the client has received a part of the stream.
 
     Raises:
         errors.UpstreamError: The response may be for another request, or is a
-            rejection, a success without a signature, or a server error
-            (accepted_requests.HttpStatusError).
+            rejection, a success without a signature, a server error
+            (accepted_requests.HttpStatusError), or does not continue a stream.
     """
     if not head.is_attributed:
         raise errors.UpstreamError(
@@ -80,6 +87,12 @@
             "successful response without a valid signature",
             _MAY_HAVE_RUN,
         )
+    if has_begun and head.status != http.HTTPStatus.OK:
+        raise errors.UpstreamError(
+            reasons.RetryReason.SERVER_ERROR,
+            f"status {head.status} instead of the rest of a stream",
+            _MAY_HAVE_RUN,
+        )
     if head.status >= 500:
         body = await _read_body(call)
         call.finish()
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -401,7 +401,9 @@
             self._dependencies.notices.note_response(
                 choice.upstream, head, progress.attempt_start_s
             )
-            await answer_delivery.check_head(head, call)
+            await answer_delivery.check_head(
+                head, call, accepted.sink.is_started
+            )
             larger = self._larger_model(accepted)
             self._note_answer(accepted, version, larger)
             if larger is not None:
