The end of a connection does not end a resumed stream

What callers saw: a stream broke off, the next upstream sent its head and closed the connection before an event, and the stream ended as if it were complete.

Cause: a resumed stream may lack further events, if the first upstream was lost after its last one; so an end without events was taken for the end of the stream, also where the response had neither a length nor chunks and nothing but the connection ended. Such an end is now a failed attempt; one with framing still counts.

Evidence: test_closed_connection_does_not_end_a_resumed_stream failed before (is_whole with two of five events) and passes now; test_resumed_stream_without_further_events_is_whole (a length, chunks) passed before and passes now.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -178,11 +178,11 @@
             _MAY_HAVE_RUN,
         )
     is_resumed = accepted.progress.last_event is not None
-    if not events and not is_resumed:
-        # Without a length, the end of the connection looks like a whole body.
+    if not events and not (is_resumed and head.has_framing):
+        # Without it, the end of the connection looks like a whole body.
         raise errors.UpstreamError(
             reasons.RetryReason.TRUNCATED,
-            "stream ended before its first event",
+            "stream ended without an event",
             _MAY_HAVE_RUN,
         )
     if not accepted.sink.is_started:
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -234,6 +234,7 @@
         ),
         True,
         head.status in _NOT_RUN_STATUSES,
+        bool({b"content-length", b"transfer-encoding"} & value_by_name.keys()),
     )
 
 
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -120,6 +120,8 @@
         is_attributed: Whether the response certainly is for this attempt.
         claims_not_run: Whether the status tells clients that the request has
             not run and never will.
+        has_framing: Whether the body has a length or chunks; else it ends with
+            the connection.
     """
 
     status: int
@@ -143,6 +145,7 @@
     malformed_headers: tuple[str, ...] = ()
     is_attributed: bool = True
     claims_not_run: bool = False
+    has_framing: bool = True
 
 
 class LocalResponse(NamedTuple):
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -119,3 +119,23 @@
     )
     assert reply.is_whole and reply.body == b"".join(_EVENTS)
     assert count == 3
+
+
+# Guards against a broken stream that ends as if it were complete: the end of
+# the connection of the next upstream was taken for the end of the stream.
+async def test_closed_connection_does_not_end_a_resumed_stream() -> None:
+    reply, count = await _ask([_BROKEN, (200, _until_close(b""))])
+    assert reply.body == b"".join(_EVENTS[:2])
+    assert not reply.is_whole
+    assert count == 3
+
+
+@pytest.mark.parametrize("framing", [_with_length, _chunked])
+async def test_resumed_stream_without_further_events_is_whole(
+    framing: Framing,
+) -> None:
+    """The first upstream was lost after its last event."""
+    broken = (200, _until_close(b"".join(_EVENTS) + b"id"))
+    reply, count = await _ask([broken, (200, framing(b""))])
+    assert reply.is_whole and reply.body == b"".join(_EVENTS)
+    assert count == 2
