Odd numbers in headers of responses are ignored

What callers saw: a request whose upstream put a superscript digit or 5,000 digits into its load, or a superscript digit into Keep-Alive, ended in a reset connection, though it had run. A load of 400 digits made each later choice fail, an infinite cold time kept the upstream out of use.

Cause: str.isdigit() holds for digits that int() doesn't take, int() raises above 4,300 digits, float() accepts nan and inf. Counts are now ASCII digits up to 2^31 - 1, amounts finite and not negative; what is neither counts as malformed. The line for malformed headers, written for each response so far, is written once a change.

--- a/src/lycheegw/coordination/upstream_notices.py
+++ b/src/lycheegw/coordination/upstream_notices.py
@@ -188,10 +188,12 @@
         """
         if head.malformed_headers:
             self._state.counters.add("upstreams.malformed_notice")
+        if head.malformed_headers != upstream.malformed_headers:
+            upstream.malformed_headers = head.malformed_headers
             logging.warning(
-                "upstream %s: ignoring malformed %s",
+                "upstream %s: ignoring malformed headers: %s",
                 upstream.entry.host_id,
-                ", ".join(head.malformed_headers),
+                ", ".join(head.malformed_headers) or "none any more",
             )
         is_misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
         if not head.is_attributed:
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import math
+import re
 
 from lycheegw.coordination import interfaces
 from lycheegw.state import errors
@@ -22,6 +23,10 @@
 ]
 
 _READY_CHECK_PATH = b"/v1/readyz"
+# Largest count in a header, of requests or tokens; messages between nodes hold
+# no more.
+_MAX_COUNT = 2**31 - 1
+_COUNT = re.compile(r"[0-9]{1,10}")
 # Limits the prompt parts that a client's header can list; the rest are ignored.
 _MAX_PROMPT_PARTS = 64
 
@@ -198,12 +203,19 @@
     retry_after_s = _parse_amount(value_by_name.get(b"retry-after"))
     rate_limit_per_s = _parse_amount(value_by_name.get(b"server-limit"))
     max_rejections_per_s = _parse_amount(value_by_name.get(b"server-brittle"))
-    amounts = {
+    confidence = _parse_float(value_by_name.get(b"x-lycheegw-confidence"))
+    cold_ms = _parse_amount(value_by_name.get(b"x-lycheegw-cold-ms"))
+    found = {
         b"retry-after": retry_after_s,
         b"server-limit": rate_limit_per_s,
         b"server-brittle": max_rejections_per_s,
+        b"x-lycheegw-confidence": confidence,
+        b"x-lycheegw-cold-ms": cold_ms,
+        b"x-lycheegw-instance-load": running,
     }
     encoding = value_by_name.get(b"content-encoding", "identity")
+    # The parser has checked that it is a number.
+    length = value_by_name.get(b"content-length")
     return forwarded_requests.ResponseHead(
         head.status,
         tuple(
@@ -211,17 +223,17 @@
             for name, value in head.raw_headers
             if name.lower() not in dropped_names
         ),
-        _parse_integer(value_by_name.get(b"content-length")),
+        None if length is None else int(length),
         value_by_name.get(b"x-lycheegw-attempt-id"),
         b"x-lycheegw-response-signature" in value_by_name,
         is_not_run or head.status == 421,
         encoding.lower() != "identity",
-        _parse_float(value_by_name.get(b"x-lycheegw-confidence")),
+        confidence,
         running,
         waiting,
         slots,
         value_by_name.get(b"x-lycheegw-instance-id"),
-        _parse_milliseconds(value_by_name.get(b"x-lycheegw-cold-ms")),
+        None if cold_ms is None else cold_ms / 1000,
         retry_after_s,
         _parse_keep_alive(value_by_name.get(b"keep-alive", "")),
         value_by_name.get(b"server-leaving") == "1",
@@ -229,8 +241,8 @@
         max_rejections_per_s,
         tuple(
             name.decode()
-            for name, amount in amounts.items()
-            if name in value_by_name and amount is None
+            for name, value in found.items()
+            if name in value_by_name and value is None
         ),
         True,
         head.status in _NOT_RUN_STATUSES,
@@ -239,35 +251,39 @@
 
 
 def _parse_float(text: str | None) -> float | None:
+    """Returns a number that is finite, else None."""
     with contextlib.suppress(ValueError):
-        return None if text is None else float(text)
+        number = math.nan if text is None else float(text)
+        return number if math.isfinite(number) else None
     return None
 
 
 def _parse_amount(text: str | None) -> float | None:
     """Returns a number that is finite and not negative, else None."""
     amount = _parse_float(text)
-    if amount is None or not math.isfinite(amount) or amount < 0:
-        return None
-    return amount
+    return None if amount is None or amount < 0 else amount
 
 
-def _parse_integer(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
+def _parse_count(text: str) -> int | None:
+    """Returns a whole number from 0 to `_MAX_COUNT`, else None."""
+    if not _COUNT.fullmatch(text):
+        return None
+    count = int(text)
+    return count if count <= _MAX_COUNT else None
 
 
 def _parse_load(text: str) -> tuple[int | None, int | None, int | None]:
-    fields = [field.strip() for field in text.split(",")]
-    if len(fields) != 3 or not all(field.isdigit() for field in fields):
+    counts = [_parse_count(field.strip()) for field in text.split(",")]
+    if len(counts) != 3 or None in counts:
         return None, None, None
-    return int(fields[0]), int(fields[1]), int(fields[2])
+    return counts[0], counts[1], counts[2]
 
 
 def _parse_keep_alive(text: str) -> float | None:
     for parameter in text.split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
+        if name.lower() == "timeout":
+            return _parse_count(value)
     return None
 
 
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -88,6 +88,8 @@
             later response or entry.
         is_listed: Whether the host list includes it. One that disappeared
             without notice is kept for a while, as a last resort.
+        malformed_headers: Names of the headers that could not be used in its
+            last response.
     """
 
     def __init__(self, entry: HostEntry):
@@ -95,6 +97,7 @@
         self.report: LoadReport | None = None
         self.in_flight = 0
         self.is_listed = True
+        self.malformed_headers: tuple[str, ...] = ()
         self.cold_until_s = 0.0
         self.connect_failed_s: float | None = None
         self._sent_since_report = 0
--- /dev/null
+++ b/tests/platform/test_odd_headers.py
@@ -0,0 +1,72 @@
+"""Numbers in headers and events that can't be used harm no request."""
+
+import asyncio
+
+import pytest
+
+from lycheegw.platform import headers
+from lycheegw.transport import connection_pool
+from tests.platform import fleet_harness
+from tests.platform import platform_standins
+from tests.platform import raw_upstreams
+
+# A superscript two in Latin-1, for which str.isdigit() holds.
+_ODD_DIGIT = "\u00b2"
+_ODD_NUMBERS = [_ODD_DIGIT, "9" * 400, "9" * 5000, "nan", "inf", "1e400", "-1"]
+
+
+# Guards against requests that end without an answer, and upstreams that are
+# never used again, because of a number in one header of a response.
+@pytest.mark.parametrize("number", _ODD_NUMBERS)
+@pytest.mark.parametrize(
+    "header",
+    [
+        "X-Lycheegw-Instance-Load: {},0,8",
+        "X-Lycheegw-Instance-Load: 1,{},8",
+        "X-Lycheegw-Cold-Ms: {}",
+        "X-Lycheegw-Confidence: {}",
+        "Keep-Alive: timeout={}",
+    ],
+)
+def test_odd_number_in_a_response_is_ignored(header: str, number: str) -> None:
+    name, _, value = header.format(number).encode("latin-1").partition(b": ")
+    fields = ((name.lower(), value),)
+    head = headers.decode_response_head(
+        connection_pool.RawResponseHead(200, fields, fields)
+    )
+    assert (head.running, head.waiting, head.slots) == (None, None, None)
+    assert head.cold_s is None
+    assert head.keep_alive_s is None
+    if number != "-1":
+        assert head.confidence is None
+    if name != b"Keep-Alive" and not (
+        name.endswith(b"ence") and number == "-1"
+    ):
+        assert head.malformed_headers == (name.lower().decode(),)
+
+
+async def test_upstream_with_odd_numbers_is_used_like_others() -> None:
+    counts: list[int] = []
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        odd = _ODD_NUMBERS[len(counts) % len(_ODD_NUMBERS)]
+        counts.append(request.number_on_connection)
+        whole = raw_upstreams.response(request)
+        first, _, rest = whole.partition(b"\r\n")
+        odd_head = (
+            f"X-Lycheegw-Instance-Load: {odd},{odd},8\r\n"
+            f"X-Lycheegw-Cold-Ms: {odd}\r\nX-Lycheegw-Confidence: {odd}\r\n"
+        )
+        writer.write(first + b"\r\n" + odd_head.encode("latin-1") + rest)
+
+    async with fleet_harness.fleet() as fleet:
+        await fleet.store.delete("keyed.servers", "d2")
+        async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
+            for number in range(3 * len(_ODD_NUMBERS)):
+                reply = await platform_standins.send_request(
+                    fleet.nodes[0].settings.listen, f"/book/{number}", "POST"
+                )
+                assert reply is not None and reply.status == 200
+            assert len(counts) == 3 * len(_ODD_NUMBERS)
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -184,3 +184,15 @@
     node.note(_head())
     assert node.notices.is_leaving(node.upstream)
     assert node.left == [node.upstream]
+
+
+def test_malformed_headers_are_logged_once_a_change(
+    nodes: list[_Node], caplog: pytest.LogCaptureFixture
+) -> None:
+    node, _ = nodes
+    odd = _head()._replace(malformed_headers=("server-limit",))
+    for head in (odd, odd, odd, _head(), _head(), odd, odd):
+        node.note(head)
+    assert len(caplog.records) == 3
+    name = "upstreams.malformed_notice"
+    assert node.state.counters.by_name[name] == 5
