Ids of events that are no numbers are compared as text

What callers saw: a stream whose events have a superscript digit, or 5,000 digits, as id broke off after the first event.

Cause: str.isdigit() holds where int() raises. Ids of up to 18 ASCII digits are compared as numbers, others as text.

Evidence: test_stream_with_odd_event_ids_is_whole, 2 of 3 failed before, all pass now.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 import http
+import re
 
 from lycheegw.coordination import accepted_requests
 from lycheegw.coordination import event_streams
@@ -27,6 +28,8 @@
 # Number of events of an attempt after which its pace is recorded. A few are
 # enough, and a slow upstream is noticed before its streams end.
 PACE_EVENTS = 4
+# Ids of events that are compared as numbers; 64 bits hold them.
+_EVENT_NUMBER = re.compile(r"[0-9]{1,18}")
 # Limit for bodies of responses that are not streams. They are buffered before
 # anything is forwarded, so that a broken response can be retried.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -241,6 +244,8 @@
     last = progress.last_event
     if not progress.event_count or event.event_id is None or last is None:
         return False
-    if event.event_id.isdigit() and last.isdigit():
+    if _EVENT_NUMBER.fullmatch(event.event_id) and _EVENT_NUMBER.fullmatch(
+        last
+    ):
         return int(event.event_id) <= int(last)
     return event.event_id == last
--- a/tests/platform/test_odd_headers.py
+++ b/tests/platform/test_odd_headers.py
@@ -1,6 +1,7 @@
 """Numbers in headers and events that can't be used harm no request."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -10,6 +11,11 @@
 from tests.platform import platform_standins
 from tests.platform import raw_upstreams
 
+_PROMPT = {
+    "X-Lycheegw-Model": "large",
+    "X-Lycheegw-Token-Usage": "900,50",
+    "X-Lycheegw-Prompt-Prefix": "aa:700,bb:200",
+}
 # A superscript two in Latin-1, for which str.isdigit() holds.
 _ODD_DIGIT = "\u00b2"
 _ODD_NUMBERS = [_ODD_DIGIT, "9" * 400, "9" * 5000, "nan", "inf", "1e400", "-1"]
@@ -70,3 +76,34 @@
                 )
                 assert reply is not None and reply.status == 200
             assert len(counts) == 3 * len(_ODD_NUMBERS)
+
+
+# Guards against broken streams because of an event's id.
+@pytest.mark.parametrize("event_id", [_ODD_DIGIT, "9" * 5000, "x"])
+async def test_stream_with_odd_event_ids_is_whole(event_id: str) -> None:
+    body = b"".join(
+        f"id: {each}\ndata: text\n\n".encode("latin-1")
+        for each in (event_id, f"{event_id}7")
+    )
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if "x-lycheegw-attempt-id" not in request.header_by_name:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return
+        writer.write(raw_upstreams.response(request, body=body))
+
+    async with (
+        fleet_harness.fleet() as fleet,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        for name in ("m1", "m2"):
+            await stack.enter_async_context(
+                raw_upstreams.raw_upstream(fleet, name, "llm", respond)
+            )
+        reply = await platform_standins.send_request(
+            fleet.nodes[0].settings.listen, "/ask/1", "POST", b"q", _PROMPT
+        )
+        assert reply is not None and reply.is_whole
+        assert reply.body == body
