Odd numbers in a client's headers harm neither it nor gossip

What callers saw: a request with 5,000 digits or a superscript digit in X-Lycheegw-Token-Usage or -Prompt-Prefix ended in a reset connection, so did one with 400 digits. With 12 digits it was served, but all links of its node to its peers ended with each heartbeat as long as it ran: what the node had to tell, and changes of the configuration on their way through it, waited for new links.

Cause: str.isdigit() and int() as in responses; and the expected prefill time of such a prompt exceeds the 32 bits that a backlog has in messages, which raised ValueError in the writer of each link. Counts are now bounded like those of responses, backlogs in messages by the field.

Evidence: test_odd_number_of_a_client_harms_no_other_request, 4 of 9 failed before (2 by a reset, 2 by links that ended); test_traits_with_odd_numbers_are_decoded 3 of 5, test_backlog_of_any_length_is_encoded 4 of 6; all pass now.

--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -118,26 +118,26 @@
 
 def _parse_milliseconds(text: str | None) -> float | None:
     """Returns a header in milliseconds as seconds, None if malformed."""
-    if text is None:
-        return None
-    with contextlib.suppress(ValueError):
-        return float(text) / 1000
-    return None
+    milliseconds = _parse_float(text)
+    return None if milliseconds is None else milliseconds / 1000
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
-    if prompt.strip().isdigit() and answer.strip().isdigit():
-        return int(prompt), int(answer)
-    return 0, 0
+    prompt_tokens = _parse_count(prompt.strip())
+    max_tokens = _parse_count(answer.strip())
+    if prompt_tokens is None or max_tokens is None:
+        return 0, 0
+    return prompt_tokens, max_tokens
 
 
 def _parse_prompt(text: str) -> tuple[forwarded_requests.PromptPart, ...]:
     parts = []
     for entry in text.split(",")[:_MAX_PROMPT_PARTS]:
         part_id, _, tokens = entry.strip().partition(":")
-        if part_id and tokens.isdigit():
-            parts.append(forwarded_requests.PromptPart(part_id, int(tokens)))
+        count = _parse_count(tokens)
+        if part_id and count is not None:
+            parts.append(forwarded_requests.PromptPart(part_id, count))
     return tuple(parts)
 
 
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -5,6 +5,9 @@
 
 __all__ = ["CODEC"]
 
+# Longest backlog in a message, in milliseconds; the field has 32 bits.
+_MAX_BACKLOG_MS = 2**32 - 1
+
 
 def _encode(reports: list[backlogs.Report]) -> bytes:
     message = backlogs_pb2.News(
@@ -17,7 +20,7 @@
                 backlogs=[
                     backlogs_pb2.Backlog(
                         upstream=upstream,
-                        milliseconds=max(0, int(seconds * 1000)),
+                        milliseconds=_milliseconds(seconds),
                     )
                     for upstream, seconds in report.seconds_by_upstream.items()
                 ],
@@ -28,6 +31,10 @@
     return bytes(message.SerializeToString())
 
 
+def _milliseconds(seconds: float) -> int:
+    return int(max(0.0, min(seconds * 1000, _MAX_BACKLOG_MS)))
+
+
 def _decode(payload: bytes) -> list[backlogs.Report]:
     return [
         backlogs.Report(
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -271,3 +271,23 @@
     value = json.dumps(ENTRY)[:-1] + ',"state":' + "[" * levels + "]" * levels
     with pytest.raises(errors.RecordError):
         records.decode_upstream("i-1", value.encode() + b"}")
+
+
+@pytest.mark.parametrize("number", ["\u00b2", "9" * 11, "9" * 5000, "-1", "x"])
+def test_traits_with_odd_numbers_are_decoded(number: str) -> None:
+    odd = number.encode("latin-1")
+    incoming = forwarded_requests.IncomingRequest(
+        b"POST",
+        b"/ask/1",
+        (
+            (b"X-Lycheegw-Attempt-Id", b"a1"),
+            (b"X-Lycheegw-Token-Usage", b"%b,80" % odd),
+            (b"X-Lycheegw-Prompt-Prefix", b"5c:800,91:%b,e4:250" % odd),
+        ),
+        b"",
+        0.0,
+        True,
+    )
+    traits = headers.decode_traits(incoming)
+    assert (traits.prompt_tokens, traits.max_tokens) == (0, 0)
+    assert [part.tokens for part in traits.prompt] == [800, 250]
--- a/tests/platform/test_odd_headers.py
+++ b/tests/platform/test_odd_headers.py
@@ -107,3 +107,50 @@
         )
         assert reply is not None and reply.is_whole
         assert reply.body == body
+
+
+# Guards against requests that end without an answer, and gossip that ends,
+# because of a number in the headers of a client.
+@pytest.mark.parametrize("number", [*_ODD_NUMBERS, "9" * 12, "9" * 18])
+async def test_odd_number_of_a_client_harms_no_other_request(
+    number: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    odd = {
+        "X-Lycheegw-Model": "*",
+        "X-Lycheegw-Token-Usage": f"{number},{number}",
+        "X-Lycheegw-Prompt-Prefix": f"aa:{number},bb:200",
+    }
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        front, other = (node.settings.listen for node in fleet.nodes)
+        for _ in range(4):
+            # Nodes estimate times from earlier requests.
+            await platform_standins.send_request(
+                front,
+                "/ask/1",
+                "POST",
+                b"q",
+                {**_PROMPT, "X-Lycheegw-Model": "*"},
+            )
+        # Until both nodes keep the same one of the links that they opened.
+        await asyncio.sleep(2.0)
+        links = [node.peers.links() for node in fleet.nodes]
+        for name in ("m1", "m2"):
+            fleet.upstream_by_name[name].delay_s = 1.5
+        odd_request = asyncio.create_task(
+            platform_standins.send_request(front, "/ask/1", "POST", b"q", odd)
+        )
+        await asyncio.sleep(0.3)
+        for name in ("m1", "m2"):
+            fleet.upstream_by_name[name].delay_s = 0.0
+        for address in (front, other):
+            reply = await platform_standins.send_request(
+                address, "/ask/1", "POST", b"q", _PROMPT
+            )
+            assert reply is not None and reply.status == 200
+        reply = await odd_request
+        assert reply is not None and reply.status in {200, 503}
+        await asyncio.sleep(1.0)
+        assert [node.peers.links() for node in fleet.nodes] == links
+        for node in fleet.nodes:
+            assert "peers.bad_delta" not in node.state.counters.by_name
+    assert not [each for each in caplog.records if each.exc_info]
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import heapq
+import math
 import random
 from typing import Any
 
@@ -456,3 +457,13 @@
     told = {report.node_id for reports in decoded for report in reports}
     assert told == {f"n{number}" for number in range(40)}
     assert max(map(len, decoded)) <= backlogs._MAX_REPORTS
+
+
+# Guards against gossip that ends because of one estimate.
+@pytest.mark.parametrize("seconds", [-1.0, 0.0, 1e7, 1e12, 1e300, math.inf])
+def test_backlog_of_any_length_is_encoded(seconds: float) -> None:
+    report = backlogs.Report("n1", 1, 1, 0.0, {"u": seconds, "v": 2.0})
+    payload = backlog_codec.CODEC.encode([report])
+    (decoded,) = backlog_codec.CODEC.decode(payload)
+    assert decoded.seconds_by_upstream["v"] == 2.0
+    assert decoded.seconds_by_upstream["u"] >= min(max(0.0, seconds), 4e6)
