A delta that can't be encoded does not end the link

Cause: an error in one topic's source ended the writer of the link, and the link dropped the error. A source that fails is now left out, counted (peers.bad_source) and logged once until it succeeds; the deltas of the other topics are sent, as it is for deltas that can't be merged.

--- a/src/lycheegw/transport/peer_bus.py
+++ b/src/lycheegw/transport/peer_bus.py
@@ -90,6 +90,8 @@
         self._handler_by_topic: dict[str, interfaces.CallHandler] = {}
         self._source_by_topic: dict[str, interfaces.DeltaSource] = {}
         self._target_by_topic: dict[str, interfaces.DeltaTarget] = {}
+        # Topics of which the latest delta could not be encoded.
+        self._failed_topics: set[str] = set()
         self._connect_listeners: list[ConnectListener] = []
         self.link_callbacks = peer_link.LinkCallbacks(
             self._deltas_for,
@@ -504,11 +506,29 @@
         """Returns the pending deltas of all topics for a neighbour."""
         deltas = []
         for topic, source in self._source_by_topic.items():
-            payload = source(node_id)
+            payload = self._encode_delta(topic, source, node_id)
             if payload is not None:
                 deltas.append(peer_pb2.Delta(topic=topic, payload=payload))
         return deltas
 
+    def _encode_delta(
+        self, topic: str, source: interfaces.DeltaSource, node_id: str
+    ) -> bytes | None:
+        """Returns a delta; None if there is none or it can't be encoded."""
+        try:
+            payload = source(node_id)
+        except Exception:
+            # The deltas of other topics must still be sent.
+            self._state.counters.add("peers.bad_source")
+            if topic not in self._failed_topics:
+                self._failed_topics.add(topic)
+                logging.exception(
+                    "encoding a delta on %s for %s failed", topic, node_id
+                )
+            return None
+        self._failed_topics.discard(topic)
+        return payload
+
     def _merge(self, node_id: str, delta: Any) -> None:
         target = self._target_by_topic.get(delta.topic)
         if target is None:
--- a/tests/test_peer_bus.py
+++ b/tests/test_peer_bus.py
@@ -52,3 +52,42 @@
                 await first.peers.call("n2", "echo", b"!", 1.0)
 
     asyncio.run(main())
+
+
+# Guards against links that end because one topic has something that can't be
+# encoded.
+def test_delta_that_cannot_be_encoded_does_not_delay_the_others(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        async with harness.Fleet() as fleet:
+            first = await fleet.add_node("n1", "z1")
+            second = await fleet.add_node("n2", "z1")
+            received: list[bytes] = []
+            is_odd = True
+
+            def encode(_: str) -> bytes:
+                if is_odd:
+                    raise ValueError("odd")
+                return b"odd no more"
+
+            for topic in ("odd", "news"):
+                second.peers.on_delta(
+                    topic, lambda _: None, lambda _, data: received.append(data)
+                )
+            await _wait_live(fleet, 2)
+            first.peers.on_delta("odd", encode, lambda *_: None)
+            first.peers.on_delta("news", lambda _: b"x", lambda *_: None)
+            async with asyncio.timeout(5):
+                while received.count(b"x") < 3:
+                    await asyncio.sleep(0.02)
+            counts = first.state.counters.by_name
+            assert counts["peers.bad_source"] >= 3
+            lines = [each for each in caplog.records if each.exc_info]
+            assert len(lines) == 1
+            is_odd = False
+            async with asyncio.timeout(5):
+                while b"odd no more" not in received:
+                    await asyncio.sleep(0.02)
+
+    asyncio.run(main())
