An odd entry in the list of nodes is skipped

What callers saw, by tests alone: with an entry by another writer, nested 100,000 levels, nodes that joined later were not known to the others. One whose address is no ip:port counted as a member, so that all nodes took smaller parts of shared budgets, and the attempt to connect to it ended in an unexpected exception each 2 s.

Cause: RecursionError passed the reader, and address and zone were taken as they came. Entries are read by json_fields and addresses; others are skipped, counted (nodes.unreadable) and logged once a change, not whenever the list is applied.

Evidence: test_odd_node_entry_does_not_hide_the_others: 8 of 8 kinds failed before, 'list' and 'not JSON' of them for the missing counter alone; all pass now.

--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -13,7 +13,9 @@
 
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import topic_readers
+from lycheegw.state import addresses
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import node_state
 from lycheegw.state import topics
 from lycheegw.state import upstreams
@@ -50,6 +52,7 @@
         self._apply_host_list = apply_host_list
         self._live_nodes = live_nodes
         self._entries: list[upstreams.HostEntry] = []
+        self._skipped_by_id: dict[str, bytes] = {}
         self._members: Sequence[str] = [state.identity.node_id]
         self._settled_s = math.inf
         self._is_joining = True
@@ -106,24 +109,16 @@
     def apply(self) -> None:
         """Applies the list of nodes that was read from the store."""
         self._entries = []
+        skipped = {}
         for node_id, value in self._topic_state.values().items():
             try:
-                fields = json.loads(value)
-                entry = upstreams.HostEntry(
-                    node_id,
-                    upstreams.HostRole.NODE,
-                    "",
-                    str(fields["address"]),
-                    str(fields["zone"]),
-                    False,
-                    False,
-                )
-            except (ValueError, KeyError, TypeError) as error:
-                logging.warning(
-                    "skipping node %r with an invalid entry: %r", node_id, error
-                )
-                continue
-            self._entries.append(entry)
+                self._entries.append(_decode(node_id, value))
+            except errors.RecordError as error:
+                skipped[node_id] = value
+                if self._skipped_by_id.get(node_id) != value:
+                    self._state.counters.add("nodes.unreadable")
+                    logging.warning("skipping unreadable node entry: %s", error)
+        self._skipped_by_id = skipped
         own_id = self._state.identity.node_id
         ids = {own_id, *(each.host_id for each in self._entries)}
         self._members = sorted(ids)
@@ -174,3 +169,22 @@
         # Other nodes registered at the same time.
         while not await self._readers.load(topics.Topic.NODES):
             await sleep(_REGISTER_RETRY_S)
+
+
+def _decode(node_id: str, value: bytes) -> upstreams.HostEntry:
+    """Returns the entry of a node; raises errors.RecordError."""
+    fields = json_fields.load_object(node_id, value)
+    address = json_fields.read(node_id, fields, "address", str)
+    try:
+        addresses.parse(address)
+    except ValueError as error:
+        raise errors.RecordError([f"{node_id}/address: {error}"]) from error
+    return upstreams.HostEntry(
+        node_id,
+        upstreams.HostRole.NODE,
+        "",
+        address,
+        json_fields.read(node_id, fields, "zone", str),
+        False,
+        False,
+    )
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -1,10 +1,12 @@
 """Entries that can't be used harm neither a node nor the other upstreams."""
 
+import asyncio
 import json
 from typing import Any
 
 import pytest
 
+from lycheegw.state import topics
 from tests.platform import fleet_harness
 from tests.platform import platform_standins
 
@@ -136,3 +138,41 @@
         )
         assert key not in fleet.nodes[0].state.upstreams.by_id
         await _serve_all(fleet)
+
+
+# Guards against nodes that end, or stop to follow the list of nodes, because of
+# one entry by another writer.
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(_nested(100_000), id="nested"),
+        pytest.param(b'{"address":"127.0.0.1:99999","zone":"z-a"}', id="port"),
+        pytest.param(b'{"address":"127.0.0.1","zone":"z-a"}', id="no port"),
+        pytest.param(b'{"address":"a..b:80","zone":"z-a"}', id="host"),
+        pytest.param(b'{"address":"127.0.0.1:9","zone":"\\ud800"}', id="zone"),
+        pytest.param(b'{"address":["127.0.0.1:9"],"zone":"z-a"}', id="type"),
+        pytest.param(b"[]", id="list"),
+        pytest.param(b"\xff", id="not JSON"),
+    ],
+)
+async def test_odd_node_entry_does_not_hide_the_others(
+    value: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await fleet.store.put("keyed.nodes", "odd", value)
+        await fleet.add_node()
+        await fleet_harness.wait_until(
+            lambda: all(
+                set(node.node_registry.members())
+                == {"node-1", "node-2", "node-3"}
+                and len(node.peers.live_nodes()) == 3
+                for node in fleet.nodes
+            )
+        )
+        await asyncio.sleep(2.2)
+        await fleet.store.put("keyed.nodes", "odd", value + b" ")
+        for node in fleet.nodes:
+            await node.topic_readers.load(topics.Topic.NODES)
+            assert node.state.counters.by_name["nodes.unreadable"] == 2
+            assert node.node_registry.member_count() == 3
+    assert not [each for each in caplog.records if each.exc_info]
