An odd record of a blocked part is skipped

What callers saw, by tests alone: with a record by another writer, nested 100,000 levels or with a number of 400 digits or nan, a node that starts learned of no blocked part, and let requests through that crash upstreams. A revision of 64 bits was learned, and ended the gossip about suspects.

Cause: RecursionError, OverflowError and range errors pass (ValueError, KeyError, TypeError), or come later. Records are read by json_fields; one that can't be used is logged once a change, not at each read.

--- a/src/lycheegw/coordination/block_records.py
+++ b/src/lycheegw/coordination/block_records.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from collections.abc import Set
 import json
+import reprlib
 
 from absl import logging
 
@@ -19,6 +20,7 @@
 from lycheegw.coordination import prompt_parts
 from lycheegw.coordination import rendezvous
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import node_state
 from lycheegw.state import topics
 
@@ -90,6 +92,7 @@
         self._reads_again = reads_again
         self._unwritten: dict[str, bytes] = {}
         self._recorded: set[str] = set()
+        self._skipped_by_id: dict[str, bytes] = {}
         # Parts whose block this node writes; it also writes the end of it, as
         # its own write may arrive after that of another node.
         self._blocked_here: set[str] = set()
@@ -153,12 +156,8 @@
             logging.warning("reading blocked parts failed: %s", error)
             return False
         self._state.counters.add("store.read.blocked_parts")
-        verdicts = []
-        for record in page.records:
-            verdict = self._decode(record)
-            if verdict is not None:
-                self._recorded.add(verdict.part_id)
-                verdicts.append(verdict)
+        verdicts = self._decode_all(page.records)
+        self._recorded.update(verdict.part_id for verdict in verdicts)
         self._learn(verdicts)
         return True
 
@@ -172,24 +171,40 @@
         }
         return json.dumps(fields).encode()
 
-    def _decode(
-        self, record: topics.TopicRecord
-    ) -> prompt_parts.PartVerdict | None:
-        if record.value is None:
-            return None
+    def _decode_all(
+        self, records: Iterable[topics.TopicRecord]
+    ) -> list[prompt_parts.PartVerdict]:
+        """Returns the verdicts of the records that can be read."""
         now_s = self._state.environment.wall_s()
-        try:
-            fields = json.loads(record.value)
-            return prompt_parts.PartVerdict(
-                record.key,
-                prompt_parts.PartStatus[fields["status"]],
-                int(fields["revision"]),
-                max(0.0, now_s - float(fields["at_s"])),
-                max(0.0, now_s - float(fields["first_crash_s"])),
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            self._state.counters.add("suspects.record_unreadable")
-            logging.warning(
-                "skipping an invalid record of part %r: %r", record.key, error
-            )
-            return None
+        verdicts, skipped = [], {}
+        for key, _, value in records:
+            if value is None:
+                continue
+            try:
+                verdicts.append(_decode(key, value, now_s))
+            except errors.RecordError as error:
+                skipped[key] = value
+                if self._skipped_by_id.get(key) != value:
+                    self._state.counters.add("suspects.record_unreadable")
+                    logging.warning("skipping an unreadable record: %s", error)
+        self._skipped_by_id = skipped
+        return verdicts
+
+
+def _decode(
+    part_id: str, value: bytes, now_s: float
+) -> prompt_parts.PartVerdict:
+    """Returns the verdict of a record; raises errors.RecordError."""
+    fields = json_fields.load_object(part_id, value)
+    status = json_fields.read(part_id, fields, "status", str)
+    if status not in prompt_parts.PartStatus.__members__:
+        raise errors.RecordError([f"{part_id}/status: {reprlib.repr(status)}"])
+    at_s = json_fields.read(part_id, fields, "at_s", float)
+    first_crash_s = json_fields.read(part_id, fields, "first_crash_s", float)
+    return prompt_parts.PartVerdict(
+        part_id,
+        prompt_parts.PartStatus[status],
+        json_fields.read(part_id, fields, "revision", int),
+        max(0.0, now_s - at_s),
+        max(0.0, now_s - first_crash_s),
+    )
