An odd outcome of a roll-out is skipped

What callers saw, by tests alone: a record under status/rollout/ whose state is a list or an object ended the reading of the outcomes with TypeError; a node that started went on with a roll-out that had ended.

Cause: the state was looked up before its type was known. It is read as text; what can't be read is counted as well (outcomes.unreadable).

Evidence: test_odd_outcome_does_not_hide_the_others, 6 of 6 failed before (4 of them for the missing counter alone); all pass now.

--- a/src/lycheegw/coordination/directory.py
+++ b/src/lycheegw/coordination/directory.py
@@ -208,6 +208,7 @@
                 outcome = self._codec.decode_outcome(key, value)
             except errors.RecordError as error:
                 logging.error("skipping unreadable outcome %r: %s", key, error)
+                self._state.counters.add("outcomes.unreadable")
                 continue
             if outcome is not None:
                 self.outcome_by_service[outcome.service] = outcome
--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -209,9 +209,9 @@
     if not key.startswith(_ROLLOUT_PREFIX):
         return None
     loaded = json_fields.load_object(key, value)
-    state = _STATE_BY_NAME.get(loaded.get("state", ""))
+    state = _STATE_BY_NAME.get(json_fields.read(key, loaded, "state", str))
     if state is None:
-        raise errors.RecordError([f"{key}/state: {loaded.get('state')!r}"])
+        raise errors.RecordError([_unknown(key, loaded, "state")])
     return orders.RolloutOutcome(
         key.removeprefix(_ROLLOUT_PREFIX),
         json_fields.read(key, loaded, "target", str),
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -176,3 +176,27 @@
             assert node.state.counters.by_name["nodes.unreadable"] == 2
             assert node.node_registry.member_count() == 3
     assert not [each for each in caplog.records if each.exc_info]
+
+
+# Guards against nodes that no longer follow the outcomes of roll-outs because
+# of one record by another writer.
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(_nested(100_000), id="nested"),
+        pytest.param(b'{"state":[],"target":"v2"}', id="state of another type"),
+        pytest.param(b'{"state":{},"target":"v2"}', id="state of no type"),
+        pytest.param(b'{"state":"odd","target":"v2"}', id="state"),
+        pytest.param(b'{"state":"completed","target":1}', id="target"),
+        pytest.param(b'{"state":"completed","target":"\\ud800"}', id="no text"),
+    ],
+)
+async def test_odd_outcome_does_not_hide_the_others(value: bytes) -> None:
+    async with fleet_harness.fleet() as fleet:
+        await fleet.store.put("keyed.status", "rollout/desk", value)
+        outcome = {"state": "rolled_back", "target": "v2"}
+        await fleet.store.put("keyed.status", "rollout/llm", outcome)
+        node = fleet.nodes[0]
+        assert await node.topic_readers.load(topics.Topic.OUTCOMES)
+        assert set(node.directory.outcome_by_service) == {"llm"}
+        assert node.state.counters.by_name["outcomes.unreadable"] == 1
