An odd order is skipped

What callers saw, by tests alone: with a manifest nested 100,000 levels, or with a limit that is infinite or has 400 digits, each read and each message of a peer on the orders failed; closed zones and later manifests were not in force.

Cause: RecursionError and OverflowError passed the decoder; limits were taken as they came. Limits are read by json_fields, a manifest that is nested too deeply is one that can't be read: skipped, counted and logged, the former one stays.

--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -169,11 +169,15 @@
 
 def _limits(value: Mapping[str, Any]) -> routing.CallerLimits:
     defaults = routing.CallerLimits()
+
+    def amount(name: str, default: float) -> float:
+        return json_fields.read("limits", value, name, float, float(default))
+
     return routing.CallerLimits(
-        int(value.get("max_header_bytes", defaults.header_bytes)),
-        int(value.get("max_body_bytes", defaults.body_bytes)),
-        value.get("header_timeout_ms", defaults.header_timeout_s * 1000) / 1000,
-        value.get("idle_timeout_ms", defaults.idle_timeout_s * 1000) / 1000,
+        int(amount("max_header_bytes", defaults.header_bytes)),
+        int(amount("max_body_bytes", defaults.body_bytes)),
+        amount("header_timeout_ms", defaults.header_timeout_s * 1000) / 1000,
+        amount("idle_timeout_ms", defaults.idle_timeout_s * 1000) / 1000,
     )
 
 
@@ -188,8 +192,9 @@
     if key == _MANIFEST_KEY:
         try:
             return decoder.decode(value)
-        except (AttributeError, TypeError, ValueError) as error:
-            # A field that is not looked at closely has another type.
+        except (AttributeError, TypeError, RecursionError) as error:
+            # It is nested too deeply, or a field that is not looked at closely
+            # has another type.
             raise errors.RecordError([f"manifest: {error!r}"]) from error
     if key.startswith(_EVACUATION_PREFIX):
         return orders.ZoneClosure(key.removeprefix(_EVACUATION_PREFIX))
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -291,3 +291,78 @@
     traits = headers.decode_traits(incoming)
     assert (traits.prompt_tokens, traits.max_tokens) == (0, 0)
     assert [part.tokens for part in traits.prompt] == [800, 250]
+
+
+_JSON_VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(),
+        strategies.sampled_from(_ODD_NUMBERS),
+        strategies.floats(),
+        strategies.text(max_size=3),
+        strategies.just("\ud800"),
+    ),
+    lambda children: strategies.one_of(
+        strategies.lists(children, max_size=2),
+        strategies.dictionaries(
+            strategies.sampled_from(
+                ["name", "service", "weight", "api_keys", "models", "cost"]
+            ),
+            children,
+            max_size=2,
+        ),
+    ),
+    max_leaves=4,
+)
+
+
+def _paths(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Returns the paths of all values in a JSON value."""
+    children: Any = ()
+    if isinstance(value, dict):
+        children = value.items()
+    elif isinstance(value, list):
+        children = enumerate(value)
+    found = [path] if path else []
+    for key, child in children:
+        found += _paths(child, (*path, key))
+    return found
+
+
+_MANIFEST_PATHS = _paths(platform_standins.manifest())
+
+
+@hypothesis.given(strategies.sampled_from(_MANIFEST_PATHS), _JSON_VALUES)
+def test_manifest_with_any_value_is_decoded_or_an_error(
+    path: tuple[Any, ...], value: Any
+) -> None:
+    manifest = platform_standins.manifest()
+    parent: Any = manifest
+    for step in path[:-1]:
+        parent = parent[step]
+    parent[path[-1]] = value
+    decode = records.create_codec().decode_order
+    try:
+        decode("config", json.dumps(manifest).encode())
+    except errors.RecordError:
+        return
+
+
+@hypothesis.given(
+    strategies.sampled_from(["rollout/llm", "evacuate/z", "odd"]), _JSON_VALUES
+)
+def test_records_of_any_value_are_decoded_or_an_error(
+    key: str, value: Any
+) -> None:
+    codec = records.create_codec()
+    text = json.dumps(value).encode()
+    for decode in (
+        codec.decode_order,
+        codec.decode_outcome,
+        codec.decode_upstream,
+    ):
+        try:
+            decode(key, text)
+        except errors.RecordError:
+            continue
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -200,3 +200,72 @@
         assert await node.topic_readers.load(topics.Topic.OUTCOMES)
         assert set(node.directory.outcome_by_service) == {"llm"}
         assert node.state.counters.by_name["outcomes.unreadable"] == 1
+
+
+# Guards against nodes that no longer follow the orders because of one record
+# that can't be used.
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        pytest.param("config", _nested(100_000), id="nested manifest"),
+        pytest.param("config", b"[" * 200_000, id="nested without end"),
+        pytest.param(
+            "config",
+            json.dumps(
+                platform_standins.manifest(9, limits={"max_body_bytes": 1e308})
+            )
+            .replace("1e+308", "1e999")
+            .encode(),
+            id="infinite limit",
+        ),
+        pytest.param(
+            "config",
+            json.dumps(
+                platform_standins.manifest(
+                    9, limits={"idle_timeout_ms": _LONG_NUMBER}
+                )
+            ).encode(),
+            id="long time",
+        ),
+        pytest.param(
+            "config",
+            json.dumps(platform_standins.manifest(_LONG_NUMBER)).encode(),
+            id="long version",
+        ),
+        pytest.param("rollout/llm", _nested(100_000), id="nested roll-out"),
+        pytest.param(
+            "rollout/llm",
+            json.dumps(
+                {"service": "llm", "target": "v2", "duration_s": _LONG_NUMBER}
+            ).encode(),
+            id="long roll-out",
+        ),
+        pytest.param("odd/key", _nested(100_000), id="unknown key"),
+    ],
+)
+async def test_odd_order_does_not_hide_the_others(
+    key: str, value: bytes
+) -> None:
+    async with fleet_harness.fleet(nodes=2) as fleet:
+        await fleet.store.put("keyed.op", key, value)
+        await fleet.store.put("keyed.op", "evacuate/z-b", {})
+        await fleet_harness.wait_until(
+            lambda: all(
+                node.directory.closed_zones == {"z-b"} for node in fleet.nodes
+            )
+        )
+        await _serve_all(fleet)
+        await fleet.store.put(
+            "keyed.op", "config", platform_standins.manifest(10)
+        )
+        await fleet_harness.wait_until(
+            lambda: all(
+                (manifest := node.directory.manifest) is not None
+                and manifest.version == 10
+                for node in fleet.nodes
+            )
+        )
+        is_known = key != "odd/key"
+        for node in fleet.nodes:
+            counters = node.state.counters.by_name
+            assert counters.get("orders.unreadable", 0) == is_known
