An odd reply of the store is a failed call

What callers saw, by tests alone: a reply nested 100,000 levels, or with an offset that is infinite or has 400 digits, ended the task that reads a topic: the reader expects StoreError. A key with a lone surrogate ended the messages to all peers.

Cause: RecursionError and OverflowError passed (ValueError, KeyError, TypeError). Replies are read by json_fields; a key that is no text is replaced as in a log read, so that its record alone is skipped.

Evidence: test_odd_reply_is_a_failure_of_the_store, 4 of 8 failed before, test_key_that_is_no_text_does_not_hide_the_other_records failed; all pass now.

--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -1,14 +1,14 @@
 """Client of the platform's metadata store, a log with keyed topics."""
 
 import base64
-import binascii
 from collections.abc import Awaitable
 from collections.abc import Callable
-import json
 import struct
+from typing import Any
 import urllib.parse
 
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import topics
 from lycheegw.state import verdicts
 from lycheegw.transport import connection_pool
@@ -126,8 +126,10 @@
             b"POST", "/v1/log-append", query, body, _TIMEOUT_S
         )
         try:
-            return int(json.loads(answer)["offset"])
-        except (ValueError, KeyError, TypeError) as error:
+            return json_fields.read(
+                "reply", json_fields.load_object("reply", answer), "offset", int
+            )
+        except errors.RecordError as error:
             raise errors.StoreError(
                 f"malformed reply to an append: {error!r}", True
             ) from error
@@ -197,21 +199,34 @@
 def _decode_page(body: bytes) -> topics.TopicPage:
     """Returns a page of newest records; raises errors.StoreError."""
     try:
-        value = json.loads(body)
+        page = json_fields.load_object("page", body)
         records = [
-            topics.TopicRecord(
-                str(entry["key"]),
-                int(entry["offset"]),
-                base64.b64decode(entry["value"]),
+            _decode_entry(f"entries/{index}", entry)
+            for index, entry in enumerate(
+                json_fields.read("page", page, "entries", list)
             )
-            for entry in value["entries"]
         ]
-        is_last = not value.get("has_more") or not records
-        return topics.TopicPage(records, int(value["end_offset"]), is_last)
-    except (ValueError, KeyError, TypeError, binascii.Error) as error:
-        raise errors.StoreError(
-            f"malformed page of records: {error!r}"
-        ) from error
+        is_last = not page.get("has_more") or not records
+        end_offset = json_fields.read("page", page, "end_offset", int)
+    except errors.RecordError as error:
+        raise errors.StoreError(f"malformed page: {error}") from error
+    return topics.TopicPage(records, end_offset, is_last)
+
+
+def _decode_entry(path: str, entry: Any) -> topics.TopicRecord:
+    """Returns a record of a page; raises errors.RecordError."""
+    if not (isinstance(entry, dict) and isinstance(entry.get("key"), str)):
+        raise errors.RecordError([f"{path}: has no key"])
+    try:
+        value = base64.b64decode(json_fields.read(path, entry, "value", str))
+    except ValueError as error:
+        raise errors.RecordError([f"{path}/value: not base64"]) from error
+    return topics.TopicRecord(
+        # As in a log read: another writer's key may be no text.
+        entry["key"].encode("utf-8", "replace").decode(),
+        json_fields.read(path, entry, "offset", int),
+        value,
+    )
 
 
 def _decode_changes(body: bytes, offset: int) -> topics.TopicPage:
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -84,6 +84,59 @@
     assert (page.end_offset, page.has_more) == (3, True)
 
 
+def test_key_that_is_no_text_does_not_hide_the_other_records() -> None:
+    """Its record is skipped by the readers."""
+    page = store_client._decode_page(
+        b'{"entries": [{"key": "a\\ud800", "offset": 1, "value": "YQ=="},'
+        b' {"key": "b", "offset": 2, "value": "Yg=="}], "end_offset": 3}'
+    )
+    assert [each.key.encode() for each in page.records] == [b"a?", b"b"]
+
+
+# Guards against readers that end because of one reply of the store.
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b"[" * 100_000, id="nested"),
+        pytest.param(b'{"entries": [], "end_offset": 1e999}', id="infinite"),
+        pytest.param(
+            b'{"entries": [], "end_offset": ' + b"9" * 400 + b"}", id="long"
+        ),
+        pytest.param(b'{"entries": [[]], "end_offset": 1}', id="entry"),
+        pytest.param(
+            b'{"entries": [{"key": "k", "offset": 1, "value": "a"}],'
+            b' "end_offset": 1}',
+            id="value",
+        ),
+        pytest.param(b'{"entries": {}, "end_offset": 1}', id="no entries"),
+        pytest.param(b"7", id="number"),
+        pytest.param(b"\xff", id="not JSON"),
+    ],
+)
+async def test_odd_reply_is_a_failure_of_the_store(body: bytes) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        )
+        writer.write(body)
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    pool = connection_pool.ConnectionPool(clocks.system())
+    client = store_client.StoreClient(pool, f"{host}:{port}", _no_wait)
+    with pytest.raises(errors.StoreError, match="malformed"):
+        await client.newest(topics.Topic.ORDERS)
+    pool.close_idle("store")
+    with pytest.raises(errors.StoreError, match="malformed") as raised:
+        await client.put(topics.Topic.NODES, "n", b"v", None)
+    assert raised.value.may_have_applied
+    pool.close()
+    listener.close()
+
+
 def test_record_above_the_limit_of_a_read_is_not_skipped() -> None:
     """CONFIG, issue 32: a read without records counted as one to the end."""
     with pytest.raises(errors.StoreHistoryLostError):
