An odd load report of an engine is a failed call

What callers saw, by tests alone: a load report, or a reply of a platform's service, nested 100,000 levels ended the task that polls all upstreams or reads the log; so did counts that are infinite or have 400 digits.

Cause: RecursionError and OverflowError passed (ValueError, KeyError, TypeError). Bodies are decoded by json_fields, reports field by field.

--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -10,7 +10,6 @@
 import contextlib
 import http.client
 import io
-import json
 import socket
 from typing import Any
 from typing import NamedTuple
@@ -18,6 +17,7 @@
 from urllib3 import connection as urllib3_connection
 
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import reasons
 from lycheegw.state import verdicts
 
@@ -39,7 +39,7 @@
 
     def json(self) -> Any:
         """Returns the decoded JSON body; raises ValueError if it is invalid."""
-        return json.loads(self.body)
+        return json_fields.load(self.body)
 
 
 def _upstream_error(
--- a/src/lycheegw/transport/upstream_client.py
+++ b/src/lycheegw/transport/upstream_client.py
@@ -13,6 +13,7 @@
 from lycheegw.protocol import engine_api
 from lycheegw.state import clocks
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import limits
 from lycheegw.state import reasons
 from lycheegw.state import upstreams
@@ -325,19 +326,11 @@
         )
         _check_status(response.status, response.header_by_name)
         try:
-            value = response.json()
-            return upstreams.LoadReport(
-                frozenset(value["versions"]),
-                int(value["running"]),
-                int(value["queued"]),
-                float(value["started_at_s"]),
-                int(value["completed_total"]),
-                self._environment.monotonic_s(),
-            )
-        except (ValueError, KeyError, TypeError) as error:
+            return _parse_report(response.body, self._environment.monotonic_s())
+        except (errors.RecordError, TypeError) as error:
             raise _upstream_error(
                 reasons.RetryReason.MALFORMED,
-                f"invalid load report: {error!r}",
+                f"invalid load report: {error}",
                 verdicts.RunVerdict.RAN,
             ) from error
 
@@ -359,6 +352,24 @@
         _check_status(response.status, response.header_by_name)
 
 
+def _parse_report(body: bytes, now_s: float) -> upstreams.LoadReport:
+    """Returns a load report.
+
+    Raises:
+        errors.RecordError: A field is missing, or of another type.
+        TypeError: A version is no text.
+    """
+    fields = json_fields.load_object("report", body)
+    return upstreams.LoadReport(
+        frozenset(json_fields.read("report", fields, "versions", list)),
+        json_fields.read("report", fields, "running", int),
+        json_fields.read("report", fields, "queued", int),
+        json_fields.read("report", fields, "started_at_s", float),
+        json_fields.read("report", fields, "completed_total", int),
+        now_s,
+    )
+
+
 def _parse_result(
     response: http_client.HttpResponse, call: interfaces.OperationCall
 ) -> Any:
