An entry of the log that is nested too deeply is no record

What callers saw, by tests alone: an entry nested some 990 levels or more ended the reading of the configuration with RecursionError, and whether it did depended on the stack that each node had left, so that nodes could come to different verdicts.

Cause: data was encoded and validated as it came. Data of more than 64 levels is no record for any node, neither from the log nor from a peer's tail.

Still possible: an entry so deep that the log's reply can't be decoded counts as a failed read.

--- a/src/lycheegw/coordination/catalog_updater.py
+++ b/src/lycheegw/coordination/catalog_updater.py
@@ -17,6 +17,7 @@
 from lycheegw.coordination import interfaces
 from lycheegw.state import catalog as catalogs
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import node_state
 from lycheegw.state import record_validation
 from lycheegw.state import records
@@ -26,6 +27,9 @@
 _MAX_TAIL_ENTRIES = 500
 _MAX_TAIL_BYTES = 1024 * 1024
 _MAX_ENTRY_BYTES = 128 * 1024
+# Nesting of an entry's data. All nodes must come to the same verdict, however
+# much of the stack is left to them.
+_MAX_ENTRY_DEPTH = 64
 _NOT_A_RECORD = "entry is not a record"
 
 
@@ -71,8 +75,11 @@
     ) -> None:
         """Applies entries, which must follow each other without a gap."""
         for entry in entries:
-            data = _serialise(entry.data)
-            self._apply(TailEntry(entry.offset, entry.at_s, data), entry.data)
+            data: Any = entry.data
+            if json_fields.is_deeper(data, _MAX_ENTRY_DEPTH):
+                data = None
+            tail_entry = TailEntry(entry.offset, entry.at_s, _serialise(data))
+            self._apply(tail_entry, data)
 
     def apply_tail(self, after: int, entries: Sequence[TailEntry]) -> bool:
         """Applies all entries after an offset; returns whether any was new.
--- a/src/lycheegw/state/json_fields.py
+++ b/src/lycheegw/state/json_fields.py
@@ -12,7 +12,7 @@
 
 from lycheegw.state import errors
 
-__all__ = ["load", "load_object", "read"]
+__all__ = ["is_deeper", "load", "load_object", "read"]
 
 # Bounds an integer to what 64 bits hold; messages between nodes hold no more.
 _MAX_INTEGER = 2**63 - 1
@@ -83,6 +83,21 @@
     return found
 
 
+def is_deeper(value: Any, levels: int) -> bool:
+    """Returns whether a decoded value is nested deeper than some levels."""
+    layer = [value]
+    for _ in range(levels + 1):
+        containers = [each for each in layer if isinstance(each, dict | list)]
+        if not containers:
+            return False
+        layer = [
+            child
+            for each in containers
+            for child in (each.values() if isinstance(each, dict) else each)
+        ]
+    return True
+
+
 def _is_in_range(value: object) -> bool:
     """Returns whether a number or a text can be used and sent to peers."""
     if isinstance(value, int):
--- a/tests/test_configuration_verdicts.py
+++ b/tests/test_configuration_verdicts.py
@@ -535,3 +535,35 @@
         with pytest.raises(errors.RecordError):
             new_intake().install_snapshot(damaged)
     assert json.loads(json.dumps(last_verdict(catalog_of(entries))))
+
+
+def _nested(levels: int) -> Any:
+    value: Any = None
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+# Guards against nodes that no longer follow the log because of one entry.
+@pytest.mark.parametrize("levels", [65, 990, 100_000])
+@pytest.mark.parametrize("is_record", [True, False])
+def test_nested_entry_does_not_hide_the_next_one(
+    levels: int, is_record: bool
+) -> None:
+    odd = _nested(levels)
+    if is_record:
+        odd = harness.record("zone", "a", {"is_serving": odd}, 0, "odd")
+    closed = harness.record("zone", "a", {"is_serving": False}, 0, "one")
+    first = new_intake()
+    first.apply_entries(
+        [entry(index, each) for index, each in enumerate((*BASE, odd, closed))]
+    )
+    catalog = catalog_of(first)
+    assert not catalog.is_zone_serving("a")
+    odd_verdict = catalog.verdict_by_offset[len(BASE)]
+    assert odd_verdict.outcome is records.RecordOutcome.REJECTED
+    tail = first.tail(catalogs.NO_OFFSET, 10**9)
+    assert tail is not None
+    second = new_intake()
+    second.apply_tail(catalogs.NO_OFFSET, tail)
+    assert catalog_of(second).verdict_by_offset == catalog.verdict_by_offset
