A peer's update of an unknown topic does not hide the others

What callers saw, by a test alone: beside a newer build that exchanges one more topic, an older node drops each whole message on topics: orders and upstreams reach it by its own reads only.

Cause: an unknown name made the message malformed. Unknown topics are left out, counted (topics.unknown) and logged once each; a fetch of one is still an error.

Evidence: test_unknown_topic_does_not_hide_the_others failed before and passes now.

--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -62,10 +62,13 @@
     Attributes:
         sent_s: Second of the sender's monotonic clock, 0 if unknown.
         updates: An update for each topic that changed.
+        unknown_topics: Names of the topics, besides, that this build doesn't
+            know.
     """
 
     sent_s: float
     updates: Sequence[TopicUpdate]
+    unknown_topics: frozenset[str] = frozenset()
 
 
 class Codec(NamedTuple):
@@ -117,6 +120,7 @@
         self._observe = observe
         self._transit_times = transit_times.TransitTimes(state.environment)
         self._sent_by_neighbour: dict[str, dict[topics.Topic, _Sent]] = {}
+        self._unknown_topics: frozenset[str] = frozenset()
         peers.on_delta(_TOPIC, self._encode_updates, self._merge)
 
     def forget_neighbour(self, neighbour: str) -> None:
@@ -224,12 +228,25 @@
             logging.warning(
                 "topics: message from %s took %.2f s", neighbour, delay_s
             )
+        self._note_unknown(neighbour, message.unknown_topics)
         for update in message.updates:
             confirmed_s = now_s - update.age_s - delay_s
             is_changed |= self.apply_update(neighbour, update, confirmed_s)
         if is_changed:
             self._send_soon()
 
+    def _note_unknown(self, neighbour: str, names: frozenset[str]) -> None:
+        """Records topics of a newer build, whose updates are left out."""
+        if names:
+            self._state.counters.add("topics.unknown")
+        if not names <= self._unknown_topics:
+            self._unknown_topics |= names
+            logging.warning(
+                "topics: ignoring unknown ones of %s: %s",
+                neighbour,
+                ", ".join(sorted(names)),
+            )
+
     def apply_update(
         self, neighbour: str, update: TopicUpdate, confirmed_s: float
     ) -> bool:
--- a/src/lycheegw/protocol/topic_codec.py
+++ b/src/lycheegw/protocol/topic_codec.py
@@ -14,6 +14,8 @@
 
 __all__ = ["CODEC", "FETCH_CODEC"]
 
+_TOPIC_NAMES = frozenset(topic.value for topic in topics.Topic)
+
 _COMPRESSION_LEVEL = 1
 # Bounds the memory that a compressed update may take.
 _MAX_UPDATE_BYTES = 64 * 1024 * 1024
@@ -89,8 +91,14 @@
 
 def _decode(payload: bytes) -> topic_exchange.TopicMessage:
     batch = _parse(topics_pb2.Batch(), payload)
-    updates = [_update(each) for each in (*batch.news, *batch.patched_news)]
-    return topic_exchange.TopicMessage(batch.sent_s, updates)
+    news = (*batch.news, *batch.patched_news)
+    return topic_exchange.TopicMessage(
+        batch.sent_s,
+        [_update(each) for each in news if each.topic in _TOPIC_NAMES],
+        frozenset(
+            each.topic for each in news if each.topic not in _TOPIC_NAMES
+        ),
+    )
 
 
 def _update(message: topics_pb2.News) -> topic_exchange.TopicUpdate:
--- a/tests/test_topic_exchange.py
+++ b/tests/test_topic_exchange.py
@@ -9,9 +9,11 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from lycheegw.coordination import topic_exchange
 from lycheegw.protocol import topic_codec
+from lycheegw.protocol.pb import topics_pb2
 from lycheegw.state import topics
 from tests import fakes
 
@@ -160,3 +162,25 @@
 TestAges.settings = hypothesis.settings(
     max_examples=500, stateful_step_count=40, deadline=None
 )
+
+
+# Guards against nodes that learn nothing from a peer of a newer build, because
+# of a topic that they don't know.
+def test_unknown_topic_does_not_hide_the_others(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    clock = fakes.ManualClock()
+    newer, older = _Node(clock, "a"), _Node(clock, "b")
+    newer.read(clock)
+    for _ in range(3):
+        clock.now_s += 1.0
+        newer.read(clock)
+        batch = topics_pb2.Batch.FromString(newer.encode("b"))
+        batch.news.add(topic="odd", end_offset=7)
+        batch.patched_news.add(topic="odder", end_offset=7)
+        older.receive("a", batch.SerializeToString())
+        assert older.copy.value("u") == b"v"
+        assert older.copy.confirmed_s == clock.now_s
+    counters = older.exchange._state.counters.by_name
+    assert counters["topics.unknown"] == 3
+    assert len(caplog.records) == 1
