The soak leaves odd entries in all topics

In half of the soaks another writer leaves entries that can't be used under the upstreams, the nodes, the outcomes, the orders and the blocked parts, every 1 to 6 s. A generator of its own draws them, so the other faults of a seed stay as they were.

--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -67,6 +67,10 @@
 # Bounds of the time between two of these, and of how long one lasts.
 _RESPONSE_FAULT_GAP_S = (1.0, 5.0)
 _RESPONSE_FAULT_S = (3.0, 12.0)
+# Share of soaks in which another writer leaves entries that can't be used, and
+# bounds of the time between two of them.
+_ODD_ENTRIES_SHARE = 0.5
+_ODD_ENTRY_GAP_S = (1.0, 6.0)
 
 
 class Fault(NamedTuple):
@@ -106,6 +110,7 @@
     faults += _draw_crashing_part(seed, seconds)
     faults += _draw_response_faults(seed, seconds)
     faults += _draw_manifests(seed, seconds)
+    faults += _draw_odd_entries(seed, seconds)
     return sorted(faults)
 
 
@@ -140,6 +145,20 @@
     return faults
 
 
+def _draw_odd_entries(seed: int, seconds: float) -> list[Fault]:
+    """Returns when another writer leaves an entry that can't be used."""
+    generator = random.Random(f"odd entries of {seed}")
+    if generator.random() >= _ODD_ENTRIES_SHARE:
+        return []
+    faults = []
+    at_s = generator.uniform(*_ODD_ENTRY_GAP_S)
+    while at_s < seconds:
+        number = generator.randrange(1000)
+        faults.append(Fault(round(at_s, 2), "odd_entry", number, 0.0))
+        at_s += generator.uniform(*_ODD_ENTRY_GAP_S)
+    return faults
+
+
 def _draw_rollout(seed: int, seconds: float) -> list[Fault]:
     """Returns the roll-out of a bad version, in half of all soaks."""
     # A separate generator: the other faults do not depend on it.
