Only kept connections keep the next attempt from being reused

What callers saw: nothing; by reading. A cascade resets the connection of an answer that it does not keep, so no second copy can arrive on it; but the larger model's attempt opened a new connection whenever it went to the same process, though others were idle.

A process now counts as having answered a request once the connection of that response was kept (rejections and error responses). test_refusals and test_resumed_streams hold.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -76,7 +76,8 @@
         is_in_flight: Whether an attempt was sent and has not ended.
         verdict: Whether any ended attempt may have run.
         tried: Ids of upstreams that failed the request.
-        reached: Keys of the upstream processes that it was sent to.
+        answered: Keys of the upstream processes that responded on a connection
+            that was kept.
         last_event: Id of the last event that was forwarded.
         event_count: Number of events that were forwarded.
         version: Version of the upstream that began the stream.
@@ -101,7 +102,7 @@
         self.is_in_flight = False
         self.verdict = verdicts.RunVerdict.NOT_RUN
         self.tried: set[str] = set()
-        self.reached: set[str] = set()
+        self.answered: set[str] = set()
         self.last_event = work.traits.last_event
         self.event_count = 0
         self.version: str | None = None
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -491,7 +491,7 @@
             _urgency(accepted.work, progress.model),
             self.connection_limit(accepted.service),
             lambda: not self._new_objections(accepted, choice),
-            progress.reached,
+            progress.answered,
         )
 
     def _new_objections(
--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -111,8 +111,8 @@
         max_connections: Limit of this node's connections to the upstream.
         may_send: Returns whether the request may still be sent. It is called
             once a connection is open, immediately before the first byte.
-        reached: Keys of the upstream processes that the request was sent to;
-            the client adds to them.
+        answered: Keys of the upstream processes that responded to the request
+            on a connection that was kept; the client adds to them.
     """
 
     work: forwarded_requests.ForwardedWork
@@ -124,7 +124,7 @@
     urgency: int | None
     max_connections: int
     may_send: Callable[[], bool]
-    reached: set[str]
+    answered: set[str]
 
 
 class ForwardCall(Protocol):
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -55,11 +55,16 @@
     """A request that was sent to an upstream."""
 
     def __init__(
-        self, call: connection_pool.Call, codec: Codec, request_id: str
+        self,
+        call: connection_pool.Call,
+        codec: Codec,
+        request_id: str,
+        note_answered: Callable[[], None],
     ):
         self._call = call
         self._codec = codec
         self._request_id = request_id
+        self._note_answered = note_answered
         self._has_skipped = False
 
     async def head(self) -> forwarded_requests.ResponseHead:
@@ -84,6 +89,7 @@
 
     def finish(self) -> None:
         """Returns the connection to the pool."""
+        self._note_answered()
         self._call.finish()
 
     def abort(self) -> None:
@@ -129,7 +135,7 @@
 
         # Any used connection may bring another copy of the first response, with
         # the id of this request.
-        is_repeated = key in attempt.reached
+        is_repeated = key in attempt.answered
         if is_repeated:
             self._pool.make_room(key, attempt.max_connections)
         max_idle_s = math.inf
@@ -142,8 +148,12 @@
             max_idle_s,
             reuses=not is_repeated,
         )
-        attempt.reached.add(key)
-        return _ForwardCall(call, self._codec, attempt.work.traits.request_id)
+        return _ForwardCall(
+            call,
+            self._codec,
+            attempt.work.traits.request_id,
+            lambda: attempt.answered.add(key),
+        )
 
     async def connect(self, entry: upstreams.HostEntry) -> None:
         """Opens a connection; raises errors.UpstreamError."""
