An odd host does not end the reading of the host list

What callers saw, by tests alone: one entry of the host list with another role, without a field or of another type failed each read of the list, so that nodes that joined weren't used, and others that left were used until they failed. One with a port of 99999 or of another type was listed, and the call to it ended in an unexpected exception.

Cause: the list was read as a whole. Entries are read one by one, by json_fields and addresses; others are skipped, counted (hosts.unreadable) and logged once a change.

Evidence: by the former reader the list failed for 5 of the 9 kinds in test_odd_host_does_not_hide_the_others and held the odd entry for 4; all pass now.

--- a/src/lycheegw/app.py
+++ b/src/lycheegw/app.py
@@ -118,7 +118,9 @@
         )
         self.membership = membership.Membership(
             self.state,
-            platform_clients.HttpHostsClient(self.settings.platform.hosts),
+            platform_clients.HttpHostsClient(
+                self.settings.platform.hosts, self.state.counters
+            ),
             self.load_reports,
             self.peers.apply_host_list,
             self.peers.live_nodes,
--- a/src/lycheegw/transport/platform_clients.py
+++ b/src/lycheegw/transport/platform_clients.py
@@ -9,8 +9,13 @@
 from typing import Any
 import urllib.parse
 
+from absl import logging
+
 from lycheegw.coordination import interfaces
+from lycheegw.state import addresses
+from lycheegw.state import counters
 from lycheegw.state import errors
+from lycheegw.state import json_fields
 from lycheegw.state import upstreams
 from lycheegw.state import verdicts
 from lycheegw.transport import http_client
@@ -110,32 +115,54 @@
 class HttpHostsClient:
     """Client of the host list, which may be outdated."""
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, counts: counters.Counters):
         self._address = address
+        self._counts = counts
+        self._faults: frozenset[str] = frozenset()
 
     async def list_hosts(self) -> Sequence[upstreams.HostEntry]:
         """Returns the hosts on the list; raises errors.PlatformError."""
         try:
             response = await _request_json(self._address, "GET", "/hosts")
-            return [_parse_host(value) for value in response["hosts"]]
-        except (
-            errors.UpstreamError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as error:
+            values = list(response["hosts"])
+        except (errors.UpstreamError, KeyError, TypeError) as error:
             raise errors.PlatformError(f"host list: {error}") from error
+        entries, faults = [], set()
+        for value in values:
+            try:
+                entries.append(_parse_host(value))
+            except errors.RecordError as error:
+                faults.add(str(error))
+        self._note_faults(frozenset(faults))
+        return entries
+
+    def _note_faults(self, faults: frozenset[str]) -> None:
+        """Records the entries that were skipped, once a change."""
+        for fault in sorted(faults - self._faults):
+            self._counts.add("hosts.unreadable")
+            logging.warning("skipping unreadable host: %s", fault)
+        self._faults = faults
 
 
 def _parse_host(value: Any) -> upstreams.HostEntry:
+    """Returns an entry of the host list; raises errors.RecordError."""
+    if not isinstance(value, dict):
+        raise errors.RecordError(["host: not a JSON object"])
+    host_id = json_fields.read("host", value, "host_id", str)
+    address = json_fields.read(host_id, value, "address", str)
+    try:
+        role = upstreams.HostRole(json_fields.read(host_id, value, "role", str))
+        addresses.parse(address)
+    except ValueError as error:
+        raise errors.RecordError([f"{host_id}: {error}"]) from error
     return upstreams.HostEntry(
-        value["host_id"],
-        upstreams.HostRole(value["role"]),
-        value["pool"],
-        value["address"],
-        value["zone"],
-        value["is_leaving"],
-        value.get("honours_fencing", False),
+        host_id,
+        role,
+        json_fields.read(host_id, value, "pool", str),
+        address,
+        json_fields.read(host_id, value, "zone", str),
+        json_fields.read(host_id, value, "is_leaving", bool),
+        json_fields.read(host_id, value, "honours_fencing", bool, False),
     )
 
 
--- a/tests/test_odd_replies.py
+++ b/tests/test_odd_replies.py
@@ -3,10 +3,13 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import json
+from typing import Any
 
 import pytest
 
 from lycheegw.state import clocks
+from lycheegw.state import counters
 from lycheegw.state import errors
 from lycheegw.state import limits
 from lycheegw.state import upstreams
@@ -87,6 +90,48 @@
 ) -> None:
     async with _server(body) as address:
         with pytest.raises(errors.PlatformError):
-            await platform_clients.HttpHostsClient(address).list_hosts()
+            await platform_clients.HttpHostsClient(
+                address, counters.Counters()
+            ).list_hosts()
         with pytest.raises(errors.LogUnavailableError):
             await platform_clients.HttpLogClient(address).read("s", 0, 9, 0.0)
+
+
+def _host(host_id: str, **changes: Any) -> dict[str, Any]:
+    return {
+        "host_id": host_id,
+        "role": "engine",
+        "pool": "m",
+        "address": "127.0.0.1:80",
+        "zone": "z",
+        "is_leaving": False,
+        **changes,
+    }
+
+
+# Guards against nodes that no longer follow the host list because of one entry.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        pytest.param(_host("odd", role="other"), id="role"),
+        pytest.param(_host("odd", role=[]), id="role of another type"),
+        pytest.param(_host("odd", address="127.0.0.1:99999"), id="port"),
+        pytest.param(_host("odd", address=80), id="address"),
+        pytest.param(_host("odd", pool="\ud800"), id="pool that is no text"),
+        pytest.param(_host("odd", is_leaving=1), id="type"),
+        pytest.param({"host_id": "odd"}, id="fields missing"),
+        pytest.param(["odd"], id="list"),
+        pytest.param(None, id="null"),
+    ],
+)
+async def test_odd_host_does_not_hide_the_others(
+    odd: Any, caplog: pytest.LogCaptureFixture
+) -> None:
+    body = json.dumps({"hosts": [_host("a"), odd, _host("b")]}).encode()
+    counts = counters.Counters()
+    async with _server(body) as address:
+        client = platform_clients.HttpHostsClient(address, counts)
+        for _ in range(2):
+            entries = await client.list_hosts()
+            assert [each.host_id for each in entries] == ["a", "b"]
+    assert counts.by_name["hosts.unreadable"] == len(caplog.records) == 1
