Texts of entries are bounded

What operators saw, by reading: an entry by another writer with a version or zone of 100,000 characters is used; each line about it and each message on its version to peers is that long, and above 256 KiB a link drops the message.

Cause: json_fields bounded numbers alone. A text of more than 4,096 characters is out of range. The values of the store's pages, which are longer, are not read as texts.

--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -218,8 +218,8 @@
     if not (isinstance(entry, dict) and isinstance(entry.get("key"), str)):
         raise errors.RecordError([f"{path}: has no key"])
     try:
-        value = base64.b64decode(json_fields.read(path, entry, "value", str))
-    except ValueError as error:
+        value = base64.b64decode(entry["value"])
+    except (KeyError, TypeError, ValueError) as error:
         raise errors.RecordError([f"{path}/value: not base64"]) from error
     return topics.TopicRecord(
         # As in a log read: another writer's key may be no text.
--- a/src/lycheegw/state/json_fields.py
+++ b/src/lycheegw/state/json_fields.py
@@ -16,6 +16,9 @@
 
 # Bounds an integer to what 64 bits hold; messages between nodes hold no more.
 _MAX_INTEGER = 2**63 - 1
+# Bounds a text, in characters: names and addresses are logged with each change
+# and sent to peers.
+_MAX_TEXT = 4096
 
 _Type = TypeVar("_Type")
 
@@ -69,7 +72,7 @@
 
     Raises:
         errors.RecordError: The field is missing, of another type, a number
-            that is out of range, or text that can't be encoded.
+            that is out of range, or text that is too long or can't be encoded.
     """
     found = fields.get(name, default)
     if kind is float and isinstance(found, int) and _is_in_range(found):
@@ -106,7 +109,8 @@
         return math.isfinite(value)
     if isinstance(value, str):
         # Lone surrogates can't be encoded; JSON has escapes for them.
-        return value.isascii() or not any(
-            "\ud800" <= each <= "\udfff" for each in value
+        return len(value) <= _MAX_TEXT and (
+            value.isascii()
+            or not any("\ud800" <= each <= "\udfff" for each in value)
         )
     return True
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -256,6 +256,17 @@
         )
 
 
+# Guards against lines and messages to peers that are as long as an entry.
+@pytest.mark.parametrize("name", ["service", "zone", "version", "address"])
+def test_entry_with_a_long_text_is_an_error(name: str) -> None:
+    value = "1" * 100_000 if name != "address" else "1" * 100_000 + ":80"
+    with pytest.raises(errors.RecordError) as raised:
+        records.decode_upstream(
+            "i-1", json.dumps({**ENTRY, name: value}).encode()
+        )
+    assert len(str(raised.value)) < 200
+
+
 def test_error_of_an_entry_is_short() -> None:
     """The error is logged with each change of the entry."""
     for value in ("x" * 100_000, [[["x" * 90_000]]], 7):
