--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -103,6 +103,7 @@
         self.front = f"{self.ip}:{_PORT_FRONT}"
         self.process: asyncio.subprocess.Process | None = None
         self._folder = folder
+        self._is_starting = False
 
     def write_settings(self, store: str, zone: str) -> None:
         text = f"""node_name={self.name}
@@ -124,15 +125,22 @@
         return self._folder / f"{self.name}.{suffix}"
 
     async def start(self) -> None:
-        with self._path("log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "lycheegw.platform.main",
-                str(self._path("conf")),
-                stdout=log,
-                stderr=log,
-            )
+        """Starts the process, unless another task is starting it."""
+        if self._is_starting:
+            return
+        self._is_starting = True
+        try:
+            with self._path("log").open("ab") as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "lycheegw.platform.main",
+                    str(self._path("conf")),
+                    stdout=log,
+                    stderr=log,
+                )
+        finally:
+            self._is_starting = False
 
     def send_signal(self, number: int) -> None:
         """Signals the process, if it still runs."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """The soak's checker finds each kind of violation; a short soak finds none."""
 
+import asyncio
 import pathlib
 
 import pytest
 
 from tests.soak import checker
+from tests.soak import processes
 from tests.soak import schedule
 from tests.soak import world
 
@@ -242,6 +244,26 @@
     assert not _broken_rules(record)
 
 
+# Guards against a process that outlives its soak: two overlapping restarts each
+# started one, and that which bound the ports was forgotten (seed 23, 25 s).
+async def test_overlapping_starts_start_one_process(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    started: list[str] = []
+
+    async def start_process(*arguments: str, **_: object) -> object:
+        started.append(arguments[-1])
+        await asyncio.sleep(0.01)
+        return object()
+
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", start_process)
+    node = processes.Node(1, "127.1.1", tmp_path)
+    await asyncio.gather(node.start(), node.start())
+    assert len(started) == 1
+    await node.start()
+    assert len(started) == 2
+
+
 def test_schedule_depends_on_the_seed_alone() -> None:
     assert schedule.draw(3, 60.0) == schedule.draw(3, 60.0)
     assert schedule.draw(3, 60.0) != schedule.draw(4, 60.0)
