Decoding an upstream's entry takes little more time than before

Nobody saw anything; each heartbeat of an upstream that a node reads is decoded twice, and control has 1.3% of a core. The strict reading took 18.8 us for an entry, 10.4 us on (best of 3 times 20,000, arm64). Parsed addresses are kept, and texts are looked at first: 12.8 us.

--- a/src/lycheegw/state/addresses.py
+++ b/src/lycheegw/state/addresses.py
@@ -1,5 +1,6 @@
 """Parses the addresses of processes, as "ip:port"."""
 
+import functools
 import ipaddress
 import re
 
@@ -7,8 +8,11 @@
 
 _PORT = re.compile(r"[0-9]{1,5}")
 _MAX_PORT = 2**16 - 1
+# Addresses whose parsed form is kept; each heartbeat of a process has the same.
+_MAX_CACHED = 4096
 
 
+@functools.lru_cache(_MAX_CACHED)
 def parse(address: str) -> tuple[str, int]:
     """Returns the IP address and the port of an "ip:port".
 
--- a/src/lycheegw/state/json_fields.py
+++ b/src/lycheegw/state/json_fields.py
@@ -103,14 +103,12 @@
 
 def _is_in_range(value: object) -> bool:
     """Returns whether a number or a text can be used and sent to peers."""
-    if isinstance(value, int):
-        return -_MAX_INTEGER <= value <= _MAX_INTEGER
-    if isinstance(value, float):
-        return math.isfinite(value)
     if isinstance(value, str):
         # Lone surrogates can't be encoded; JSON has escapes for them.
         return len(value) <= _MAX_TEXT and (
             value.isascii()
             or not any("\ud800" <= each <= "\udfff" for each in value)
         )
-    return True
+    if isinstance(value, int):
+        return -_MAX_INTEGER <= value <= _MAX_INTEGER
+    return not isinstance(value, float) or math.isfinite(value)
