--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -242,6 +242,7 @@
 
 
 def _decode_entry(key: str, value: bytes) -> upstreams.HostEntry:
+    """Returns an entry, whatever its id; raises errors.RecordError."""
     loaded = json_fields.load_object(key, value)
     is_leaving = _IS_LEAVING_BY_STATE.get(str(loaded.get("state")))
     if is_leaving is None:
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -228,7 +228,7 @@
     assert settings.service_levels.retry_ratio == 0.9
 
 
-_ODD_NUMBERS = [
+_MALFORMED_NUMBERS = [
     int("9" * 400),
     -int("9" * 400),
     float("inf"),
@@ -241,7 +241,8 @@
     ("name", "value"),
     [
         *itertools.product(
-            ("slots", "born", "sequence", "cold_remaining_ms"), _ODD_NUMBERS
+            ("slots", "born", "sequence", "cold_remaining_ms"),
+            _MALFORMED_NUMBERS,
         ),
         ("slots", 2**63),
         ("sequence", 2**63),
@@ -285,7 +286,7 @@
 
 
 @pytest.mark.parametrize("number", ["\u00b2", "9" * 11, "9" * 5000, "-1", "x"])
-def test_traits_with_odd_numbers_are_decoded(number: str) -> None:
+def test_traits_with_malformed_numbers_are_decoded(number: str) -> None:
     odd = number.encode("latin-1")
     incoming = forwarded_requests.IncomingRequest(
         b"POST",
@@ -309,7 +310,7 @@
         strategies.none(),
         strategies.booleans(),
         strategies.integers(),
-        strategies.sampled_from(_ODD_NUMBERS),
+        strategies.sampled_from(_MALFORMED_NUMBERS),
         strategies.floats(),
         strategies.text(max_size=3),
         strategies.just("\ud800"),
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_malformed_entries.py
@@ -68,7 +68,7 @@
         pytest.param(b"\xff\xfe\xff", id="not UTF-8"),
     ],
 )
-async def test_odd_entry_does_not_stop_the_reading_of_the_list(
+async def test_malformed_entry_does_not_stop_the_reading_of_the_list(
     value: bytes,
 ) -> None:
     async with fleet_harness.fleet(nodes=2) as fleet:
@@ -114,7 +114,9 @@
         ":80",
     ],
 )
-async def test_entry_with_an_odd_address_is_never_chosen(address: str) -> None:
+async def test_entry_with_a_malformed_address_is_never_chosen(
+    address: str,
+) -> None:
     async with fleet_harness.fleet() as fleet:
         await fleet.store.put("keyed.servers", "odd", _entry(address=address))
         await fleet.add_upstream("d3", "desk")
@@ -128,7 +130,7 @@
 # Guards against requests that end without an answer, or get another header,
 # whenever an upstream is chosen whose id can't be a header.
 @pytest.mark.parametrize("key", ["odd\r\nX-Other: 1", "odd\x00", "\u20ac", ""])
-async def test_entry_with_an_odd_id_is_never_chosen(key: str) -> None:
+async def test_entry_with_a_malformed_id_is_never_chosen(key: str) -> None:
     async with fleet_harness.fleet() as fleet:
         listed = fleet.upstream_by_name["d1"].entry("desk")
         await fleet.store.put("keyed.servers", key, listed)
@@ -155,7 +157,7 @@
         pytest.param(b"\xff", id="not JSON"),
     ],
 )
-async def test_odd_node_entry_does_not_hide_the_others(
+async def test_malformed_node_entry_does_not_hide_the_others(
     value: bytes, caplog: pytest.LogCaptureFixture
 ) -> None:
     async with fleet_harness.fleet(nodes=2) as fleet:
@@ -191,7 +193,7 @@
         pytest.param(b'{"state":"completed","target":"\\ud800"}', id="no text"),
     ],
 )
-async def test_odd_outcome_does_not_hide_the_others(value: bytes) -> None:
+async def test_malformed_outcome_does_not_hide_the_others(value: bytes) -> None:
     async with fleet_harness.fleet() as fleet:
         await fleet.store.put("keyed.status", "rollout/desk", value)
         outcome = {"state": "rolled_back", "target": "v2"}
@@ -243,7 +245,7 @@
         pytest.param("odd/key", _nested(100_000), id="unknown key"),
     ],
 )
-async def test_odd_order_does_not_hide_the_others(
+async def test_malformed_order_does_not_hide_the_others(
     key: str, value: bytes
 ) -> None:
     async with fleet_harness.fleet(nodes=2) as fleet:
--- a/tests/platform/test_odd_headers.py
+++ b/tests/platform/test_malformed_headers.py
@@ -17,13 +17,21 @@
     "X-Lycheegw-Prompt-Prefix": "aa:700,bb:200",
 }
 # A superscript two in Latin-1, for which str.isdigit() holds.
-_ODD_DIGIT = "\u00b2"
-_ODD_NUMBERS = [_ODD_DIGIT, "9" * 400, "9" * 5000, "nan", "inf", "1e400", "-1"]
+_MALFORMED_DIGIT = "\u00b2"
+_MALFORMED_NUMBERS = [
+    _MALFORMED_DIGIT,
+    "9" * 400,
+    "9" * 5000,
+    "nan",
+    "inf",
+    "1e400",
+    "-1",
+]
 
 
 # Guards against requests that end without an answer, and upstreams that are
 # never used again, because of a number in one header of a response.
-@pytest.mark.parametrize("number", _ODD_NUMBERS)
+@pytest.mark.parametrize("number", _MALFORMED_NUMBERS)
 @pytest.mark.parametrize(
     "header",
     [
@@ -34,7 +42,9 @@
         "Keep-Alive: timeout={}",
     ],
 )
-def test_odd_number_in_a_response_is_ignored(header: str, number: str) -> None:
+def test_malformed_number_in_a_response_is_ignored(
+    header: str, number: str
+) -> None:
     name, _, value = header.format(number).encode("latin-1").partition(b": ")
     fields = ((name.lower(), value),)
     head = headers.decode_response_head(
@@ -51,36 +61,36 @@
         assert head.malformed_headers == (name.lower().decode(),)
 
 
-async def test_upstream_with_odd_numbers_is_used_like_others() -> None:
+async def test_upstream_with_malformed_numbers_is_used_like_others() -> None:
     counts: list[int] = []
 
     async def respond(
         request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
     ) -> None:
-        odd = _ODD_NUMBERS[len(counts) % len(_ODD_NUMBERS)]
+        odd = _MALFORMED_NUMBERS[len(counts) % len(_MALFORMED_NUMBERS)]
         counts.append(request.number_on_connection)
         whole = raw_upstreams.response(request)
         first, _, rest = whole.partition(b"\r\n")
-        odd_head = (
+        malformed_head = (
             f"X-Lycheegw-Instance-Load: {odd},{odd},8\r\n"
             f"X-Lycheegw-Cold-Ms: {odd}\r\nX-Lycheegw-Confidence: {odd}\r\n"
         )
-        writer.write(first + b"\r\n" + odd_head.encode("latin-1") + rest)
+        writer.write(first + b"\r\n" + malformed_head.encode("latin-1") + rest)
 
     async with fleet_harness.fleet() as fleet:
         await fleet.store.delete("keyed.servers", "d2")
         async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
-            for number in range(3 * len(_ODD_NUMBERS)):
+            for number in range(3 * len(_MALFORMED_NUMBERS)):
                 reply = await platform_standins.send_request(
                     fleet.nodes[0].settings.listen, f"/book/{number}", "POST"
                 )
                 assert reply is not None and reply.status == 200
-            assert len(counts) == 3 * len(_ODD_NUMBERS)
+            assert len(counts) == 3 * len(_MALFORMED_NUMBERS)
 
 
 # Guards against broken streams because of an event's id.
-@pytest.mark.parametrize("event_id", [_ODD_DIGIT, "9" * 5000, "x"])
-async def test_stream_with_odd_event_ids_is_whole(event_id: str) -> None:
+@pytest.mark.parametrize("event_id", [_MALFORMED_DIGIT, "9" * 5000, "x"])
+async def test_stream_with_malformed_event_ids_is_whole(event_id: str) -> None:
     body = b"".join(
         f"id: {each}\ndata: text\n\n".encode("latin-1")
         for each in (event_id, f"{event_id}7")
@@ -111,8 +121,8 @@
 
 # Guards against requests that end without an answer, and gossip that ends,
 # because of a number in the headers of a client.
-@pytest.mark.parametrize("number", [*_ODD_NUMBERS, "9" * 12, "9" * 18])
-async def test_odd_number_of_a_client_harms_no_other_request(
+@pytest.mark.parametrize("number", [*_MALFORMED_NUMBERS, "9" * 12, "9" * 18])
+async def test_malformed_number_of_a_client_harms_no_other_request(
     number: str, caplog: pytest.LogCaptureFixture
 ) -> None:
     odd = {
@@ -136,7 +146,7 @@
         links = [node.peers.links() for node in fleet.nodes]
         for name in ("m1", "m2"):
             fleet.upstream_by_name[name].delay_s = 1.5
-        odd_request = asyncio.create_task(
+        malformed_request = asyncio.create_task(
             platform_standins.send_request(front, "/ask/1", "POST", b"q", odd)
         )
         await asyncio.sleep(0.3)
@@ -147,7 +157,7 @@
                 address, "/ask/1", "POST", b"q", _PROMPT
             )
             assert reply is not None and reply.status == 200
-        reply = await odd_request
+        reply = await malformed_request
         assert reply is not None and reply.status in {200, 503}
         await asyncio.sleep(1.0)
         assert [node.peers.links() for node in fleet.nodes] == links
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -113,7 +113,7 @@
         pytest.param(b"\xff", id="not JSON"),
     ],
 )
-async def test_odd_reply_is_a_failure_of_the_store(body: bytes) -> None:
+async def test_malformed_reply_is_a_failure_of_the_store(body: bytes) -> None:
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -69,8 +69,8 @@
 _RESPONSE_FAULT_S = (3.0, 12.0)
 # Share of soaks in which another writer leaves entries that can't be used, and
 # bounds of the time between two of them.
-_ODD_ENTRIES_SHARE = 0.5
-_ODD_ENTRY_GAP_S = (1.0, 6.0)
+_MALFORMED_ENTRIES_SHARE = 0.5
+_MALFORMED_ENTRY_GAP_S = (1.0, 6.0)
 
 
 class Fault(NamedTuple):
@@ -110,7 +110,7 @@
     faults += _draw_crashing_part(seed, seconds)
     faults += _draw_response_faults(seed, seconds)
     faults += _draw_manifests(seed, seconds)
-    faults += _draw_odd_entries(seed, seconds)
+    faults += _draw_malformed_entries(seed, seconds)
     return sorted(faults)
 
 
@@ -145,17 +145,17 @@
     return faults
 
 
-def _draw_odd_entries(seed: int, seconds: float) -> list[Fault]:
+def _draw_malformed_entries(seed: int, seconds: float) -> list[Fault]:
     """Returns when another writer leaves an entry that can't be used."""
     generator = random.Random(f"odd entries of {seed}")
-    if generator.random() >= _ODD_ENTRIES_SHARE:
+    if generator.random() >= _MALFORMED_ENTRIES_SHARE:
         return []
     faults = []
-    at_s = generator.uniform(*_ODD_ENTRY_GAP_S)
+    at_s = generator.uniform(*_MALFORMED_ENTRY_GAP_S)
     while at_s < seconds:
         number = generator.randrange(1000)
-        faults.append(Fault(round(at_s, 2), "odd_entry", number, 0.0))
-        at_s += generator.uniform(*_ODD_ENTRY_GAP_S)
+        faults.append(Fault(round(at_s, 2), "malformed_entry", number, 0.0))
+        at_s += generator.uniform(*_MALFORMED_ENTRY_GAP_S)
     return faults
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -33,14 +33,14 @@
 _ZONES = ("z-a", "z-b")
 _TOPICS = ("keyed.servers", "keyed.op")
 # Where another writer leaves entries, and what they hold.
-_ODD_TOPICS = (
+_MALFORMED_TOPICS = (
     "keyed.servers",
     "keyed.nodes",
     "keyed.status",
     "keyed.op",
     "keyed.blocked",
 )
-_ODD_VALUES = (
+_MALFORMED_VALUES = (
     b"[" * 100_000,
     b'{"service":"desk","address":"127.0.0.1:99999","zone":"z-a","version":"v1"'
     b',"slots":8,"state":"ready","sequence":1}',
@@ -520,18 +520,18 @@
             ]
             name = names[fault.target % len(names)]
             await self._change_responses(fault, name)
-        elif fault.kind == "odd_entry":
-            await self._write_odd_entry(fault.target)
+        elif fault.kind == "malformed_entry":
+            await self._write_malformed_entry(fault.target)
         elif fault.kind == "store_forgets":
             for topic in _TOPICS:
                 self._store.first_offset[topic] = self._store.end_offset(topic)
         else:
             await self._disturb(fault, "", self._harm_store(fault))
 
-    async def _write_odd_entry(self, number: int) -> None:
+    async def _write_malformed_entry(self, number: int) -> None:
         """Leaves an entry that can't be used, as another writer would."""
-        topic = _ODD_TOPICS[number % len(_ODD_TOPICS)]
-        value = _ODD_VALUES[number % len(_ODD_VALUES)]
+        topic = _MALFORMED_TOPICS[number % len(_MALFORMED_TOPICS)]
+        value = _MALFORMED_VALUES[number % len(_MALFORMED_VALUES)]
         key = "rollout/odd" if topic == "keyed.status" else f"odd-{number % 3}"
         await self._store.put(topic, key, value)
 
--- a/tests/test_block_records.py
+++ b/tests/test_block_records.py
@@ -54,7 +54,7 @@
         pytest.param(b"\xff", id="not UTF-8"),
     ],
 )
-async def test_odd_record_does_not_hide_the_others(
+async def test_malformed_record_does_not_hide_the_others(
     value: bytes, caplog: pytest.LogCaptureFixture
 ) -> None:
     state = fakes.node(fakes.ManualClock(), "n1")
--- a/tests/test_configuration_verdicts.py
+++ b/tests/test_configuration_verdicts.py
@@ -560,8 +560,8 @@
     )
     catalog = catalog_of(first)
     assert not catalog.is_zone_serving("a")
-    odd_verdict = catalog.verdict_by_offset[len(BASE)]
-    assert odd_verdict.outcome is records.RecordOutcome.REJECTED
+    malformed_verdict = catalog.verdict_by_offset[len(BASE)]
+    assert malformed_verdict.outcome is records.RecordOutcome.REJECTED
     tail = first.tail(catalogs.NO_OFFSET, 10**9)
     assert tail is not None
     second = new_intake()
--- a/tests/test_odd_replies.py
+++ b/tests/test_malformed_replies.py
@@ -65,7 +65,7 @@
         pytest.param(b"[]", id="list"),
     ],
 )
-async def test_odd_load_report_is_a_failed_call(body: bytes) -> None:
+async def test_malformed_load_report_is_a_failed_call(body: bytes) -> None:
     client = upstream_client.HttpUpstreamClient(
         limits.Limits(), clocks.system()
     )
@@ -85,7 +85,7 @@
         pytest.param(b"[]", id="list"),
     ],
 )
-async def test_odd_reply_of_a_platform_service_is_a_failed_call(
+async def test_malformed_reply_of_a_platform_service_is_a_failed_call(
     body: bytes,
 ) -> None:
     async with _server(body) as address:
@@ -124,7 +124,7 @@
         pytest.param(None, id="null"),
     ],
 )
-async def test_odd_host_does_not_hide_the_others(
+async def test_malformed_host_does_not_hide_the_others(
     odd: Any, caplog: pytest.LogCaptureFixture
 ) -> None:
     body = json.dumps({"hosts": [_host("a"), odd, _host("b")]}).encode()
--- a/tests/test_peer_bus.py
+++ b/tests/test_peer_bus.py
@@ -64,10 +64,10 @@
             first = await fleet.add_node("n1", "z1")
             second = await fleet.add_node("n2", "z1")
             received: list[bytes] = []
-            is_odd = True
+            is_malformed = True
 
             def encode(_: str) -> bytes:
-                if is_odd:
+                if is_malformed:
                     raise ValueError("odd")
                 return b"odd no more"
 
@@ -85,7 +85,7 @@
             assert counts["peers.bad_source"] >= 3
             lines = [each for each in caplog.records if each.exc_info]
             assert len(lines) == 1
-            is_odd = False
+            is_malformed = False
             async with asyncio.timeout(5):
                 while b"odd no more" not in received:
                     await asyncio.sleep(0.02)
