--- a/src/lycheegw/platform/records.py
+++ b/src/lycheegw/platform/records.py
@@ -171,7 +171,9 @@
     defaults = routing.CallerLimits()
 
     def amount(name: str, default: float) -> float:
-        return json_fields.read("limits", value, name, float, float(default))
+        return json_fields.read(
+            "manifest/limits", value, name, float, float(default)
+        )
 
     return routing.CallerLimits(
         int(amount("max_header_bytes", defaults.header_bytes)),
