--- a/review/1/case.py
+++ b/review/1/case.py
@@ -60,7 +60,7 @@
     async def evacuate(self, zone, seconds):
         """Orders an evacuation and takes it back."""
         key = f"evacuate/{zone}"
-        value = json.dumps({"zone": zone}).encode()
+        value = b"{}"
         await self._store.put("keyed.op", key, value, "operator")
         self._journal.note("evacuation_ordered", zone=zone)
         await asyncio.sleep(seconds)
