--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,6 +92,7 @@
 
     async def _send(self, node, key):
         request_id, sent_s = world.new_id(), time.monotonic()
+        self._journal.note("sent", node=node.name, key=key, id=request_id)
         reply = await world.send(node.front, "/look/1", key, request_id)
         self.sent.append((node.name, key, request_id, sent_s, reply.status))
         self._journal.note(
@@ -184,7 +185,8 @@
     )
     if not counted:
         raise world.CannotRunError("no request was counted")
-    return 1 if dropped_key or old_service or refused else 0
+    return bool(dropped_key or old_service or refused)
 
 
+# Writes record.txt, whose path run.sh passes.
 world.main(case)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -157,6 +157,7 @@
         "X-Lycheegw-Prompt-Prefix": f"aa01:700,{request_id[-6:]}:200",
     }
     begun_s = time.monotonic()
+    journal.note("sent", node=node.name, id=request_id)
     reply = await world.send(
         node.front, "/ask/1", KEY, request_id, "POST", b"q", more, TIMEOUT_S
     )
@@ -215,7 +216,8 @@
         journal.note("node_log", node=other.name, line=line)
     if not served:
         raise world.CannotRunError("no stream was begun")
-    return 1 if short else 0
+    return bool(short)
 
 
+# Writes record.txt, whose path run.sh passes.
 world.main(case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,7 +22,7 @@
 CUT_COUNT = 11
 KEY = "key-acme"
 CONTACT_S = 3.0
-CUT_S = 12.0
+CUT_S = 8.0
 
 
 class CutRunner(world.Runner):
@@ -77,6 +77,7 @@
 
     async def _send(self, node):
         request_id, sent_s = world.new_id(), time.monotonic()
+        self._journal.note("sent", node=node.name, id=request_id)
         reply = await world.send(
             node.front,
             "/look/1",
@@ -197,7 +198,8 @@
         )
     if others_share < 0.95:
         raise world.CannotRunError("the other machines were disturbed, too")
-    return 1 if share < others_share * 2 / 3 and failed > allowed else 0
+    return bool(share < others_share * 2 / 3 and failed > allowed)
 
 
+# Writes record.txt, whose path run.sh passes.
 world.main(case)
