A request's last line has the age of the orders it was accepted by

The line copy_outdated gave the number of reads only, so that reads which a stalled process had missed looked like an outage of the store.

Added: orders_age_s in the last line of a request, a histogram of it, and failed and read_s in copy_outdated. Nothing is decided by them.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -18,6 +18,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import routing
+from lycheegw.state import topics
 from lycheegw.state import verdicts
 
 __all__ = ["Codec", "Forwarder"]
@@ -29,6 +30,8 @@
 _MAX_STARTUP_WAIT_S = 0.3
 # Retry-after time of a node that has no up-to-date configuration.
 _NOT_READY_RETRY_AFTER_S = 1.0
+# Logged age of orders that the store has not confirmed yet.
+_MAX_LOGGED_AGE_S = 999.0
 
 
 class Codec(NamedTuple):
@@ -79,6 +82,9 @@
             end.traits = self._codec.decode_traits(sink.incoming)
             manifest = self._dependencies.directory.manifest
             end.manifest_version = manifest.version if manifest else None
+            end.orders_age_s = self._dependencies.freshness.age_s(
+                topics.Topic.ORDERS
+            )
             end.accepted = self._accept(sink, end.traits, manifest)
             await self._serve_until_deadline(end.accepted)
         except errors.RefusalError as error:
@@ -258,6 +264,10 @@
             }
         if end.manifest_version is not None:
             fields["manifest"] = end.manifest_version
+            fields["orders_age_s"] = round(
+                min(end.orders_age_s, _MAX_LOGGED_AGE_S), 2
+            )
+            self._dependencies.observe("orders_age", outcome, end.orders_age_s)
         self._dependencies.note(outcome, **fields)
 
     def _now_s(self) -> float:
@@ -272,6 +282,7 @@
         traits: Decoded headers, None if they are invalid.
         manifest_version: Version by which it was accepted or refused, None if
             there was none yet.
+        orders_age_s: Age of the orders at that time.
         accepted: Accepted request, None if it was not accepted.
     """
 
@@ -279,6 +290,7 @@
         self.incoming = incoming
         self.traits: forwarded_requests.RequestTraits | None = None
         self.manifest_version: int | None = None
+        self.orders_age_s = 0.0
         self.accepted: accepted_requests.AcceptedRequest | None = None
 
 
--- a/src/lycheegw/coordination/freshness.py
+++ b/src/lycheegw/coordination/freshness.py
@@ -55,6 +55,10 @@
         """Returns whether requests may be served by the copies at once."""
         return not self._outdated()
 
+    def age_s(self, topic: topics.Topic) -> float:
+        """Returns the seconds since the store last confirmed a topic."""
+        return self._readers.age_s(topic)
+
     async def ensure_current(self) -> None:
         """Renews outdated copies; returns at once if there are none."""
         outdated = self._outdated()
@@ -92,6 +96,7 @@
         """Reads a topic until its copy is current or the store seems away."""
         age_s = self._readers.age_s(topic)
         failures = reads = 0
+        longest_read_s = 0.0
         while (
             self._is_outdated(topic)
             and failures < _MAX_FAILED_READS
@@ -99,11 +104,13 @@
         ):
             reads += 1
             begun_s = self._now_s()
-            if await self._readers.refresh(topic, _READ_TIMEOUT_S):
+            is_read = await self._readers.refresh(topic, _READ_TIMEOUT_S)
+            read_s = self._now_s() - begun_s
+            longest_read_s = max(longest_read_s, read_s)
+            if is_read:
                 continue
             # If the event loop stalled, the reply may have come in time.
-            max_read_s = _READ_TIMEOUT_S + _MIN_STALL_S
-            if self._now_s() - begun_s <= max_read_s:
+            if read_s <= _READ_TIMEOUT_S + _MIN_STALL_S:
                 failures += 1
             await self._state.environment.sleep(_RETRY_S)
         is_renewed = not self._is_outdated(topic)
@@ -118,6 +125,8 @@
             topic=topic.value,
             age_s=round(age_s, 2),
             reads=reads,
+            failed=failures,
+            read_s=round(longest_read_s, 3),
             outcome=outcome,
         )
 
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -61,6 +61,7 @@
         (line,) = [each for each in lines if each["event"] == "answered"]
         assert 0 <= line["send_delay_s"] < 0.5
         assert 0 <= line["list_age_s"] < 2.0
+        assert 0 <= line["orders_age_s"] < 2.0
 
 
 async def test_end_of_a_request_tells_by_which_manifest_it_was_accepted() -> (
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,6 +1,7 @@
 """Outdated copies are renewed once, and a stall is no fault of the store."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from lycheegw.coordination import freshness
@@ -47,13 +48,15 @@
 
 
 def _freshness(
-    clock: fakes.ManualClock, readers: _Readers
+    clock: fakes.ManualClock,
+    readers: _Readers,
+    note: Callable[..., None] = lambda *_, **__: None,
 ) -> freshness.Freshness:
     return freshness.Freshness(
         fakes.node(clock, "n"),
         readers,  # type: ignore[arg-type]
         _limit,
-        lambda *_, **__: None,
+        note,
     )
 
 
@@ -130,3 +133,15 @@
     await fresh.ensure_current()
     assert readers.read_count == 1
     assert fresh.is_current()
+
+
+async def test_line_tells_stalled_reads_from_failed_ones() -> None:
+    """A stalled process and an outage of the store look alike otherwise."""
+    clock = fakes.ManualClock()
+    readers = _Readers(clock, [(1.2, False), (0.25, False), (0.01, True)])
+    lines: list[dict[str, Any]] = []
+    fresh = _freshness(clock, readers, lambda _, **each: lines.append(each))
+    clock.now_s += 2.1
+    await fresh.ensure_current()
+    (line,) = lines
+    assert (line["reads"], line["failed"], line["read_s"]) == (3, 1, 1.2)
