--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -493,7 +493,7 @@
         connection = _Connection()
         try:
             host, port = addresses.parse(address)
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with silence_timeouts.silence_timeout(_CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().create_connection(
                     lambda: connection, host, port
                 )
--- a/tests/platform/test_slow_nodes.py
+++ b/tests/platform/test_slow_nodes.py
@@ -125,3 +125,14 @@
                 assert await node.topic_readers.refresh(
                     topics.Topic.ORDERS, 0.25
                 )
+
+
+# Issue 45: slow nodes failed the readiness check by turns and sent requests to
+# their peers, as they took their own delay for a cut.
+async def test_slow_process_is_not_cut_off_from_its_upstreams() -> None:
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        async with slow_loops.slow_event_loop(0.3):
+            for upstream in node.state.upstreams.by_id.values():
+                node.reach.note_unreached(upstream)
+            assert not await node.reach.check(2)
