A node that knows that it lacks a change doesn't decide by its old copy

The gap in a neighbour's update only began a fetch; whether requests may be decided by the copy was asked of the store alone.

The exchange keeps up to where neighbours have announced a topic. If the copy is older than its limit, can't be renewed, and is behind that, requests are refused with 'not run' and a Retry-After of 0.1 s; their clients reach other nodes. The headers are decoded first, so that the line of such a refusal has the request's id.

test_withdrawn_key_is_refused_if_a_change_cannot_be_fetched: 200 before, 503 after.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -77,9 +77,9 @@
         """
         end = _End(sink.incoming)
         try:
+            end.traits = self._codec.decode_traits(sink.incoming)
             await self._wait_for_startup()
             await self._dependencies.freshness.ensure_current()
-            end.traits = self._codec.decode_traits(sink.incoming)
             manifest = self._dependencies.directory.manifest
             end.manifest_version = manifest.version if manifest else None
             end.orders_age_s = self._dependencies.freshness.age_s(
--- a/src/lycheegw/coordination/freshness.py
+++ b/src/lycheegw/coordination/freshness.py
@@ -3,14 +3,17 @@
 Reads are planned so that a copy is renewed long before its limit. If the
 planned reads fail, or this process was too slow to make them, the node reads
 the store by itself before it serves a request by an outdated copy. If the store
-does not answer, requests are served by the copy until it is renewed.
+does not answer, requests are served by the copy until it is renewed; if peers
+are known to have later records, they are refused.
 """
 
 import asyncio
 from collections.abc import Callable
 
 from lycheegw.coordination import topic_readers
+from lycheegw.state import errors
 from lycheegw.state import node_state
+from lycheegw.state import reasons
 from lycheegw.state import topics
 
 __all__ = ["Freshness"]
@@ -23,6 +26,8 @@
 # Limit of all reads, including those during which the event loop stalled.
 _MAX_READS = 6
 _RETRY_S = 0.02
+# Retry-after time while peers have what this node lacks; clients reach them.
+_RETRY_ELSEWHERE_S = 0.1
 # A read that ends this much after its timeout was delayed by this process.
 _MIN_STALL_S = 0.1
 # How long a failed read shows that the store is unavailable, from its begin.
@@ -42,11 +47,23 @@
         state: node_state.NodeState,
         readers: topic_readers.TopicReaders,
         max_age_s: Callable[[topics.Topic], float],
+        is_behind: Callable[[topics.Topic], bool],
         note: Callable[..., None],
     ):
+        """Creates a freshness that renews what is older than its limit.
+
+        Args:
+            state: State of this node.
+            readers: Reads topics from the store.
+            max_age_s: Returns the limit of a topic's age, infinity for none.
+            is_behind: Returns whether peers have records of a topic that its
+                copy lacks.
+            note: Writes a line to the event log.
+        """
         self.max_age_s = max_age_s
         self._state = state
         self._readers = readers
+        self._is_behind = is_behind
         self._note = note
         self._task_by_topic: dict[topics.Topic, asyncio.Task[None]] = {}
         # Time of confirmation of copies that could not be renewed.
@@ -61,7 +78,12 @@
         return self._readers.age_s(topic)
 
     async def ensure_current(self) -> None:
-        """Renews outdated copies; returns at once if there are none."""
+        """Renews outdated copies; returns at once if there are none.
+
+        Raises:
+            errors.RefusalError: A copy could not be renewed, and peers have
+                what it lacks.
+        """
         outdated = self._outdated()
         if outdated:
             # Concurrent requests wait for one read, which outlives each of
@@ -69,6 +91,15 @@
             await asyncio.gather(
                 *(asyncio.shield(self._renewal(topic)) for topic in outdated)
             )
+        for topic in topics.Topic:
+            is_old = self._readers.age_s(topic) > self.max_age_s(topic)
+            if is_old and self._is_behind(topic):
+                self._state.counters.add("topics.outdated.refused")
+                raise errors.RefusalError(
+                    reasons.RefusalReason.NOT_READY,
+                    f"peers have later {topic.value} than this node",
+                    retry_after_s=_RETRY_ELSEWHERE_S,
+                )
 
     def _outdated(self) -> list[topics.Topic]:
         return [topic for topic in topics.Topic if self._is_outdated(topic)]
@@ -129,6 +160,7 @@
             reads=reads,
             failed=failures,
             read_s=round(longest_read_s, 3),
+            is_behind=self._is_behind(topic),
             outcome=outcome,
         )
 
--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -30,6 +30,9 @@
 # Size of the records in one message. A link of 5 Mbit/s passes it in 0.1 s, and
 # it is well below what a link accepts.
 _MAX_PUSHED_BYTES = 64 * 1024
+# How long an announcement counts, in seconds. A neighbour repeats it each time
+# the store confirms the topic, in 1.5 s or so.
+_ANNOUNCEMENT_VALID_S = 4.0
 # Size of a record in a message without key and value, about.
 _RECORD_BYTES = 24
 
@@ -78,6 +81,18 @@
     decode: Callable[[bytes], TopicMessage]
 
 
+class _Announced(NamedTuple):
+    """What a neighbour has and this node could not merge.
+
+    Attributes:
+        end_offset: Offset up to which the neighbour knows the topic.
+        heard_s: Monotonic second of its message.
+    """
+
+    end_offset: int
+    heard_s: float
+
+
 class _Sent(NamedTuple):
     """What a neighbour has of a topic: sent to it, or received from it."""
 
@@ -120,6 +135,7 @@
         self._observe = observe
         self._transit_times = transit_times.TransitTimes(state.environment)
         self._sent_by_neighbour: dict[str, dict[topics.Topic, _Sent]] = {}
+        self._announced_by_topic: dict[topics.Topic, _Announced] = {}
         self._unknown_topics: frozenset[str] = frozenset()
         peers.on_delta(_TOPIC, self._encode_updates, self._merge)
 
@@ -268,6 +284,7 @@
         )
         if changed is None:
             self._state.counters.add("topics.gap")
+            self._note_announced(update)
             self.on_gap(update.topic, neighbour, update.end_offset)
             return False
         if update.end_offset >= topic_state.end_offset:
@@ -278,6 +295,27 @@
             topic_state.confirmed_s - before_s > _RESEND_AGE_S
         )
 
+    def _note_announced(self, update: TopicUpdate) -> None:
+        """Records up to where a neighbour has what this node lacks."""
+        end_offset = update.end_offset
+        if self.is_behind(update.topic):
+            known = self._announced_by_topic[update.topic]
+            end_offset = max(end_offset, known.end_offset)
+        self._announced_by_topic[update.topic] = _Announced(
+            end_offset, self._state.environment.monotonic_s()
+        )
+
+    def is_behind(self, topic: topics.Topic) -> bool:
+        """Returns whether a neighbour lately had records this copy lacks."""
+        announced = self._announced_by_topic.get(topic)
+        if announced is None:
+            return False
+        age_s = self._state.environment.monotonic_s() - announced.heard_s
+        return (
+            age_s <= _ANNOUNCEMENT_VALID_S
+            and announced.end_offset > self.state_by_topic[topic].end_offset
+        )
+
     def _note_received(
         self, neighbour: str, update: TopicUpdate, confirmed_s: float
     ) -> None:
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -227,6 +227,7 @@
             self.state,
             self.topic_readers,
             self._max_serving_age_s,
+            self.topic_exchange.is_behind,
             self._log.note,
         )
         self.node_registry = node_registry.NodeRegistry(
--- a/tests/platform/test_slow_nodes.py
+++ b/tests/platform/test_slow_nodes.py
@@ -88,7 +88,6 @@
 
 # CONFIG, issue 45: a node that could neither fetch a change from its peers nor
 # read it went on by its copy, though it knew from them that there was a change.
-@pytest.mark.xfail(strict=True, reason="issue 45, KNOWN-RED.txt")
 async def test_withdrawn_key_is_refused_if_a_change_cannot_be_fetched() -> None:
     async with fleet_harness.fleet(nodes=3) as fleet:
         await fleet_harness.wait_until(
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -4,8 +4,12 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
+
 from lycheegw.coordination import freshness
+from lycheegw.state import errors
 from lycheegw.state import topics
+from lycheegw.state import verdicts
 from tests import fakes
 
 UPSTREAMS = topics.Topic.UPSTREAMS
@@ -51,11 +55,13 @@
     clock: fakes.ManualClock,
     readers: _Readers,
     note: Callable[..., None] = lambda *_, **__: None,
+    is_behind: Callable[[], bool] = lambda: False,
 ) -> freshness.Freshness:
     return freshness.Freshness(
         fakes.node(clock, "n"),
         readers,  # type: ignore[arg-type]
         _limit,
+        lambda _: is_behind(),
         note,
     )
 
@@ -145,3 +151,24 @@
     await fresh.ensure_current()
     (line,) = lines
     assert (line["reads"], line["failed"], line["read_s"]) == (3, 1, 1.2)
+
+
+async def test_copy_is_not_used_in_an_outage_if_peers_have_more() -> None:
+    """CONFIG, issue 45: a node knew of a change and went on without it."""
+    clock = fakes.ManualClock()
+    failed = (0.25, False)
+    readers = _Readers(clock, [failed, failed, failed, failed])
+    behind = True
+    fresh = _freshness(clock, readers, is_behind=lambda: behind)
+    clock.now_s += 1.9
+    await fresh.ensure_current()
+    clock.now_s += 0.2
+    with pytest.raises(errors.RefusalError) as refused:
+        await fresh.ensure_current()
+    assert refused.value.verdict is verdicts.RunVerdict.NOT_RUN
+    # At once, as long as the outage is known.
+    with pytest.raises(errors.RefusalError):
+        await fresh.ensure_current()
+    assert readers.read_count == 2
+    behind = False
+    await fresh.ensure_current()
