A slow process reads the replies of its peers before it gives up its calls

test_slow_process_reads_the_reply_to_its_call (turns of 0.1 s, a limit of 0.25 s): PeerUnavailableError before, passes now.

--- a/src/lycheegw/transport/peer_bus.py
+++ b/src/lycheegw/transport/peer_bus.py
@@ -29,6 +29,7 @@
 from lycheegw.protocol.pb import peer_pb2
 from lycheegw.state import errors
 from lycheegw.state import node_state
+from lycheegw.state import silence_timeouts
 from lycheegw.state import upstreams
 from lycheegw.transport import peer_link
 
@@ -187,7 +188,7 @@
         if node_id == self._state.identity.node_id:
             return await self._handler_by_topic[topic](node_id, payload)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with silence_timeouts.silence_timeout(timeout_s):
                 link = await self._link_to(node_id)
                 frame = await link.call(topic, payload)
         except peer_link.LINK_ERRORS as error:
@@ -318,7 +319,7 @@
         host, _, port = address.rpartition(":")
         channel = client.Channel(host, int(port))
         try:
-            async with asyncio.timeout(_OPEN_TIMEOUT_S):
+            async with silence_timeouts.silence_timeout(_OPEN_TIMEOUT_S):
                 peer, stream = await self._handshake(channel, is_neighbour)
             if peer.node_id != (node_id or peer.node_id):
                 raise ConnectionError(
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -16,6 +16,7 @@
 from lycheegw.coordination import liveness
 from lycheegw.protocol.pb import peer_pb2
 from lycheegw.state import node_state
+from lycheegw.state import silence_timeouts
 
 __all__ = [
     "LINK_ERRORS",
@@ -261,7 +262,9 @@
         self._count(frame)
         # If the peer doesn't read, flow control blocks the sender.
         try:
-            async with asyncio.timeout(liveness.HEARTBEAT_TIMEOUT_S):
+            async with silence_timeouts.silence_timeout(
+                liveness.HEARTBEAT_TIMEOUT_S
+            ):
                 await self._stream.send_message(frame)
         except TimeoutError:
             self.is_silent = True
--- a/src/lycheegw/transport/peer_relay.py
+++ b/src/lycheegw/transport/peer_relay.py
@@ -4,7 +4,6 @@
 long as it is used.
 """
 
-import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -21,6 +20,7 @@
 from lycheegw.protocol.pb import peer_grpc
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
+from lycheegw.state import silence_timeouts
 from lycheegw.transport import ingress
 from lycheegw.transport import peer_bus
 from lycheegw.transport import peer_link
@@ -80,7 +80,7 @@
             nonce, metadata = self._bus.sign_introduction()
             stub = peer_grpc.PeerStub(connection.channel)
             async with stub.Relay.open(metadata=metadata) as stream:
-                async with asyncio.timeout(_ACCEPT_TIMEOUT_S):
+                async with silence_timeouts.silence_timeout(_ACCEPT_TIMEOUT_S):
                     await stream.send_request()
                     await stream.recv_initial_metadata()
                 accepted = self._bus.verify_acceptance(
--- a/tests/test_peer_bus.py
+++ b/tests/test_peer_bus.py
@@ -6,6 +6,7 @@
 
 from lycheegw.measure import harness
 from lycheegw.state import errors
+from tests.platform import slow_loops
 
 
 async def _wait_live(fleet: harness.Fleet, count: int) -> None:
@@ -41,6 +42,27 @@
     asyncio.run(main())
 
 
+# Issue 45: a slow process gave up calls to peers whose replies had arrived, as
+# the fetches of a manifest.
+def test_slow_process_reads_the_reply_to_its_call() -> None:
+    async def main() -> None:
+        async with harness.Fleet() as fleet:
+            first = await fleet.add_node("n1", "z1")
+            second = await fleet.add_node("n2", "z1")
+
+            async def echo(sender: str, payload: bytes) -> bytes:
+                return sender.encode() + payload
+
+            second.peers.on_call("echo", echo)
+            await _wait_live(fleet, 2)
+            await first.peers.call("n2", "echo", b"!", 2.0)
+            async with slow_loops.slow_event_loop(0.1):
+                reply = await first.peers.call("n2", "echo", b"!", 0.25)
+            assert reply == b"n1!"
+
+    asyncio.run(main())
+
+
 def test_call_to_stopped_node_fails_within_timeout() -> None:
     async def main() -> None:
         async with harness.Fleet() as fleet:
