A length of thousands of digits is a malformed response

A service call at the chat interface, a load report, an order or a read of the log ended by ValueError if the response had a Content-Length of more than 4,300 digits, which Python doesn't convert.

Such a length, and one of digits that are not ASCII, is refused like any other malformed one. test_malformed_length_is_a_failure: ValueError before, passes now.

--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -28,6 +28,8 @@
 _MAX_HEAD_BYTES = 64 * 1024
 _MAX_BUFFERED_BYTES = 256 * 1024
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Digits of a content length, more than any length needs.
+_MAX_LENGTH_DIGITS = 20
 
 
 class HttpResponse(NamedTuple):
@@ -425,10 +427,11 @@
     content_length = headers.get("content-length")
     if content_length is None:
         return
-    if not content_length.isdecimal():
+    is_number = content_length.isascii() and content_length.isdecimal()
+    if not is_number or len(content_length) > _MAX_LENGTH_DIGITS:
         raise _upstream_error(
             reasons.RetryReason.MALFORMED,
-            f"invalid content-length {content_length!r}",
+            f"invalid content-length {content_length[:_MAX_LENGTH_DIGITS]!r}",
         )
     if len(body) != int(content_length):
         raise _upstream_error(
