A stopping node waits for requests that it is still receiving, or answers 503

With none running the process ended 3 s after the signal. The caller of an unsafe request couldn't tell that it had not run.

The drain waits for requests of which a part was read, too, up to the same end. What isn't whole then gets 503, 'not run', with a Retry-After. A request that becomes whole late is refused at once, as before, if it could outlast the process.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -21,7 +21,7 @@
 from lycheegw.state import topics
 from lycheegw.state import verdicts
 
-__all__ = ["Codec", "Forwarder"]
+__all__ = ["Codec", "Forwarder", "shutting_down_error"]
 
 _STREAM = routing.RequestKind.STREAM
 
@@ -45,6 +45,15 @@
     ]
 
 
+def shutting_down_error() -> errors.RefusalError:
+    """Returns the refusal of a request that the process may not outlast."""
+    return errors.RefusalError(
+        reasons.RefusalReason.SHUTTING_DOWN,
+        "the node is shutting down",
+        retry_after_s=forward_attempts.MIN_RETRY_AFTER_S,
+    )
+
+
 class Forwarder:
     """Serves the requests of clients.
 
@@ -133,11 +142,7 @@
             > self._dependencies.time_to_stop_s()
         ):
             # The response could outlast the process.
-            raise errors.RefusalError(
-                reasons.RefusalReason.SHUTTING_DOWN,
-                "the node is shutting down",
-                retry_after_s=forward_attempts.MIN_RETRY_AFTER_S,
-            )
+            raise shutting_down_error()
         return accepted_requests.AcceptedRequest(
             request,
             work,
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -644,17 +644,29 @@
         # sending, so the listener stays open and short requests are served.
         self.is_refusing_streams = True
         self.server.close_idle()
-        while self.server.running:
-            if self.state.environment.monotonic_s() >= end_s:
-                logging.error(
-                    "grace time is ending, aborting %d requests",
-                    self.server.running,
+        await self._wait_for_requests(end_s)
+        if self.server.is_receiving:
+            self.server.refuse_received(
+                self._adapter.caller_codec.encode_refusal(
+                    forwarding.shutting_down_error()
                 )
-                break
+            )
             await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
-            self.server.close_idle()
+        if self.server.running:
+            logging.error(
+                "grace time is ending, aborting %d requests",
+                self.server.running,
+            )
         self.server.stop_listening()
 
+    async def _wait_for_requests(self, end_s: float) -> None:
+        """Returns once no request is received or served, or at `end_s`."""
+        while self.server.running or self.server.is_receiving:
+            if self.state.environment.monotonic_s() >= end_s:
+                return
+            await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
+            self.server.close_idle()
+
     async def stop(self) -> None:
         """Drains, then stops all components."""
         await self.drain()
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -125,6 +125,13 @@
             and not self._is_reading_head
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request was read, and not all of it."""
+        return self._is_reading_head or (
+            self._task is None and self._request is not None
+        )
+
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
         if self._server.is_stopped:
@@ -285,7 +292,7 @@
         fields = list(headers)
         if content_length is not None:
             fields.append((b"Content-Length", b"%d" % content_length))
-        if self._server.is_closing:
+        if self._server.is_closing and _CLOSE_HEADER not in fields:
             fields.append(_CLOSE_HEADER)
         reason = http.HTTPStatus(status).phrase if status in _STATUSES else ""
         self._send(
@@ -318,10 +325,21 @@
     def _reject(self, status: int, reason: str) -> None:
         """Responds to an invalid request and closes the connection."""
         self._server.note_rejected(status, reason)
+        self.refuse(
+            forwarded_requests.LocalResponse(
+                status, (), reason.encode("ascii", "replace")
+            )
+        )
+
+    def refuse(self, response: forwarded_requests.LocalResponse) -> None:
+        """Responds before a request was read whole; closes the connection."""
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            body = reason.encode("ascii", "replace")
-            self.send_head(status, (_CLOSE_HEADER,), len(body))
-            self._send(h11.Data(data=body))
+            self.send_head(
+                response.status,
+                (*response.headers, _CLOSE_HEADER),
+                len(response.body),
+            )
+            self._send(h11.Data(data=response.body))
             self._send(h11.EndOfMessage())
         self._close_after_linger()
 
@@ -406,6 +424,19 @@
         """Adds `change` to the number of running requests."""
         self.running += change
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of some request was read, and not all of it."""
+        return any(each.is_receiving for each in self.connections)
+
+    def refuse_received(
+        self, response: forwarded_requests.LocalResponse
+    ) -> None:
+        """Responds to the requests that were not read whole."""
+        for connection in list(self.connections):
+            if connection.is_receiving:
+                connection.refuse(response)
+
     async def start(self) -> None:
         """Binds the address and starts listening."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/platform/test_planned_stops.py
@@ -0,0 +1,94 @@
+"""A planned stop ends no request without an answer, on whatever way it came."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+import pytest
+
+from lycheegw import edge_app
+from tests.platform import fleet_harness
+from tests.platform import platform_standins
+
+# Of the bounds that the tests set, the grace time of a stop.
+GRACE_S = 4.0
+
+
+def _set_grace(node: edge_app.EdgeNode) -> None:
+    levels = node.settings.service_levels._replace(grace_s=GRACE_S)
+    node.settings = node.settings._replace(service_levels=levels)
+
+
+def _manifest(timeout_ms: int) -> dict[str, Any]:
+    """Returns a manifest whose routes all have a time limit."""
+    manifest = platform_standins.manifest()
+    for route in manifest["routes"]:
+        route["timeout_ms"] = timeout_ms
+    return manifest
+
+
+async def _stop(node: edge_app.EdgeNode) -> None:
+    await node.drain()
+    await node.application.stop()
+
+
+async def _send_slowly(
+    address: str, attempt_id: str, begin_s: float, seconds: float
+) -> int | None:
+    """Sends a request whose body takes some seconds.
+
+    Returns:
+        The status, None if the connection ended without a response.
+    """
+    await asyncio.sleep(begin_s)
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = (
+        "POST /book/1 HTTP/1.1\r\n"
+        f"Host: {platform_standins.HOST}\r\n"
+        f"X-Lycheegw-Attempt-Id: {attempt_id}\r\n"
+        "X-Lycheegw-Deadline-Ms: 15000\r\n"
+        f"Api-Key: {platform_standins.API_KEY}\r\n"
+        "Content-Length: 20\r\n\r\n"
+    )
+    status = None
+    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        writer.write(head.encode())
+
+        async def send_body() -> None:
+            for _ in range(20):
+                await asyncio.sleep(seconds / 20)
+                writer.write(b"x")
+
+        sending = asyncio.create_task(send_body())
+        line = await reader.readuntil(b"\r\n")
+        status = int(line.split()[1])
+        sending.cancel()
+    writer.close()
+    return status
+
+
+# LOST, issue 45: a request whose body was arriving when no other one ran was
+# cut without an answer.
+@pytest.mark.parametrize(
+    ("begin_s", "seconds"), [(-0.5, 3.2), (0.5, 2.2), (1.0, 1.5), (1.0, 4.0)]
+)
+async def test_request_that_arrives_slowly_in_a_stop_is_answered(
+    begin_s: float, seconds: float
+) -> None:
+    async with fleet_harness.fleet(manifest=_manifest(4_000)) as fleet:
+        node = fleet.nodes[0]
+        _set_grace(node)
+        sending = asyncio.create_task(
+            _send_slowly(
+                node.settings.listen, "slow-1", max(0.0, begin_s), seconds
+            )
+        )
+        await asyncio.sleep(max(0.0, -begin_s))
+        await _stop(node)
+        status = await sending
+        has_run = any(
+            each.header_by_name["x-lycheegw-attempt-id"] == "slow-1"
+            for each in fleet.seen
+        )
+        assert status == (200 if has_run else 503)
