Requests that outlast a planned stop are answered at its end

Requests end by the time at which the process stops: as before with 503 if they have not run, with 502 if they may have. The process leaves 0.2 s of its margin to the answers. Streams that have begun are broken off, as before.

test_request_that_outlasts_a_stop_is_answered: connection reset before, 502 after.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -30,6 +30,8 @@
 _MAX_STARTUP_WAIT_S = 0.3
 # Retry-after time of a node that has no up-to-date configuration.
 _NOT_READY_RETRY_AFTER_S = 1.0
+# A request that ends with less time left was ended by the stop of the process.
+_MIN_TIME_TO_STOP_S = 0.01
 # Logged age of orders that the store has not confirmed yet.
 _MAX_LOGGED_AGE_S = 999.0
 
@@ -71,6 +73,19 @@
         self._state = state
         self._codec = codec
         self._dependencies = dependencies
+        self._time_limits: set[asyncio.Timeout] = set()
+
+    def end_by(self, left_s: float) -> None:
+        """Ends the requests that run now, with an answer, after some seconds.
+
+        Args:
+            left_s: Seconds that they have at most.
+        """
+        end_s = asyncio.get_running_loop().time() + left_s
+        for limit in self._time_limits:
+            when_s = limit.when()
+            if when_s is not None and when_s > end_s:
+                limit.reschedule(end_s)
 
     async def handle(
         self,
@@ -208,18 +223,29 @@
     async def _serve_until_deadline(
         self, accepted: accepted_requests.AcceptedRequest
     ) -> None:
-        """Serves a request; raises errors.RefusalError at its deadline."""
+        """Serves a request.
+
+        Raises:
+            errors.RefusalError: Its deadline passed, or the process is ending.
+        """
         left_s = max(0.001, accepted.request.deadline_s - self._now_s())
+        to_stop_s = max(0.001, self._dependencies.time_to_stop_s())
+        limit = asyncio.timeout(min(left_s, to_stop_s))
+        self._time_limits.add(limit)
         try:
-            async with asyncio.timeout(left_s):
+            async with limit:
                 await self.attempts.serve(accepted)
         except TimeoutError:
+            if self._dependencies.time_to_stop_s() <= _MIN_TIME_TO_STOP_S:
+                raise shutting_down_error() from None
             raise errors.RefusalError(
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"no complete response within {left_s:.2f} s",
                 accepted.progress.current_verdict(),
                 forward_attempts.MIN_RETRY_AFTER_S,
             ) from None
+        finally:
+            self._time_limits.discard(limit)
 
     async def _refuse(
         self,
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -64,6 +64,8 @@
 _ACCEPT_STREAMS_S = 3.0
 # Requests that still run this long before the grace time ends are aborted.
 _ABORT_MARGIN_S = 0.7
+# Part of that time for the answers to these.
+_ANSWER_TIME_S = 0.2
 _DRAIN_POLL_INTERVAL_S = 0.05
 _HOUSEKEEPING_INTERVAL_S = 0.5
 # Lag of the event loop above which a line is logged.
@@ -636,6 +638,7 @@
         end_s = self.state.environment.monotonic_s() + grace_s - _ABORT_MARGIN_S
         self._drain_end_s = end_s
         self.is_draining = True
+        self.forwarder.end_by(self._time_to_stop_s())
         self.server.is_closing = True
         self._log.note("drain", running=self.server.running)
         await self.peers.leave()
@@ -644,7 +647,7 @@
         # sending, so the listener stays open and short requests are served.
         self.is_refusing_streams = True
         self.server.close_idle()
-        await self._wait_for_requests(end_s)
+        await self._wait_for_requests(end_s + _ANSWER_TIME_S)
         if self.server.is_receiving:
             self.server.refuse_received(
                 self._adapter.caller_codec.encode_refusal(
@@ -660,7 +663,7 @@
         self.server.stop_listening()
 
     async def _wait_for_requests(self, end_s: float) -> None:
-        """Returns once no request is received or served, or at `end_s`."""
+        """Returns once no request is received or served, or at a second."""
         while self.server.running or self.server.is_receiving:
             if self.state.environment.monotonic_s() >= end_s:
                 return
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -92,3 +92,37 @@
             for each in fleet.seen
         )
         assert status == (200 if has_run else 503)
+
+
+# LOST, issue 45: at the end of the grace time requests were cut without an
+# answer.
+@pytest.mark.parametrize("begin_s", [-0.5, 0.5])
+@pytest.mark.parametrize(
+    ("path", "method"), [("/book/1", "POST"), ("/look/1", "GET")]
+)
+async def test_request_that_outlasts_a_stop_is_answered(
+    path: str, method: str, begin_s: float
+) -> None:
+    async with fleet_harness.fleet(manifest=_manifest(20_000)) as fleet:
+        node = fleet.nodes[0]
+        _set_grace(node)
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 10.0
+
+        async def send() -> platform_standins.Reply | None:
+            await asyncio.sleep(max(0.0, begin_s))
+            return await platform_standins.send_request(
+                node.settings.listen,
+                path,
+                method,
+                headers={"X-Lycheegw-Deadline-Ms": "15000"},
+            )
+
+        sending = asyncio.create_task(send())
+        await asyncio.sleep(max(0.0, -begin_s))
+        async with asyncio.timeout(GRACE_S):
+            await _stop(node)
+            reply = await sending
+        assert reply is not None and reply.is_whole
+        # It may have run.
+        assert fleet.seen and reply.status in {502, 504}
