A stopping node waits for the requests that it serves for its peers

A node that reaches no upstream lets a peer serve its requests.

The drain counts relayed requests like its own. One that has not run at the end of the grace time is declined, so that the relaying node asks another peer.

test_relayed_request_is_answered_by_a_node_that_stops: the node ended before the request did; it waits now, and the client gets 200.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -265,10 +265,13 @@
             return
         if (
             decline is not None
-            and self._dependencies.reach.is_cut_off
+            and (
+                self._dependencies.reach.is_cut_off
+                or error.reason is reasons.RefusalReason.SHUTTING_DOWN
+            )
             and error.verdict is verdicts.RunVerdict.NOT_RUN
         ):
-            # Another peer may reach an upstream.
+            # Another peer may serve it.
             await decline()
             return
         await sink.send(self._codec.encode_refusal(error))
--- a/src/lycheegw/coordination/relays.py
+++ b/src/lycheegw/coordination/relays.py
@@ -33,6 +33,11 @@
     def __init__(self) -> None:
         self._count = 0
 
+    @property
+    def running(self) -> int:
+        """Number of relayed requests that are being served."""
+        return self._count
+
     @property
     def is_reached(self) -> bool:
         """Whether no further request is taken."""
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -407,11 +407,12 @@
                 self.histograms.observe,
             ),
         )
-        self.peers.serve_relayed = peer_relay.RelayServer(
+        self.relay_server = peer_relay.RelayServer(
             self.forwarder.handle,
             lambda: self.is_draining or self.reach.is_cut_off,
             self.state.environment.monotonic_s,
-        ).serve
+        )
+        self.peers.serve_relayed = self.relay_server.serve
         self.application.add_task(self._run_rollouts)
         self.application.add_task(self._run_housekeeping)
 
@@ -640,7 +641,11 @@
         self.is_draining = True
         self.forwarder.end_by(self._time_to_stop_s())
         self.server.is_closing = True
-        self._log.note("drain", running=self.server.running)
+        self._log.note(
+            "drain",
+            running=self.server.running,
+            relayed=self.relay_server.running,
+        )
         await self.peers.leave()
         await self.state.environment.sleep(min(_ACCEPT_STREAMS_S, grace_s / 2))
         # If most nodes of a zone shut down together, the load balancer goes on
@@ -655,16 +660,20 @@
                 )
             )
             await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
-        if self.server.running:
+        if self._running_requests():
             logging.error(
                 "grace time is ending, aborting %d requests",
-                self.server.running,
+                self._running_requests(),
             )
         self.server.stop_listening()
 
+    def _running_requests(self) -> int:
+        """Returns the number of requests being served, also for peers."""
+        return self.server.running + self.relay_server.running
+
     async def _wait_for_requests(self, end_s: float) -> None:
         """Returns once no request is received or served, or at a second."""
-        while self.server.running or self.server.is_receiving:
+        while self._running_requests() or self.server.is_receiving:
             if self.state.environment.monotonic_s() >= end_s:
                 return
             await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
@@ -673,7 +682,7 @@
     async def stop(self) -> None:
         """Drains, then stops all components."""
         await self.drain()
-        self._log.note("stop", running=self.server.running)
+        self._log.note("stop", running=self._running_requests())
         self.upstream_pool.close()
         self._store_pool.close()
         self.relay_client.close()
--- a/src/lycheegw/transport/peer_relay.py
+++ b/src/lycheegw/transport/peer_relay.py
@@ -217,6 +217,11 @@
         self._now_s = now_s
         self._limit = relays.RelayLimit()
 
+    @property
+    def running(self) -> int:
+        """Number of requests that are being served."""
+        return self._limit.running
+
     async def serve(self, stream: Any) -> None:
         """Serves the request of an authenticated stream."""
         message = await stream.recv_message()
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -126,3 +126,35 @@
         assert reply is not None and reply.is_whole
         # It may have run.
         assert fleet.seen and reply.status in {502, 504}
+
+
+# LOST, issue 45: a node that stopped cut the requests that it served for peers.
+async def test_relayed_request_is_answered_by_a_node_that_stops() -> None:
+    manifest = _manifest(20_000)
+    async with fleet_harness.fleet(nodes=2, manifest=manifest) as fleet:
+        first, second = fleet.nodes
+        await fleet_harness.wait_until(
+            lambda: all(
+                len(node.peers.live_nodes()) == 2 for node in fleet.nodes
+            )
+        )
+        first.reach.is_cut_off = True
+        for name in ("d1", "d2"):
+            fleet.upstream_by_name[name].delay_s = 2.7
+        sending = asyncio.create_task(
+            platform_standins.send_request(
+                first.settings.listen,
+                "/book/1",
+                "POST",
+                b"once",
+                {"X-Lycheegw-Deadline-Ms": "15000"},
+            )
+        )
+        await fleet_harness.wait_until(lambda: len(fleet.seen) == 1)
+        _set_grace(second)
+        await second.drain()
+        await asyncio.sleep(0.1)
+        # A process that has ended answers nothing.
+        assert sending.done()
+        reply = await sending
+        assert reply is not None and reply.status == 200
