Test: the chat interface answers a request that arrives slowly in a stop

Nothing was found at the chat interface: bodies that end 0.6 and 2.5 s after the begin of the stop got an answer on the code as it is.

--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from cheroot import connections
+import pytest
 
 from lycheegw.measure import harness
 from lycheegw.standins import engine
@@ -178,3 +179,28 @@
             writer.close()
 
     asyncio.run(main())
+
+
+# LOST, issue 45: a request whose body was arriving was cut without an answer.
+@pytest.mark.parametrize("seconds", [0.6, 2.5])
+def test_request_that_arrives_slowly_is_answered_by_a_node_that_stops(
+    seconds: float,
+) -> None:
+    async def main() -> None:
+        async with test_path.small_fleet() as fleet:
+            node = fleet.nodes["n1"]
+            body = json.dumps(test_path.BODY).encode()
+            host, _, port = node.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                f"{HEAD}content-length: {len(body)}\r\n\r\n".encode() + body[:9]
+            )
+            await asyncio.sleep(0.1)
+            stopping = asyncio.create_task(node.stop())
+            await asyncio.sleep(seconds)
+            writer.write(body[9:])
+            received = await reader.readline()
+            await stopping
+            assert received.split(b" ", 2)[1] in {b"200", b"503"}
+
+    asyncio.run(main())
