--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,7 +29,8 @@
         seconds: Length of the load of each soak.
         nodes: Number of node processes.
         logs: Folder of the nodes' settings and logs.
-        strict: Whether a freeze excuses nothing once it has ended.
+        strict: Whether a freeze excuses nothing once it has ended, and little
+            processor time nothing at all.
         print_schedule: Whether to print the faults of each seed.
     """
     first, _, last = str(seeds).partition("-")
@@ -44,6 +45,7 @@
         asyncio.run(run.run())
         if strict:
             checker.drop_disturbances(run.record, "freeze")
+            checker.drop_disturbances(run.record, "slow_process")
         violations = checker.check(run.record, checker.Bounds())
         is_broken = is_broken or bool(violations)
         judged = checker.judged_share(run.record, checker.Bounds())
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -71,6 +71,11 @@
 # bounds of the time between two of them.
 _MALFORMED_ENTRIES_SHARE = 0.5
 _MALFORMED_ENTRY_GAP_S = (1.0, 6.0)
+# Share of soaks in which processes get little processor time for a while, and
+# bounds of the time between two of these and of how long one lasts.
+_SLOW_PROCESSES_SHARE = 0.5
+_SLOW_PROCESS_GAP_S = (2.0, 8.0)
+_SLOW_PROCESS_S = (2.0, 6.0)
 
 
 class Fault(NamedTuple):
@@ -111,6 +116,7 @@
     faults += _draw_response_faults(seed, seconds)
     faults += _draw_manifests(seed, seconds)
     faults += _draw_malformed_entries(seed, seconds)
+    faults += _draw_slow_processes(seed, seconds)
     return sorted(faults)
 
 
@@ -159,6 +165,21 @@
     return faults
 
 
+def _draw_slow_processes(seed: int, seconds: float) -> list[Fault]:
+    """Returns when processes get little processor time."""
+    generator = random.Random(f"slow processes of {seed}")
+    if generator.random() >= _SLOW_PROCESSES_SHARE:
+        return []
+    faults = []
+    at_s = _QUIET_START_S + generator.uniform(*_SLOW_PROCESS_GAP_S)
+    while at_s < seconds:
+        number = generator.randrange(1000)
+        for_s = round(generator.uniform(*_SLOW_PROCESS_S), 2)
+        faults.append(Fault(round(at_s, 2), "slow_process", number, for_s))
+        at_s += generator.uniform(*_SLOW_PROCESS_GAP_S)
+    return faults
+
+
 def _draw_rollout(seed: int, seconds: float) -> list[Fault]:
     """Returns the roll-out of a bad version, in half of all soaks."""
     # A separate generator: the other faults do not depend on it.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -63,6 +63,9 @@
 # Time for which an upstream serves after the store has confirmed that it
 # leaves, beyond the bound.
 _SERVES_ON_S = 3.0
+# How long a slow process is stopped and runs, by turns.
+_SLOW_STOP_S = 0.08
+_SLOW_RUN_S = 0.02
 # Pause between the end of a process and its next start.
 _RESTART_S = 0.3
 _START_TIMEOUT_S = 20.0
@@ -500,6 +503,10 @@
             await self._disturb(
                 fault, self._nodes[number].name, self._freeze(fault, number)
             )
+        elif fault.kind == "slow_process":
+            await self._disturb(
+                fault, self._nodes[number].name, self._slow(fault, number)
+            )
         elif fault.kind in {"kill", "terminate"}:
             await self._disturb(
                 fault, self._nodes[number].name, self._restart(fault, number)
@@ -569,6 +576,18 @@
         await asyncio.sleep(fault.for_s)
         self._nodes[number].send_signal(signal.SIGCONT)
 
+    async def _slow(self, fault: schedule.Fault, number: int) -> None:
+        """Lets a process run for a part of each tenth of a second."""
+        end_s = self._now_s() + fault.for_s
+        try:
+            while self._now_s() < end_s:
+                self._nodes[number].send_signal(signal.SIGSTOP)
+                await asyncio.sleep(_SLOW_STOP_S)
+                self._nodes[number].send_signal(signal.SIGCONT)
+                await asyncio.sleep(_SLOW_RUN_S)
+        finally:
+            self._nodes[number].send_signal(signal.SIGCONT)
+
     async def _restart(self, fault: schedule.Fault, number: int) -> None:
         node = self._nodes[number]
         process = node.process
