--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -75,11 +75,10 @@
         self._dependencies = dependencies
         self._time_limits: set[asyncio.Timeout] = set()
 
-    def end_by(self, left_s: float) -> None:
-        """Ends the requests that run now, with an answer, after some seconds.
+    def end_running_within(self, left_s: float) -> None:
+        """Makes the requests that run now end within some seconds.
 
-        Args:
-            left_s: Seconds that they have at most.
+        Those whose response hasn't begun by then are refused.
         """
         end_s = asyncio.get_running_loop().time() + left_s
         for limit in self._time_limits:
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -639,7 +639,7 @@
         end_s = self.state.environment.monotonic_s() + grace_s - _ABORT_MARGIN_S
         self._drain_end_s = end_s
         self.is_draining = True
-        self.forwarder.end_by(self._time_to_stop_s())
+        self.forwarder.end_running_within(self._time_to_stop_s())
         self.server.is_closing = True
         self._log.note(
             "drain",
@@ -654,10 +654,9 @@
         self.server.close_idle()
         await self._wait_for_requests(end_s + _ANSWER_TIME_S)
         if self.server.is_receiving:
-            self.server.refuse_received(
-                self._adapter.caller_codec.encode_refusal(
-                    forwarding.shutting_down_error()
-                )
+            error = forwarding.shutting_down_error()
+            self.server.refuse_incomplete(
+                self._adapter.caller_codec.encode_refusal(error), str(error)
             )
             await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
         if self._running_requests():
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -429,12 +429,13 @@
         """Whether a part of some request was read, and not all of it."""
         return any(each.is_receiving for each in self.connections)
 
-    def refuse_received(
-        self, response: forwarded_requests.LocalResponse
+    def refuse_incomplete(
+        self, response: forwarded_requests.LocalResponse, reason: str
     ) -> None:
         """Responds to the requests that were not read whole."""
         for connection in list(self.connections):
             if connection.is_receiving:
+                self.note_rejected(response.status, reason)
                 connection.refuse(response)
 
     async def start(self) -> None:
