Requests that wait for a read go on once a peer has told the change

Waiting requests look again at each update of a copy; the read goes on for itself. test_request_goes_on_once_a_peer_has_renewed_the_copy: there was no such call before.

--- a/src/lycheegw/coordination/freshness.py
+++ b/src/lycheegw/coordination/freshness.py
@@ -66,6 +66,8 @@
         self._is_behind = is_behind
         self._note = note
         self._task_by_topic: dict[topics.Topic, asyncio.Task[None]] = {}
+        # Done with the next update of a copy.
+        self._update: asyncio.Future[None] | None = None
         # Time of confirmation of copies that could not be renewed.
         self._stuck_at_s: dict[topics.Topic, float] = {}
 
@@ -84,13 +86,16 @@
             errors.RefusalError: A copy could not be renewed, and peers have
                 what it lacks.
         """
-        outdated = self._outdated()
-        if outdated:
-            # Concurrent requests wait for one read, which outlives each of
-            # them.
-            await asyncio.gather(
-                *(asyncio.shield(self._renewal(topic)) for topic in outdated)
+        # Concurrent requests wait for one read, which outlives each of them.
+        renewals = {self._renewal(topic) for topic in self._outdated()}
+        while renewals and self._outdated():
+            done, _ = await asyncio.wait(
+                {*renewals, self._next_update()},
+                return_when=asyncio.FIRST_COMPLETED,
             )
+            for renewal in done & renewals:
+                renewal.result()
+            renewals -= done
         for topic in topics.Topic:
             is_old = self._readers.age_s(topic) > self.max_age_s(topic)
             if is_old and self._is_behind(topic):
@@ -101,6 +106,18 @@
                     retry_after_s=_RETRY_ELSEWHERE_S,
                 )
 
+    def note_update(self) -> None:
+        """Lets requests look again whether the copies are current."""
+        if self._update is not None:
+            self._update.set_result(None)
+            self._update = None
+
+    def _next_update(self) -> "asyncio.Future[None]":
+        """Returns a future that all waiting requests share."""
+        if self._update is None:
+            self._update = asyncio.get_running_loop().create_future()
+        return self._update
+
     def _outdated(self) -> list[topics.Topic]:
         return [topic for topic in topics.Topic if self._is_outdated(topic)]
 
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -277,6 +277,7 @@
             return
         begun_s = self.state.environment.monotonic_s()
         self.directory.apply(topic, changed)
+        self.freshness.note_update()
         self.histograms.observe(
             "topic_applied",
             topic.value,
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -172,3 +172,30 @@
     assert readers.read_count == 2
     behind = False
     await fresh.ensure_current()
+
+
+async def test_request_goes_on_once_a_peer_has_renewed_the_copy() -> None:
+    """Requests of a slow node waited for a read although peers knew more."""
+    clock = fakes.ManualClock()
+    readers = _Readers(clock, [])
+    read = asyncio.Event()
+
+    async def refresh(*_: Any) -> bool:
+        await read.wait()
+        return False
+
+    readers.refresh = refresh  # type: ignore[method-assign]
+    fresh = _freshness(clock, readers)
+    clock.now_s += 2.1
+    requests = [asyncio.create_task(fresh.ensure_current()) for _ in range(3)]
+    await asyncio.sleep(0.01)
+    requests.pop().cancel()
+    # An update that brings nothing.
+    fresh.note_update()
+    await asyncio.sleep(0.01)
+    assert not any(each.done() for each in requests)
+    readers.confirmed = clock.now_s
+    fresh.note_update()
+    async with asyncio.timeout(1.0):
+        await asyncio.gather(*requests)
+    read.set()
