--- a/tests/platform/fleet_harness.py
+++ b/tests/platform/fleet_harness.py
@@ -15,6 +15,8 @@
 from lycheegw.transport import event_log
 from tests.platform import platform_standins
 
+# Seconds within which what tests wait for has to happen.
+WAIT_S = 8.0
 BOUNDS = """
 bounds.drain_ms=2000
 bounds.grace_s=8
@@ -132,7 +134,7 @@
 
 
 async def wait_until(
-    condition: Callable[[], bool], seconds: float = 8.0
+    condition: Callable[[], bool], seconds: float = WAIT_S
 ) -> None:
     """Waits until a condition holds."""
     async with asyncio.timeout(seconds):
--- a/tests/platform/long_manifests.py
+++ b/tests/platform/long_manifests.py
@@ -1,11 +1,13 @@
 """Long manifests, and nodes that lose the store, for tests."""
 
+from collections.abc import Iterable
 import random
 from typing import Any
 
 from lycheegw import edge_app
 from lycheegw.state import errors
 from lycheegw.state import topics
+from tests.platform import fleet_harness
 from tests.platform import platform_standins
 
 WITHDRAWN_KEY = "key-to-withdraw"
@@ -43,6 +45,37 @@
     ]
 
 
+async def publish(
+    fleet: fleet_harness.Fleet, version: int, routes: int, *keys: str
+) -> None:
+    """Writes a manifest of which one tenant has these keys besides its own."""
+    await fleet.store.put(
+        "keyed.op",
+        "config",
+        manifest(version, routes, tenants=tenants(*keys)),
+    )
+
+
+async def wait_for_version(
+    nodes: Iterable[edge_app.EdgeNode],
+    number: int,
+    seconds: float = fleet_harness.WAIT_S,
+) -> None:
+    """Waits until a version of the manifest is in force at all nodes."""
+    await fleet_harness.wait_until(
+        lambda: all(version(node) == number for node in nodes), seconds
+    )
+
+
+async def status_of_withdrawn_key(node: edge_app.EdgeNode) -> int:
+    """Returns the status of a request with the withdrawn key."""
+    reply = await platform_standins.send_request(
+        node.settings.listen, "/look/1", headers={"Api-Key": WITHDRAWN_KEY}
+    )
+    assert reply is not None
+    return reply.status
+
+
 def cut_off_store(node: edge_app.EdgeNode) -> None:
     """Makes all reads of a node fail."""
 
--- a/tests/platform/raw_upstreams.py
+++ b/tests/platform/raw_upstreams.py
@@ -94,6 +94,39 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+@contextlib.asynccontextmanager
+async def all_raw_upstreams(
+    fleet: fleet_harness.Fleet, respond: Respond
+) -> AsyncIterator[None]:
+    """Runs upstreams that take the places of all those of a fleet.
+
+    Args:
+        fleet: Fleet whose nodes use them.
+        respond: Called with each request to write the response; status checks
+            are answered without it.
+    """
+
+    async def respond_to_attempt(
+        request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if "x-lycheegw-attempt-id" in request.header_by_name:
+            await respond(request, writer)
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async with contextlib.AsyncExitStack() as stack:
+        for name, service in (
+            ("m1", "llm"),
+            ("m2", "llm"),
+            ("d1", "desk"),
+            ("d2", "desk"),
+        ):
+            await stack.enter_async_context(
+                raw_upstream(fleet, name, service, respond_to_attempt)
+            )
+        yield
+
+
 async def write_until_closed(writer: asyncio.StreamWriter, data: bytes) -> int:
     """Writes the same bytes until the peer closes; returns how many."""
     count = 0
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -1,7 +1,6 @@
 """Clients get no success for a response that broke off in its head."""
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -35,10 +34,6 @@
     async def respond(
         request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
     ) -> None:
-        if "x-lycheegw-attempt-id" not in request.header_by_name:
-            # A status check.
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            return
         received.append(request.header_by_name["x-lycheegw-attempt-id"])
         head = raw_upstreams.response(request, body=b"")
         writer.write(head[: max(0, len(head) - lengths_left_out[0])])
@@ -47,17 +42,8 @@
 
     async with (
         fleet_harness.fleet(nodes=2) as fleet,
-        contextlib.AsyncExitStack() as stack,
+        raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
-        for name, service in (
-            ("m1", "llm"),
-            ("m2", "llm"),
-            ("d1", "desk"),
-            ("d2", "desk"),
-        ):
-            await stack.enter_async_context(
-                raw_upstreams.raw_upstream(fleet, name, service, respond)
-            )
         await fleet_harness.wait_until(
             lambda: all(
                 len(node.peers.live_nodes()) == 2 for node in fleet.nodes
--- a/tests/platform/test_long_manifests.py
+++ b/tests/platform/test_long_manifests.py
@@ -9,7 +9,6 @@
 from lycheegw.coordination import topic_readers
 from tests.platform import fleet_harness
 from tests.platform import long_manifests
-from tests.platform import platform_standins
 
 # Of the bounds that the harness sets, `config_apply_ms`.
 CONFIG_APPLY_S = 2.0
@@ -18,31 +17,9 @@
 
 
 async def _accepts_withdrawn_key(node: edge_app.EdgeNode) -> bool:
-    reply = await platform_standins.send_request(
-        node.settings.listen,
-        "/look/1",
-        headers={"Api-Key": long_manifests.WITHDRAWN_KEY},
-    )
-    assert reply is not None and reply.status in {200, 401}
-    return reply.status == 200
-
-
-async def _publish(
-    fleet: fleet_harness.Fleet, version: int, routes: int, *keys: str
-) -> None:
-    manifest = long_manifests.manifest(
-        version, routes, tenants=long_manifests.tenants(*keys)
-    )
-    await fleet.store.put("keyed.op", "config", manifest)
-
-
-async def _wait_for_version(
-    nodes: list[edge_app.EdgeNode], version: int, seconds: float = 8.0
-) -> None:
-    await fleet_harness.wait_until(
-        lambda: all(long_manifests.version(node) == version for node in nodes),
-        seconds,
-    )
+    status = await long_manifests.status_of_withdrawn_key(node)
+    assert status in {200, 401}
+    return status == 200
 
 
 async def _wait_for_peers(fleet: fleet_harness.Fleet) -> None:
@@ -61,11 +38,13 @@
 ) -> None:
     async with fleet_harness.fleet(nodes=3) as fleet:
         await _wait_for_peers(fleet)
-        await _publish(fleet, 2, routes, long_manifests.WITHDRAWN_KEY)
-        await _wait_for_version(fleet.nodes, 2)
+        await long_manifests.publish(
+            fleet, 2, routes, long_manifests.WITHDRAWN_KEY
+        )
+        await long_manifests.wait_for_version(fleet.nodes, 2)
         without_store = fleet.nodes[2]
         long_manifests.cut_off_store(without_store)
-        await _publish(fleet, 7, routes)
+        await long_manifests.publish(fleet, 7, routes)
         await asyncio.sleep(CONFIG_APPLY_S)
         accepted = [await _accepts_withdrawn_key(node) for node in fleet.nodes]
         assert accepted == [False, False, False]
@@ -76,8 +55,8 @@
     async with fleet_harness.fleet(nodes=3) as fleet:
         await _wait_for_peers(fleet)
         long_manifests.cut_off_store(fleet.nodes[2])
-        await _publish(fleet, 2, 1400)
-        await _wait_for_version(fleet.nodes, 2, CONFIG_APPLY_S)
+        await long_manifests.publish(fleet, 2, 1400)
+        await long_manifests.wait_for_version(fleet.nodes, 2, CONFIG_APPLY_S)
 
 
 # Guards against a manifest longer than a message, even compressed, that never
@@ -87,8 +66,8 @@
         await _wait_for_peers(fleet)
         without_store = fleet.nodes[2]
         long_manifests.cut_off_store(without_store)
-        await _publish(fleet, 2, 10_000)
-        await _wait_for_version(fleet.nodes, 2, 14.0)
+        await long_manifests.publish(fleet, 2, 10_000)
+        await long_manifests.wait_for_version(fleet.nodes, 2, 14.0)
         by_name = without_store.state.counters.by_name
         assert by_name["topics.fetched"] >= 1
         assert not by_name["peers.oversized"]
@@ -100,12 +79,14 @@
 ):
     async with fleet_harness.fleet(nodes=3) as fleet:
         await _wait_for_peers(fleet)
-        await _publish(fleet, 2, 1400, long_manifests.WITHDRAWN_KEY)
-        await _wait_for_version(fleet.nodes, 2)
+        await long_manifests.publish(
+            fleet, 2, 1400, long_manifests.WITHDRAWN_KEY
+        )
+        await long_manifests.wait_for_version(fleet.nodes, 2)
         await asyncio.sleep(1.0)
         before = _bytes_between_nodes(fleet)
-        await _publish(fleet, 7, 1400)
-        await _wait_for_version(fleet.nodes, 7)
+        await long_manifests.publish(fleet, 7, 1400)
+        await long_manifests.wait_for_version(fleet.nodes, 7)
         await asyncio.sleep(0.5)
         size = len(fleet.store.newest("keyed.op")["config"])
         assert _bytes_between_nodes(fleet) - before < size / 10
@@ -130,12 +111,14 @@
         node = fleet.nodes[0]
         readers = node.topic_readers
         readers._is_watcher = lambda _: False  # type: ignore[method-assign]
-        await _publish(fleet, 2, routes, long_manifests.WITHDRAWN_KEY)
-        await _wait_for_version(fleet.nodes, 2)
+        await long_manifests.publish(
+            fleet, 2, routes, long_manifests.WITHDRAWN_KEY
+        )
+        await long_manifests.wait_for_version(fleet.nodes, 2)
         fleet.store.bytes_per_s = SLOW_LINK_BYTES_PER_S
         # Only requests make the node read.
         readers.read_ages = topic_readers.ReadAges(60.0, 60.0)
-        await _publish(fleet, 7, routes)
+        await long_manifests.publish(fleet, 7, routes)
         await asyncio.sleep(CONFIG_APPLY_S)
         assert not await _accepts_withdrawn_key(node)
 
@@ -147,8 +130,8 @@
     for routes in (0, 1400):
         async with fleet_harness.fleet(nodes=3) as fleet:
             await _wait_for_peers(fleet)
-            await _publish(fleet, 2, routes)
-            await _wait_for_version(fleet.nodes, 2)
+            await long_manifests.publish(fleet, 2, routes)
+            await long_manifests.wait_for_version(fleet.nodes, 2)
             await asyncio.sleep(1.0)
             begun_s = time.process_time()
             for number in range(20):
--- a/tests/platform/test_slow_nodes.py
+++ b/tests/platform/test_slow_nodes.py
@@ -11,7 +11,6 @@
 from lycheegw.state import topics
 from tests.platform import fleet_harness
 from tests.platform import long_manifests
-from tests.platform import platform_standins
 from tests.platform import slow_loops
 
 # Of the bounds that the harness sets, `config_apply_ms`.
@@ -20,38 +19,11 @@
 NO_POLLS = topic_readers.ReadAges(60.0, 60.0)
 
 
-async def _publish(
-    fleet: fleet_harness.Fleet, version: int, routes: int, *keys: str
-) -> None:
-    manifest = long_manifests.manifest(
-        version, routes, tenants=long_manifests.tenants(*keys)
-    )
-    await fleet.store.put("keyed.op", "config", manifest)
-
-
-async def _wait_for_version(
-    nodes: list[edge_app.EdgeNode], version: int
-) -> None:
-    await fleet_harness.wait_until(
-        lambda: all(long_manifests.version(node) == version for node in nodes)
-    )
-
-
 def _leave_long_polls_to_others(node: edge_app.EdgeNode) -> None:
     """Makes a node one of the many that have no long-polling read."""
     node.topic_readers._is_watcher = lambda _: False  # type: ignore[method-assign]
 
 
-async def _status_of_withdrawn_key(node: edge_app.EdgeNode) -> int:
-    reply = await platform_standins.send_request(
-        node.settings.listen,
-        "/look/1",
-        headers={"Api-Key": long_manifests.WITHDRAWN_KEY},
-    )
-    assert reply is not None
-    return reply.status
-
-
 # CONFIG, issue 45: a node whose reads took longer than 0.25 s, as it was slow
 # itself, took this for an outage of the store and accepted withdrawn keys.
 @pytest.mark.parametrize("read_delay_s", [0.3, 0.6])
@@ -61,13 +33,15 @@
     async with fleet_harness.fleet() as fleet:
         node = fleet.nodes[0]
         _leave_long_polls_to_others(node)
-        await _publish(fleet, 2, 0, long_manifests.WITHDRAWN_KEY)
-        await _wait_for_version(fleet.nodes, 2)
+        await long_manifests.publish(fleet, 2, 0, long_manifests.WITHDRAWN_KEY)
+        await long_manifests.wait_for_version(fleet.nodes, 2)
         fleet.store.read_delay_s = read_delay_s
         node.topic_readers.read_ages = NO_POLLS
-        await _publish(fleet, 7, 0)
+        await long_manifests.publish(fleet, 7, 0)
         await asyncio.sleep(CONFIG_APPLY_S)
-        statuses = [await _status_of_withdrawn_key(node) for _ in range(3)]
+        statuses = [
+            await long_manifests.status_of_withdrawn_key(node) for _ in range(3)
+        ]
         assert set(statuses) <= {401, 503}
 
 
@@ -77,13 +51,18 @@
     async with fleet_harness.fleet(store=store) as fleet:
         node = fleet.nodes[0]
         _leave_long_polls_to_others(node)
-        await _publish(fleet, 2, 1400, long_manifests.WITHDRAWN_KEY)
-        await _wait_for_version(fleet.nodes, 2)
+        await long_manifests.publish(
+            fleet, 2, 1400, long_manifests.WITHDRAWN_KEY
+        )
+        await long_manifests.wait_for_version(fleet.nodes, 2)
         async with slow_loops.slow_event_loop(0.2):
             await asyncio.sleep(3.0)
-            await _publish(fleet, 7, 1400)
+            await long_manifests.publish(fleet, 7, 1400)
             await asyncio.sleep(CONFIG_APPLY_S)
-            statuses = [await _status_of_withdrawn_key(node) for _ in range(3)]
+            statuses = [
+                await long_manifests.status_of_withdrawn_key(node)
+                for _ in range(3)
+            ]
         assert set(statuses) <= {401, 503}
 
 
@@ -94,8 +73,8 @@
         await fleet_harness.wait_until(
             lambda: all(len(node.peers.links()) == 2 for node in fleet.nodes)
         )
-        await _publish(fleet, 2, 0, long_manifests.WITHDRAWN_KEY)
-        await _wait_for_version(fleet.nodes, 2)
+        await long_manifests.publish(fleet, 2, 0, long_manifests.WITHDRAWN_KEY)
+        await long_manifests.wait_for_version(fleet.nodes, 2)
         behind = fleet.nodes[2]
         long_manifests.cut_off_store(behind)
 
@@ -104,10 +83,13 @@
 
         behind.peers.call = fail  # type: ignore[method-assign]
         # Longer than what peers push, so that it has to be fetched.
-        await _publish(fleet, 7, 1400)
-        await _wait_for_version(fleet.nodes[:2], 7)
+        await long_manifests.publish(fleet, 7, 1400)
+        await long_manifests.wait_for_version(fleet.nodes[:2], 7)
         await asyncio.sleep(CONFIG_APPLY_S)
-        statuses = [await _status_of_withdrawn_key(behind) for _ in range(3)]
+        statuses = [
+            await long_manifests.status_of_withdrawn_key(behind)
+            for _ in range(3)
+        ]
         assert behind.state.counters.by_name["topics.gap"]
         assert set(statuses) <= {401, 503}
 
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -1,7 +1,6 @@
 """Responses with neither a length nor chunks end with their connection."""
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -33,10 +32,6 @@
     async def respond(
         request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
     ) -> None:
-        if "x-lycheegw-attempt-id" not in request.header_by_name:
-            # A health check.
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            return
         seen.append(request.header_by_name.get("last-event-id", ""))
         attempt_id = request.header_by_name["x-lycheegw-attempt-id"]
         head = (
@@ -50,17 +45,8 @@
 
     async with (
         fleet_harness.fleet() as fleet,
-        contextlib.AsyncExitStack() as stack,
+        raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
-        for name, service in (
-            ("m1", "llm"),
-            ("m2", "llm"),
-            ("d1", "desk"),
-            ("d2", "desk"),
-        ):
-            await stack.enter_async_context(
-                raw_upstreams.raw_upstream(fleet, name, service, respond)
-            )
         is_stream = bodies[0][:2] != b"{}"
         reply = await platform_standins.send_request(
             fleet.nodes[0].settings.listen,
