Soak: nodes have links between them

Nodes are started by node_main.py, which leaves the store's address in the settings and connects to the proxy.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -104,8 +104,11 @@
         self.process: asyncio.subprocess.Process | None = None
         self._folder = folder
         self._is_starting = False
+        self._store_proxy = ""
 
-    def write_settings(self, store: str, zone: str) -> None:
+    def write_settings(self, store: str, proxy: str, zone: str) -> None:
+        """Writes the settings of a node that reaches the store by a proxy."""
+        self._store_proxy = proxy
         text = f"""node_name={self.name}
 role=router
 ip={self.ip}
@@ -134,7 +137,8 @@
                 self.process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
-                    "lycheegw.platform.main",
+                    "tests.soak.node_main",
+                    self._store_proxy,
                     str(self._path("conf")),
                     stdout=log,
                     stderr=log,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -211,7 +211,9 @@
             proxy = processes.Proxy(self._store.address)
             await proxy.start()
             self._proxies.append(proxy)
-            node.write_settings(proxy.address, _ZONES[number % 2])
+            node.write_settings(
+                self._store.address, proxy.address, _ZONES[number % 2]
+            )
             await node.start()
         await asyncio.gather(*(self._wait_ready(each) for each in self._nodes))
 
