Copies of topics belong to an era of the store

Cause: a copy compares bare offsets, and a whole topic that ends below its own end counts as an old reply. Change: a copy holds the records of one era, enters a later one with the whole topic, and takes nothing of an earlier one. The model of tests/test_topics.py restores its log; test_topic_of_a_restored_store_replaces_a_copy_with_later_offsets.

--- a/src/lycheegw/state/topics.py
+++ b/src/lycheegw/state/topics.py
@@ -1,4 +1,9 @@
-"""Local copies of the store's keyed topics, merged by record offset.
+"""Local copies of the store's keyed topics, merged by era and record offset.
+
+A store that is restored from a backup begins a new era, in which offsets of the
+former one are given out again. A copy holds the records of one era. It enters a
+later era only with all records of the topic, and never returns to an earlier
+one.
 
 For long values, a copy keeps the latest patches, so that a peer with a former
 version needs only the difference.
@@ -17,6 +22,7 @@
 
 __all__ = [
     "PatchedRecord",
+    "Position",
     "Topic",
     "TopicPage",
     "TopicRecord",
@@ -44,6 +50,18 @@
     BLOCKED_PARTS = "blocked_parts"
 
 
+class Position(NamedTuple):
+    """A place in a topic of the store; positions of later eras are greater.
+
+    Attributes:
+        era: Number of restores that the store has been through, 0 if unknown.
+        offset: Offset of a record in that era.
+    """
+
+    era: int
+    offset: int
+
+
 class TopicRecord(NamedTuple):
     """The newest record of a key; the value is None if it was deleted."""
 
@@ -60,12 +78,14 @@
         end_offset: Offset of the next record to be written.
         is_complete: Whether the page has every key that exists.
         has_more: Whether the store has later records already.
+        era: Era of the store that the offsets belong to.
     """
 
     records: Sequence[TopicRecord]
     end_offset: int
     is_complete: bool
     has_more: bool = False
+    era: int = 0
 
 
 class ValueChange(NamedTuple):
@@ -124,6 +144,7 @@
 
     Attributes:
         topic: The topic.
+        era: Era of the store that the records belong to.
         end_offset: Offset up to which the copy is complete, -1 before any read.
         confirmed_s: Monotonic second at which, as far as this node knows,
             the store last had nothing newer.
@@ -136,6 +157,7 @@
         digest: Callable[[bytes], Hashable] = lambda value: value,
     ):
         self.topic = topic
+        self.era = 0
         self.end_offset = -1
         self.confirmed_s = -math.inf
         self.reader = ""
@@ -149,6 +171,11 @@
         """Whether the topic was read from the store or a peer."""
         return self.end_offset >= 0
 
+    @property
+    def position(self) -> Position:
+        """Position up to which the copy is complete."""
+        return Position(self.era, self.end_offset)
+
     def values(self) -> dict[str, bytes]:
         """Returns the value of each key that exists."""
         return {
@@ -180,10 +207,17 @@
     ) -> set[str]:
         """Applies a page of the store; returns the keys that changed.
 
+        A page of an earlier era changes nothing. One of a later era is applied
+        if it is complete, and replaces the copy.
+
         Args:
             page: The page.
             changes_by_key: Changes that are known to have led to its values.
         """
+        if page.era != self.era:
+            if page.era < self.era or not page.is_complete:
+                return set()
+            return self._enter_era(page)
         changed = set()
         if page.is_complete:
             if page.end_offset < self.end_offset:
@@ -199,22 +233,40 @@
         self._drop_oldest_deletions()
         return changed
 
+    def _enter_era(self, page: TopicPage) -> set[str]:
+        """Replaces the copy by all records of a later era."""
+        former_by_key = self._entry_by_key
+        self.era = page.era
+        self.end_offset = page.end_offset
+        self._entry_by_key = {}
+        # What was deleted before is not known in this era.
+        self._deletions_from_offset = page.end_offset
+        for record in page.records:
+            self._store(record)
+        return {
+            key
+            for key in former_by_key.keys() | self._entry_by_key.keys()
+            if _digest_of(former_by_key.get(key))
+            != _digest_of(self._entry_by_key.get(key))
+        }
+
     def merge(
         self,
         from_offset: int,
         end_offset: int,
         records: Iterable[TopicRecord],
         patched: Iterable[PatchedRecord] = (),
+        era: int = 0,
     ) -> set[str] | None:
         """Merges records from a peer; returns the keys that changed.
 
         Returns None if records between the two copies are missing, or a value
         to which a patch applies.
         """
-        if from_offset > max(0, self.end_offset):
-            return None
-        if end_offset < self.end_offset:
+        if Position(era, end_offset) < self.position:
             return set()
+        if from_offset > (max(0, self.end_offset) if era == self.era else 0):
+            return None
         merged = list(records)
         changes_by_key = {}
         for each in patched:
@@ -224,7 +276,7 @@
             merged.append(TopicRecord(each.key, each.offset, value))
             changes_by_key[each.key] = each.changes
         merged.sort(key=lambda record: record.offset)
-        page = TopicPage(merged, end_offset, from_offset == 0)
+        page = TopicPage(merged, end_offset, from_offset == 0, era=era)
         return self.apply_page(page, changes_by_key)
 
     def _patched_value(self, patched: PatchedRecord) -> bytes | None:
@@ -351,6 +403,11 @@
             )
 
 
+def _digest_of(entry: _Entry | None) -> Hashable:
+    """Returns the digest of an entry's value, None if it does not exist."""
+    return None if entry is None else entry.digest
+
+
 def _extended_changes(
     known: _Entry | None,
     record: TopicRecord,
--- a/tests/test_topics.py
+++ b/tests/test_topics.py
@@ -18,8 +18,10 @@
     def __init__(self) -> None:
         super().__init__()
         self.log: list[topics.TopicRecord] = []
+        self.era = 1
+        self.former_logs: dict[int, list[topics.TopicRecord]] = {}
         self.copies = [topics.TopicState(topics.Topic.ORDERS) for _ in range(3)]
-        self.seen_by_copy: list[dict[str, int]] = [{}, {}, {}]
+        self.seen_by_copy: list[dict[str, topics.Position]] = [{}, {}, {}]
 
     @stateful.rule(
         key=strategies.sampled_from(KEYS), is_deleted=strategies.booleans()
@@ -35,12 +37,36 @@
         value = b"{%d}" % number + b"{equal}" * 100
         self.log.append(topics.TopicRecord(key, len(self.log), value))
 
+    @stateful.rule(lost=strategies.integers(1, 6))
+    def restore(self, lost: int) -> None:
+        """Restores the log from a backup without its last records."""
+        self.former_logs[self.era] = self.log
+        self.era += 1
+        self.log = self.log[:-lost]
+
     @stateful.rule(number=strategies.integers(0, 2))
     def read_changes(self, number: int) -> None:
         copy = self.copies[number]
         start = max(0, copy.end_offset)
-        page = topics.TopicPage(self.log[start:], len(self.log), False)
+        page = topics.TopicPage(
+            self.log[start:], max(start, len(self.log)), False, era=self.era
+        )
         copy.apply_page(page)
+        if copy.era == self.era:
+            assert copy.end_offset == len(self.log)
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def read_late(self, number: int) -> None:
+        """A reply from before the last restore arrives."""
+        former = self.former_logs.get(self.era - 1)
+        if former is not None:
+            page = topics.TopicPage(
+                list(_newest(former).values()),
+                len(former),
+                True,
+                era=self.era - 1,
+            )
+            self.copies[number].apply_page(page)
 
     @stateful.rule(
         number=strategies.integers(0, 2), lag=strategies.integers(0, 3)
@@ -48,7 +74,9 @@
     def read_newest(self, number: int, lag: int) -> None:
         end = max(0, len(self.log) - lag)
         self.copies[number].apply_page(
-            topics.TopicPage(list(_newest(self.log[:end]).values()), end, True)
+            topics.TopicPage(
+                list(_newest(self.log[:end]).values()), end, True, era=self.era
+            )
         )
 
     @stateful.rule(
@@ -65,7 +93,7 @@
         from_offset, records = sender.changes_since(
             min(sent_offset, sender.end_offset)
         )
-        receiver.merge(from_offset, sender.end_offset, records)
+        receiver.merge(from_offset, sender.end_offset, records, era=sender.era)
 
     @stateful.rule(
         source=strategies.integers(0, 2),
@@ -94,17 +122,18 @@
                 records.append(record)
             else:
                 patched.append(by_changes)
-        receiver.merge(from_offset, sender.end_offset, records, patched)
+        receiver.merge(
+            from_offset, sender.end_offset, records, patched, sender.era
+        )
 
     @stateful.invariant()
     def copies_equal_the_log_up_to_their_end(self) -> None:
         for copy in self.copies:
             if copy.is_known:
+                log = self.former_logs.get(copy.era, self.log)
                 expected = {
                     key: record.value
-                    for key, record in _newest(
-                        self.log[: copy.end_offset]
-                    ).items()
+                    for key, record in _newest(log[: copy.end_offset]).items()
                 }
                 assert copy.values() == expected
 
@@ -112,9 +141,9 @@
     def no_key_gets_older(self) -> None:
         for copy, seen in zip(self.copies, self.seen_by_copy, strict=True):
             for key in KEYS:
-                offset = copy.offset_of(key)
-                assert offset >= seen.get(key, -1)
-                seen[key] = offset
+                position = topics.Position(copy.era, copy.offset_of(key))
+                assert position >= seen.get(key, topics.Position(0, -1))
+                seen[key] = position
 
 
 def _newest(log: list[topics.TopicRecord]) -> dict[str, topics.TopicRecord]:
@@ -196,3 +225,21 @@
         "a"
     )
     assert _copy(1).merge(1, 3, [], [patched]) == {"a"}
+
+
+def test_topic_of_a_restored_store_replaces_a_copy_with_later_offsets() -> None:
+    """CONFIG, issue 49: orders below the former end were never applied."""
+    copy = topics.TopicState(topics.Topic.ORDERS)
+    records = [
+        topics.TopicRecord(key, at, b"1") for at, key in enumerate("abc")
+    ]
+    copy.apply_page(topics.TopicPage(records, 3, True, era=1))
+    restored = [records[0], topics.TopicRecord("b", 1, b"2")]
+    changed = copy.apply_page(topics.TopicPage(restored, 2, True, era=2))
+    assert changed == {"b", "c"}
+    assert copy.values() == {"a": b"1", "b": b"2"}
+    assert copy.position == topics.Position(2, 2)
+    # Neither a late reply nor a peer that missed the restore undo it.
+    assert not copy.apply_page(topics.TopicPage(records, 3, True, era=1))
+    assert not copy.merge(0, 3, records, era=1)
+    assert copy.values() == {"a": b"1", "b": b"2"}
