Gossip of topics carries the era of the store

Change: they compare positions. An update of a former era neither changes nor confirms a copy; one of a later era is merged if complete and fetched whole if not. Earlier builds send no era: their updates count until this node has seen a restore. Tests: test_node_cut_off_during_a_restore_neither_spreads_nor_keeps_its_copy, test_updates_of_earlier_builds_count_until_the_store_is_restored.

--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -48,6 +48,8 @@
         records: The changed records.
         reader: Id of the node that read the topic last.
         patched: Changed records that are encoded as changes of their values.
+        era: Era of the store that the offsets belong to, 0 if the sender
+            doesn't know it.
     """
 
     topic: topics.Topic
@@ -57,6 +59,12 @@
     records: tuple[topics.TopicRecord, ...]
     reader: str
     patched: tuple[topics.PatchedRecord, ...] = ()
+    era: int = 0
+
+    @property
+    def end(self) -> topics.Position:
+        """Position up to which the sender knows the topic."""
+        return topics.Position(self.era, self.end_offset)
 
 
 class TopicMessage(NamedTuple):
@@ -85,27 +93,33 @@
     """What a neighbour has and this node could not merge.
 
     Attributes:
-        end_offset: Offset up to which the neighbour knows the topic.
+        end: Position up to which the neighbour knows the topic.
         heard_s: Monotonic second of its message.
     """
 
-    end_offset: int
+    end: topics.Position
     heard_s: float
 
 
 class _Sent(NamedTuple):
     """What a neighbour has of a topic: sent to it, or received from it."""
 
-    end_offset: int
+    end: topics.Position
     confirmed_s: float
 
 
+_NOTHING_SENT = _Sent(topics.Position(0, 0), 0.0)
+
+
 ChangeHandler = Callable[[topics.Topic, set[str]], None]
 # Called with a metric's name, a label and seconds.
 Observer = Callable[[str, str, float], None]
 # Called with a topic that this node's copy lacks records of, the neighbour that
-# has them, and the offset up to which it has them.
-GapHandler = Callable[[topics.Topic, str, int], None]
+# has them, and the position up to which it has them.
+GapHandler = Callable[[topics.Topic, str, topics.Position], None]
+# Called with the former era of the store (0 if none was known), the new one,
+# and the node that this node learnt it from.
+EraHandler = Callable[[int, int, str], None]
 
 
 class TopicExchange:
@@ -113,7 +127,9 @@
 
     Attributes:
         state_by_topic: This node's copies of the topics.
+        era: Latest era of the store that a copy has entered.
         on_gap: Called if an update leaves a gap.
+        on_era: Called after a copy has entered a later era.
     """
 
     def __init__(
@@ -127,7 +143,9 @@
         observe: Observer,
     ):
         self.state_by_topic = state_by_topic
+        self.era = 0
         self.on_gap: GapHandler = lambda *_: None
+        self.on_era: EraHandler = lambda *_: None
         self._state = state
         self._codec = codec
         self._on_change = on_change
@@ -136,6 +154,8 @@
         self._transit_times = transit_times.TransitTimes(state.environment)
         self._sent_by_neighbour: dict[str, dict[topics.Topic, _Sent]] = {}
         self._announced_by_topic: dict[topics.Topic, _Announced] = {}
+        # Whether the store was restored while this node ran.
+        self._was_store_restored = False
         self._unknown_topics: frozenset[str] = frozenset()
         peers.on_delta(_TOPIC, self._encode_updates, self._merge)
 
@@ -151,17 +171,32 @@
 
         Args:
             topic: The topic that was read.
-            page: What the store returned.
+            page: What the store returned. It is ignored if it belongs to a
+                former era, or to a later one without being complete.
             begun_s: Monotonic second up to which the page is complete.
         """
         topic_state = self.state_by_topic[topic]
+        is_later = page.era > topic_state.era
+        if page.era < topic_state.era or (is_later and not page.is_complete):
+            self._state.counters.add("topics.other_era")
+            return set()
+        own_id = self._state.identity.node_id
         changed = topic_state.apply_page(page)
         if not page.has_more:
-            topic_state.confirm(begun_s, self._state.identity.node_id)
+            topic_state.confirm(begun_s, own_id)
+        self._note_era(topic_state.era, own_id)
         self._on_change(topic, changed)
         self._send_soon()
         return changed
 
+    def _note_era(self, era: int, source: str) -> None:
+        """Records the era of a copy, which `source` read or sent."""
+        if era <= self.era:
+            return
+        former, self.era = self.era, era
+        self._was_store_restored |= former > 0
+        self.on_era(former, era, source)
+
     def _encode_updates(self, neighbour: str) -> bytes | None:
         """Returns the encoded updates for a neighbour, None if none."""
         sent = self._sent_by_neighbour.setdefault(neighbour, {})
@@ -170,17 +205,14 @@
         for topic, topic_state in self.state_by_topic.items():
             if not topic_state.is_known:
                 continue
-            last = sent.get(topic, _Sent(0, 0.0))
+            last = sent.get(topic, _NOTHING_SENT)
             is_confirmed_later = (
                 topic_state.confirmed_s - last.confirmed_s > _RESEND_AGE_S
             )
-            if (
-                topic_state.end_offset <= last.end_offset
-                and not is_confirmed_later
-            ):
+            if topic_state.position <= last.end and not is_confirmed_later:
                 continue
-            sent[topic] = _Sent(topic_state.end_offset, topic_state.confirmed_s)
-            update = self.update_since(topic_state, last.end_offset)
+            sent[topic] = _Sent(topic_state.position, topic_state.confirmed_s)
+            update = self.update_since(topic_state, last.end)
             size = _update_bytes(update)
             if size > left_bytes:
                 self._state.counters.add("topics.announced")
@@ -198,16 +230,18 @@
     def update_since(
         self,
         topic_state: topics.TopicState,
-        end_offset: int,
+        end: topics.Position,
         known: Mapping[str, bytes] | None = None,
     ) -> TopicUpdate:
-        """Returns what a copy that is complete up to an offset may lack.
+        """Returns what a copy that is complete up to a position may lack.
 
         Args:
             topic_state: This node's copy.
-            end_offset: The offset.
+            end: The position.
             known: Digests of the other copy's long values, None if unknown.
         """
+        # A copy of another era lacks all records of this one.
+        end_offset = end.offset if end.era == topic_state.era else 0
         from_offset, changed = topic_state.changes_since(end_offset)
         records, patched = [], []
         for record in changed:
@@ -232,6 +266,7 @@
             tuple(records),
             topic_state.reader,
             tuple(patched),
+            topic_state.era,
         )
 
     def _merge(self, neighbour: str, payload: bytes) -> None:
@@ -275,20 +310,28 @@
                 confirmed it.
         """
         topic_state = self.state_by_topic[update.topic]
+        if not update.era and not self._was_store_restored:
+            # Earlier builds don't know eras; there was only one so far.
+            update = update._replace(era=topic_state.era)
+        if update.era < topic_state.era:
+            self._state.counters.add("topics.other_era")
+            return False
         before_s = topic_state.confirmed_s
         changed = topic_state.merge(
             update.from_offset,
             update.end_offset,
             update.records,
             update.patched,
+            update.era,
         )
         if changed is None:
             self._state.counters.add("topics.gap")
             self._note_announced(update)
-            self.on_gap(update.topic, neighbour, update.end_offset)
+            self.on_gap(update.topic, neighbour, update.end)
             return False
-        if update.end_offset >= topic_state.end_offset:
+        if update.end >= topic_state.position:
             topic_state.confirm(confirmed_s, update.reader)
+        self._note_era(topic_state.era, neighbour)
         self._note_received(neighbour, update, confirmed_s)
         self._on_change(update.topic, changed)
         return bool(changed) or (
@@ -297,12 +340,11 @@
 
     def _note_announced(self, update: TopicUpdate) -> None:
         """Records up to where a neighbour has what this node lacks."""
-        end_offset = update.end_offset
+        end = update.end
         if self.is_behind(update.topic):
-            known = self._announced_by_topic[update.topic]
-            end_offset = max(end_offset, known.end_offset)
+            end = max(end, self._announced_by_topic[update.topic].end)
         self._announced_by_topic[update.topic] = _Announced(
-            end_offset, self._state.environment.monotonic_s()
+            end, self._state.environment.monotonic_s()
         )
 
     def is_behind(self, topic: topics.Topic) -> bool:
@@ -313,7 +355,7 @@
         age_s = self._state.environment.monotonic_s() - announced.heard_s
         return (
             age_s <= _ANNOUNCEMENT_VALID_S
-            and announced.end_offset > self.state_by_topic[topic].end_offset
+            and announced.end > self.state_by_topic[topic].position
         )
 
     def _note_received(
@@ -321,9 +363,9 @@
     ) -> None:
         """Records what a neighbour sent, so that it is not sent back."""
         sent = self._sent_by_neighbour.setdefault(neighbour, {})
-        last = sent.get(update.topic, _Sent(0, 0.0))
+        last = sent.get(update.topic, _NOTHING_SENT)
         sent[update.topic] = _Sent(
-            max(last.end_offset, update.end_offset),
+            max(last.end, update.end),
             max(last.confirmed_s, confirmed_s),
         )
 
--- a/src/lycheegw/coordination/topic_fetcher.py
+++ b/src/lycheegw/coordination/topic_fetcher.py
@@ -44,6 +44,8 @@
         part: Index of the part.
         end_offset: Offset up to which the update goes, from the reply with its
             first part; 0 in the request for that part.
+        era: Era of the store that the copy has.
+        update_era: Era that the update has, as `end_offset`.
     """
 
     topic: topics.Topic
@@ -51,6 +53,8 @@
     known: tuple[tuple[str, bytes], ...]
     part: int = 0
     end_offset: int = 0
+    era: int = 0
+    update_era: int = 0
 
 
 class Reply(NamedTuple):
@@ -62,12 +66,14 @@
         age_s: Seconds since the store last confirmed the sender's copy, which
             has that offset when the first part is sent.
         part: Data of the part.
+        era: Era of the store that the update has.
     """
 
     parts: int
     end_offset: int = 0
     age_s: float = 0.0
     part: bytes = b""
+    era: int = 0
 
 
 class Codec(NamedTuple):
@@ -83,9 +89,9 @@
 
 class _CacheKey(NamedTuple):
     topic: topics.Topic
-    after: int
+    after: topics.Position
     known: tuple[tuple[str, bytes], ...]
-    end_offset: int
+    end: topics.Position
 
 
 class TopicFetcher:
@@ -107,7 +113,7 @@
         self._send_soon = send_soon
         self._note = note
         self._encoded_by_key: dict[_CacheKey, bytes] = {}
-        self._end_offset_by_peer: dict[topics.Topic, dict[str, int]] = {
+        self._end_by_peer: dict[topics.Topic, dict[str, topics.Position]] = {
             topic: {} for topic in topics.Topic
         }
         self._wanted_by_topic = {
@@ -116,9 +122,11 @@
         exchange.on_gap = self.request
         peers.on_call(_TOPIC, self._handle_call)
 
-    def request(self, topic: topics.Topic, peer: str, end_offset: int) -> None:
+    def request(
+        self, topic: topics.Topic, peer: str, end: topics.Position
+    ) -> None:
         """Requests what a peer has of a topic and this node lacks."""
-        self._end_offset_by_peer[topic][peer] = end_offset
+        self._end_by_peer[topic][peer] = end
         self._wanted_by_topic[topic].set()
 
     async def run(self) -> None:
@@ -154,16 +162,16 @@
 
     def _next_peer(self, topic: topics.Topic) -> str | None:
         """Returns the peer to ask, None if no one has more than this node."""
-        end_offset_by_peer = self._end_offset_by_peer[topic]
-        end_offset = self._exchange.state_by_topic[topic].end_offset
-        for peer, peer_offset in list(end_offset_by_peer.items()):
-            if peer_offset <= end_offset:
-                del end_offset_by_peer[peer]
-        if not end_offset_by_peer:
+        end_by_peer = self._end_by_peer[topic]
+        position = self._exchange.state_by_topic[topic].position
+        for peer, end in list(end_by_peer.items()):
+            if end <= position:
+                del end_by_peer[peer]
+        if not end_by_peer:
             return None
-        peer = max(end_offset_by_peer, key=end_offset_by_peer.__getitem__)
+        peer = max(end_by_peer, key=end_by_peer.__getitem__)
         # It is asked again once it announces more.
-        del end_offset_by_peer[peer]
+        del end_by_peer[peer]
         return peer
 
     async def _fetch(self, topic: topics.Topic, peer: str) -> None:
@@ -178,6 +186,7 @@
             topic,
             max(0, topic_state.end_offset),
             tuple(sorted(topic_state.digest_by_key().items())),
+            era=topic_state.era,
         )
         begun_s = self._now_s()
         first = await self._fetch_part(peer, request)
@@ -186,7 +195,12 @@
         data = bytearray(first.part)
         for part in range(1, first.parts):
             reply = await self._fetch_part(
-                peer, request._replace(part=part, end_offset=first.end_offset)
+                peer,
+                request._replace(
+                    part=part,
+                    end_offset=first.end_offset,
+                    update_era=first.era,
+                ),
             )
             data += reply.part
         update = self._codec.decompress(bytes(data))
@@ -229,10 +243,11 @@
         topic_state = self._exchange.state_by_topic[request.topic]
         if not topic_state.is_known:
             return Reply(0)
-        end_offset = request.end_offset
+        end = topics.Position(request.update_era, request.end_offset)
         if request.part == 0:
-            end_offset = topic_state.end_offset
-        key = _CacheKey(request.topic, request.after, request.known, end_offset)
+            end = topic_state.position
+        after = topics.Position(request.era, request.after)
+        key = _CacheKey(request.topic, after, request.known, end)
         data = self._encoded_by_key.get(key)
         if data is None and request.part:
             # It was dropped; the peer has to begin again.
@@ -245,16 +260,19 @@
         begin = request.part * _PART_BYTES
         return Reply(
             -(-len(data) // _PART_BYTES),
-            end_offset,
+            end.offset,
             self._now_s() - topic_state.confirmed_s,
             data[begin : begin + _PART_BYTES],
+            end.era,
         )
 
     def _encode(
         self, topic_state: topics.TopicState, request: Request
     ) -> bytes:
         update = self._exchange.update_since(
-            topic_state, request.after, dict(request.known)
+            topic_state,
+            topics.Position(request.era, request.after),
+            dict(request.known),
         )
         return self._codec.compress(update)
 
--- a/src/lycheegw/protocol/topic_codec.py
+++ b/src/lycheegw/protocol/topic_codec.py
@@ -38,6 +38,7 @@
         records=[_record_message(each) for each in update.records],
         reader=update.reader,
         patched=[_patched_message(each) for each in update.patched],
+        era=update.era,
     )
 
 
@@ -117,6 +118,7 @@
         ),
         message.reader,
         tuple(_patched_record(each) for each in message.patched),
+        message.era,
     )
 
 
@@ -148,6 +150,8 @@
         after=request.after,
         part=request.part,
         end_offset=request.end_offset,
+        era=request.era,
+        update_era=request.update_era,
     )
     for key, digest in request.known:
         message.known.add(key=key, digest=digest)
@@ -162,6 +166,8 @@
         tuple((each.key, bytes(each.digest)) for each in message.known),
         message.part,
         message.end_offset,
+        message.era,
+        message.update_era,
     )
 
 
@@ -171,6 +177,7 @@
         end_offset=reply.end_offset,
         age_s=reply.age_s,
         part=reply.part,
+        era=reply.era,
     )
     return bytes(message.SerializeToString())
 
@@ -182,6 +189,7 @@
         message.end_offset,
         max(0.0, message.age_s),
         bytes(message.part),
+        message.era,
     )
 
 
--- a/tests/test_topic_exchange.py
+++ b/tests/test_topic_exchange.py
@@ -184,3 +184,50 @@
     counters = older.exchange._state.counters.by_name
     assert counters["topics.unknown"] == 3
     assert len(caplog.records) == 1
+
+
+def _restored_page(era: int, *keys: str) -> topics.TopicPage:
+    records = [
+        topics.TopicRecord(key, at, b"%d" % era) for at, key in enumerate(keys)
+    ]
+    return topics.TopicPage(records, len(keys), True, era=era)
+
+
+def test_node_cut_off_during_a_restore_neither_spreads_nor_keeps_its_copy() -> (
+    None
+):
+    """CONFIG, issue 49: offsets of a lost history hid those of the new one."""
+    clock = fakes.ManualClock()
+    reader, cut_off = _Node(clock, "a"), _Node(clock, "b")
+    lost = _restored_page(1, "u", "v", "w")
+    cut_off.exchange.apply_read(UPSTREAMS, lost, clock.now_s)
+    reader.exchange.apply_read(UPSTREAMS, _restored_page(2, "u"), clock.now_s)
+    clock.now_s += 1.0
+    cut_off.exchange.apply_read(UPSTREAMS, lost, clock.now_s)
+    reader.receive("b", cut_off.encode("a"))
+    assert reader.copy.values() == {"u": b"2"}
+    assert reader.copy.confirmed_s < clock.now_s
+    assert not reader.exchange.is_behind(UPSTREAMS)
+    cut_off.receive("a", reader.encode("b"))
+    assert cut_off.copy.values() == {"u": b"2"}
+    # A read that began before the restore returns late.
+    cut_off.exchange.apply_read(UPSTREAMS, lost, clock.now_s)
+    assert cut_off.copy.position == topics.Position(2, 1)
+
+
+def test_updates_of_earlier_builds_count_until_the_store_is_restored() -> None:
+    """Rolling restart: earlier builds don't know eras."""
+    clock = fakes.ManualClock()
+    newer, older = _Node(clock, "a"), _Node(clock, "b")
+    newer.exchange.apply_read(UPSTREAMS, _restored_page(1, "u"), clock.now_s)
+    older.exchange.apply_read(
+        UPSTREAMS, _restored_page(0, "u", "v"), clock.now_s
+    )
+    newer.receive("b", older.encode("a"))
+    assert set(newer.copy.values()) == {"u", "v"}
+    newer.exchange.apply_read(UPSTREAMS, _restored_page(2, "u"), clock.now_s)
+    older.exchange.apply_read(
+        UPSTREAMS, _restored_page(0, "u", "v", "w"), clock.now_s
+    )
+    newer.receive("b", older.encode("a"))
+    assert newer.copy.values() == {"u": b"2"}
