--- a/src/lycheegw/coordination/directory.py
+++ b/src/lycheegw/coordination/directory.py
@@ -2,6 +2,10 @@
 
 From the orders, outcomes and upstream entries of the store it derives the
 manifest, the closed zones, the roll-outs and the table of upstreams.
+
+A store that is restored from a backup lacks its latest records until their
+writers write them again. What it lacks stays in force for a while, and what it
+has in a former version doesn't replace what is known.
 """
 
 from collections.abc import Callable
@@ -30,6 +34,12 @@
 # Upstreams of a reopened zone count as cold for this many heartbeats, until
 # entries written since then tell for how long they are cold.
 _REOPENED_COLD_HEARTBEATS = 2.5
+# Time for which a closure or a roll-out stays in force that a restored store
+# lacks, unless its key is written before. Ending one too early exposes
+# callers; keeping one too long only delays the use of a zone or a version.
+_LOST_ORDER_HOLD_S = 5.0
+# Removed upstreams that are remembered, as a restored store may list them.
+_MAX_REMOVED_UPSTREAMS = 2000
 # Logged age of a list that was never read before.
 _MAX_LOGGED_AGE_S = 999.0
 
@@ -39,22 +49,33 @@
 
     Attributes:
         order: The order.
-        offset: Offset of the order in the store's topic.
+        offset: Offset at which the order was first read. It identifies the
+            order to peers, also if it is written again after a restore.
         seen_s: Monotonic second at which this node first read it.
+        record: Position of its record in the store's topic.
     """
 
     order: orders.RolloutOrder
     offset: int
     seen_s: float
+    record: topics.Position = topics.Position(0, -1)
 
 
 class _DecodedOrder(NamedTuple):
-    """A value of the store, and its order; None if there is none for it."""
+    """A record of the store, and its order; None if there is none for it."""
 
     value: bytes
+    record: topics.Position
     order: orders.Order | None
 
 
+class _HeldOrder(NamedTuple):
+    """An order that a restored store lacks, kept until a monotonic second."""
+
+    decoded: _DecodedOrder
+    until_s: float
+
+
 WriteEvent = Callable[..., None]
 
 
@@ -65,7 +86,8 @@
         manifest: The current manifest, None before the first was read.
         closed_zones: Zones whose upstreams get no new requests.
         rollout_by_service: The ordered roll-outs.
-        outcome_by_service: The outcomes of roll-outs that the store has.
+        outcome_by_service: The latest known outcomes of roll-outs.
+        lost_outcomes: Services whose outcome is missing in a restored store.
     """
 
     def __init__(
@@ -80,16 +102,21 @@
         self.closed_zones: set[str] = set()
         self.rollout_by_service: dict[str, KnownRollout] = {}
         self.outcome_by_service: dict[str, orders.RolloutOutcome] = {}
+        self.lost_outcomes: set[str] = set()
         self._state = state
         self._codec = codec
         self._state_by_topic = state_by_topic
         self._heartbeat_s = heartbeat_s
         self._note = note
+        # Era of the copy of each topic that was applied last.
+        self._era_by_topic: dict[topics.Topic, int] = {}
         self._decoded_by_key: dict[str, _DecodedOrder] = {}
+        self._held_order_by_key: dict[str, _HeldOrder] = {}
         self._entry_by_id: dict[str, upstreams.HostEntry] = {}
         self._expired_s_by_id: dict[str, float] = {}
         self._offset_by_id: dict[str, int] = {}
-        self._applied_end_offset = -1
+        self._removed_by_id: dict[str, upstreams.HostEntry] = {}
+        self._applied_end = topics.Position(0, -1)
         self._last_confirmed_s = -math.inf
         self._store_returned_s = -math.inf
         self._former_age_s = math.inf
@@ -97,15 +124,16 @@
     def apply(self, topic: topics.Topic, changed: set[str]) -> None:
         """Applies a topic, of which the given keys changed."""
         if topic is topics.Topic.ORDERS:
+            self._note_written(changed)
             self._apply_orders()
         elif topic is topics.Topic.OUTCOMES:
             self._apply_outcomes(changed)
         elif topic is topics.Topic.UPSTREAMS:
             self._detect_store_return()
-            end_offset = self._state_by_topic[topic].end_offset
+            end = self._state_by_topic[topic].position
             # Confirmations alone change nothing.
-            if changed or end_offset != self._applied_end_offset:
-                self._applied_end_offset = end_offset
+            if changed or end != self._applied_end:
+                self._applied_end = end
                 self._apply_upstreams()
             else:
                 self.expire_lapsed()
@@ -119,17 +147,54 @@
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
 
+    def _is_restored(self, topic: topics.Topic) -> bool:
+        """Returns whether a copy is the first that is applied of its era."""
+        era = self._state_by_topic[topic].era
+        former = self._era_by_topic.get(topic, 0)
+        self._era_by_topic[topic] = era
+        return 0 < former < era
+
+    def _note_written(self, changed: set[str]) -> None:
+        """Ends the hold of orders that were written, or begins holds."""
+        if not self._is_restored(topics.Topic.ORDERS):
+            for key in changed:
+                self._held_order_by_key.pop(key, None)
+            return
+        topic_state = self._state_by_topic[topics.Topic.ORDERS]
+        until_s = self._now_s() + _LOST_ORDER_HOLD_S
+        self._held_order_by_key = {
+            key: _HeldOrder(decoded, until_s)
+            for key, decoded in self._decoded_by_key.items()
+            if isinstance(
+                decoded.order, orders.ZoneClosure | orders.RolloutOrder
+            )
+            and topic_state.value(key) != decoded.value
+            # Else the record is later than the known one.
+            and topic_state.offset_of(key) < decoded.record.offset
+        }
+        if self._held_order_by_key:
+            self._note("orders_held", keys=sorted(self._held_order_by_key))
+
     def _apply_orders(self) -> None:
         """Decodes the orders whose values changed and applies all of them."""
         topic_state = self._state_by_topic[topics.Topic.ORDERS]
-        present = topic_state.values()
-        self._decoded_by_key = {
-            key: self._decode_order(key, value)
-            for key, value in sorted(present.items())
+        decoded_by_key = {
+            key: self._decode_order(
+                key,
+                value,
+                topics.Position(topic_state.era, topic_state.offset_of(key)),
+            )
+            for key, value in topic_state.values().items()
         }
+        for key, held in list(self._held_order_by_key.items()):
+            if self._now_s() < held.until_s:
+                decoded_by_key[key] = held.decoded
+            else:
+                del self._held_order_by_key[key]
+        self._decoded_by_key = dict(sorted(decoded_by_key.items()))
         closed = set()
         rollouts = {}
-        for key, decoded in self._decoded_by_key.items():
+        for decoded in self._decoded_by_key.values():
             order = decoded.order
             if isinstance(order, routing.Manifest):
                 self._update_manifest(order)
@@ -137,23 +202,25 @@
                 closed.add(order.zone)
             elif isinstance(order, orders.RolloutOrder):
                 rollouts[order.service] = self._known_rollout(
-                    order, topic_state.offset_of(key)
+                    order, decoded.record
                 )
         self.rollout_by_service = rollouts
         self._update_closed_zones(closed)
 
-    def _decode_order(self, key: str, value: bytes) -> "_DecodedOrder":
+    def _decode_order(
+        self, key: str, value: bytes, record: topics.Position
+    ) -> _DecodedOrder:
         """Returns an order, decoded only if its value is new."""
         known = self._decoded_by_key.get(key)
         if known is not None and known.value == value:
-            return known
+            return known._replace(record=record)
         order = None
         try:
             order = self._codec.decode_order(key, value)
         except errors.RecordError as error:
             logging.error("skipping unreadable order %r: %s", key, error)
             self._state.counters.add("orders.unreadable")
-        return _DecodedOrder(value, order)
+        return _DecodedOrder(value, record, order)
 
     def _update_manifest(self, manifest: routing.Manifest) -> None:
         if (
@@ -171,19 +238,26 @@
         self.manifest = manifest
 
     def _known_rollout(
-        self, order: orders.RolloutOrder, offset: int
+        self, order: orders.RolloutOrder, record: topics.Position
     ) -> KnownRollout:
         known = self.rollout_by_service.get(order.service)
-        if known is not None and known.offset == offset:
+        if known is not None and known.record == record:
             return known
+        if (
+            known is not None
+            and known.order == order
+            and known.record.era < record.era
+        ):
+            # The order survived a restore, or was written again after it.
+            return known._replace(record=record)
         self._note(
             "rollout_ordered",
             service=order.service,
             version=order.version,
             duration_s=order.duration_s,
-            offset=offset,
+            offset=record.offset,
         )
-        return KnownRollout(order, offset, self._now_s())
+        return KnownRollout(order, record.offset, self._now_s(), record)
 
     def _update_closed_zones(self, closed: set[str]) -> None:
         if closed == self.closed_zones:
@@ -200,18 +274,19 @@
 
     def _apply_outcomes(self, changed: set[str]) -> None:
         topic_state = self._state_by_topic[topics.Topic.OUTCOMES]
+        if self._is_restored(topics.Topic.OUTCOMES):
+            self._find_lost_outcomes(topic_state)
+            changed = {
+                key
+                for key in changed
+                if (outcome := self._decode_outcome(key, topic_state)) is None
+                or outcome.service not in self.lost_outcomes
+            }
         for key in sorted(changed):
-            value = topic_state.value(key)
-            if value is None:
-                continue
-            try:
-                outcome = self._codec.decode_outcome(key, value)
-            except errors.RecordError as error:
-                logging.error("skipping unreadable outcome %r: %s", key, error)
-                self._state.counters.add("outcomes.unreadable")
-                continue
+            outcome = self._decode_outcome(key, topic_state)
             if outcome is not None:
                 self.outcome_by_service[outcome.service] = outcome
+                self.lost_outcomes.discard(outcome.service)
                 self._note(
                     "rollout_outcome",
                     service=outcome.service,
@@ -219,6 +294,35 @@
                     state=outcome.state.value,
                 )
 
+    def _decode_outcome(
+        self, key: str, topic_state: topics.TopicState
+    ) -> orders.RolloutOutcome | None:
+        """Returns the outcome of a key, None if it has none."""
+        value = topic_state.value(key)
+        if value is None:
+            return None
+        try:
+            return self._codec.decode_outcome(key, value)
+        except errors.RecordError as error:
+            logging.error("skipping unreadable outcome %r: %s", key, error)
+            self._state.counters.add("outcomes.unreadable")
+            return None
+
+    def _find_lost_outcomes(self, topic_state: topics.TopicState) -> None:
+        """Records the known outcomes that a restored store lacks."""
+        stored = {
+            (outcome.service, outcome.version)
+            for key in topic_state.values()
+            if (outcome := self._decode_outcome(key, topic_state)) is not None
+        }
+        self.lost_outcomes = {
+            service
+            for service, outcome in self.outcome_by_service.items()
+            if (service, outcome.version) not in stored
+        }
+        if self.lost_outcomes:
+            self._note("outcomes_lost", services=sorted(self.lost_outcomes))
+
     def _detect_store_return(self) -> None:
         """Records when the store is first read again after an outage."""
         topic_state = self._state_by_topic[topics.Topic.UPSTREAMS]
@@ -234,12 +338,16 @@
     def _apply_upstreams(self) -> None:
         """Updates the table of upstreams from the store's entries."""
         topic_state = self._state_by_topic[topics.Topic.UPSTREAMS]
+        is_restored = self._is_restored(topics.Topic.UPSTREAMS)
+        if is_restored:
+            self._offset_by_id.clear()
+            self._store_returned_s = self._now_s()
         present = topic_state.values()
         for key, value in present.items():
             offset = topic_state.offset_of(key)
             if self._offset_by_id.get(key) != offset:
                 self._offset_by_id[key] = offset
-                self._update_entry(key, value)
+                self._update_entry(key, value, is_restored)
         for key in set(self._entry_by_id) - set(present):
             self._handle_missing(key)
         entries = _newest_by_address(self._entry_by_id.values())
@@ -251,7 +359,14 @@
                 upstream.entry.host_id not in self._expired_s_by_id
             )
 
-    def _update_entry(self, key: str, value: bytes) -> None:
+    def _update_entry(self, key: str, value: bytes, is_restored: bool) -> None:
+        """Applies an entry.
+
+        Args:
+            key: Id of the upstream.
+            value: The entry.
+            is_restored: Whether it may be older than what is known.
+        """
         try:
             entry = self._codec.decode_upstream(key, value)
         except errors.RecordError as error:
@@ -260,9 +375,16 @@
             logging.warning("skipping unreadable upstream entry: %s", error)
             return
         previous = self._entry_by_id.get(key)
-        if previous is not None and _is_older(entry, previous):
+        removed = self._removed_by_id.get(key)
+        is_removed = (
+            is_restored
+            and removed is not None
+            and not _is_older(removed, entry)
+        )
+        if is_removed or (previous is not None and _is_older(entry, previous)):
             self._state.counters.add("upstreams.old_entry")
             return
+        self._removed_by_id.pop(key, None)
         self._expired_s_by_id.pop(key, None)
         if previous is not None and previous.started_ms == entry.started_ms:
             # A heartbeat that arrives late does not undo the draining state.
@@ -317,7 +439,9 @@
                 self._expired_s_by_id[key] = now_s
                 self._note("upstream_lapsed", upstream=key)
             return
-        del self._entry_by_id[key]
+        self._removed_by_id[key] = self._entry_by_id.pop(key)
+        while len(self._removed_by_id) > _MAX_REMOVED_UPSTREAMS:
+            del self._removed_by_id[next(iter(self._removed_by_id))]
         self._expired_s_by_id.pop(key, None)
         self._offset_by_id.pop(key, None)
         self._note(
@@ -327,9 +451,14 @@
         )
 
     def expire_lapsed(self) -> None:
-        """Removes expired upstreams whose entries were not written again."""
+        """Removes what a restored or unavailable store has lacked for long."""
         if self._expired_s_by_id:
             self._apply_upstreams()
+        now_s = self._now_s()
+        if any(
+            held.until_s <= now_s for held in self._held_order_by_key.values()
+        ):
+            self._apply_orders()
 
 
 def _is_older(
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -42,6 +42,7 @@
             lambda *_, **__: None,
         )
         self.offset = 0
+        self.era = 0
 
     def put(self, topic: topics.Topic, key: str, value: Any) -> None:
         """Applies a record as if it was read now; None deletes its key."""
@@ -52,7 +53,7 @@
         self.offset += 1
         known = self.topics[topic]
         changed = known.apply_page(
-            topics.TopicPage([record], self.offset, False)
+            topics.TopicPage([record], self.offset, False, era=known.era)
         )
         known.confirm(self.clock.now_s, "n1")
         self.directory.apply(topic, changed)
@@ -228,3 +229,133 @@
     assert manifest is not None
     route = manifest.find_route(platform_standins.HOST, "/look/1")
     assert route is not None and route.name == "look"
+
+
+class _RestoredStore(DirectoryFixture):
+    """A directory whose store is restored from a backup."""
+
+    def restore(
+        self, topic: topics.Topic, value_by_key: dict[str, Any]
+    ) -> None:
+        """Applies the topic as it is in the next era."""
+        known = self.topics[topic]
+        records_ = [
+            topics.TopicRecord(key, at, json.dumps(value).encode())
+            for at, (key, value) in enumerate(value_by_key.items())
+        ]
+        self.offset = len(records_)
+        changed = known.apply_page(
+            topics.TopicPage(records_, self.offset, True, era=self.era + 1)
+        )
+        self.era += 1
+        known.confirm(self.clock.now_s, "n1")
+        self.directory.apply(topic, changed)
+
+
+def test_upstreams_of_a_restored_store_neither_return_nor_vanish_at_once() -> (
+    None
+):
+    """DRAIN, issue 49: a backup has upstreams that left, and lacks new ones."""
+    fixture = _RestoredStore()
+    ports = {"gone": 1, "leaving": 2, "late": 3, "alive": 4}
+    entries = {
+        key: {**ENTRY, "address": f"10.0.0.1:{port}"}
+        for key, port in ports.items()
+    }
+    fixture.restore(topics.Topic.UPSTREAMS, entries)
+    fixture.upstream("leaving", state="draining", sequence=4)
+    fixture.delete("gone")
+    fixture.upstream("late", address="10.0.0.1:3", sequence=4)
+    late = entries.pop("late")
+    fixture.restore(topics.Topic.UPSTREAMS, entries)
+    assert fixture.ids() == {"late", "alive"}
+    fixture.clock.now_s += 1.0
+    fixture.upstream("gone", address="10.0.0.1:1", sequence=5)
+    assert fixture.ids() == {"gone", "late", "alive"}
+    fixture.clock.now_s += 2.0
+    fixture.directory.expire_lapsed()
+    assert fixture.ids() == {"gone", "alive"}
+    fixture.upstream("late", **{**late, "sequence": 6})
+    assert fixture.ids() == {"gone", "late", "alive"}
+
+
+def test_new_upstream_at_a_lost_offset_is_applied() -> None:
+    """DRAIN, issue 49: an entry with the offset of a lost one was skipped."""
+    fixture = _RestoredStore()
+    fixture.restore(topics.Topic.UPSTREAMS, {"a": ENTRY})
+    fixture.upstream("a", sequence=4)
+    fixture.restore(topics.Topic.UPSTREAMS, {"a": ENTRY})
+    fixture.upstream("a", state="draining", sequence=5)
+    assert fixture.ids() == set()
+
+
+def test_manifest_that_a_restored_store_lacks_stays_in_force() -> None:
+    """CONFIG, issue 49: a node never serves by an older one than before."""
+    fixture = _RestoredStore()
+    fixture.restore(topics.Topic.ORDERS, {"config": _manifest(1)})
+    fixture.put(topics.Topic.ORDERS, "config", _manifest(5))
+    fixture.restore(topics.Topic.ORDERS, {"config": _manifest(1)})
+    manifest = fixture.directory.manifest
+    assert manifest is not None and manifest.version == 5
+    fixture.put(topics.Topic.ORDERS, "config", _manifest(12))
+    manifest = fixture.directory.manifest
+    assert manifest is not None and manifest.version == 12
+
+
+@pytest.mark.parametrize("is_written_again", [True, False])
+def test_zone_stays_closed_until_its_closure_can_be_written_again(
+    is_written_again: bool,
+) -> None:
+    """EVAC, issue 49: a closure that the backup lacks was taken for ended."""
+    fixture = _RestoredStore()
+    fixture.restore(topics.Topic.ORDERS, {})
+    fixture.put(topics.Topic.ORDERS, "evacuate/z-a", {})
+    for _ in range(2):
+        fixture.restore(topics.Topic.ORDERS, {})
+        assert fixture.directory.closed_zones == {"z-a"}
+    if is_written_again:
+        fixture.put(topics.Topic.ORDERS, "evacuate/z-a", {})
+    fixture.clock.now_s += 5.0
+    fixture.directory.expire_lapsed()
+    expected = {"z-a"} if is_written_again else set()
+    assert fixture.directory.closed_zones == expected
+    fixture.put(topics.Topic.ORDERS, "evacuate/z-a", None)
+    assert not fixture.directory.closed_zones
+
+
+def _rollout(target: str) -> dict[str, Any]:
+    return {"service": "llm", "target": target, "duration_s": 20}
+
+
+def test_roll_out_order_that_is_written_again_goes_on() -> None:
+    """EXPOSURE, issue 49: each new offset began the canary phase again."""
+    fixture = _RestoredStore()
+    fixture.restore(topics.Topic.ORDERS, {"a": {}, "b": {}})
+    fixture.put(topics.Topic.ORDERS, "rollout/llm", _rollout("v2"))
+    ordered = fixture.directory.rollout_by_service["llm"]
+    fixture.clock.now_s += 3.0
+    fixture.restore(topics.Topic.ORDERS, {"a": {}})
+    assert fixture.directory.rollout_by_service["llm"] == ordered
+    fixture.put(topics.Topic.ORDERS, "rollout/llm", _rollout("v2"))
+    again = fixture.directory.rollout_by_service["llm"]
+    assert (again.offset, again.seen_s) == (ordered.offset, ordered.seen_s)
+    # Another order is a new one, though it gets the offset of the lost one.
+    fixture.put(topics.Topic.ORDERS, "rollout/llm", _rollout("v3"))
+    other = fixture.directory.rollout_by_service["llm"]
+    assert other.offset == ordered.offset
+    assert (other.order.version, other.seen_s) == ("v3", fixture.clock.now_s)
+
+
+def test_outcome_that_a_restored_store_lacks_stays_known() -> None:
+    """EXPOSURE, issue 49: a version that was rolled back got work again."""
+    fixture = _RestoredStore()
+    outcomes = topics.Topic.OUTCOMES
+    former = {"state": "completed", "target": "v1"}
+    latest = {"state": "rolled_back", "target": "v2"}
+    fixture.restore(outcomes, {"rollout/llm": former})
+    fixture.put(outcomes, "rollout/llm", latest)
+    fixture.restore(outcomes, {"rollout/llm": former})
+    assert fixture.directory.outcome_by_service["llm"].version == "v2"
+    assert fixture.directory.lost_outcomes == {"llm"}
+    fixture.put(outcomes, "rollout/llm", latest)
+    assert not fixture.directory.lost_outcomes
