A restored store is followed at once, and gets back what it lost

Cause: nothing read the era that the store names in its replies; offsets of the lost history were compared with those of the new one. Change: the store's client reads the era; a reply without one, once one was seen, is a failure. A read of a later era loads the topic, and the other topics in turn. Outcomes, registrations and blocked parts are written again by the nodes. A topic that ends before the copy in one era is a failed read, so that the watcher pauses.

--- a/src/lycheegw/coordination/block_records.py
+++ b/src/lycheegw/coordination/block_records.py
@@ -2,7 +2,8 @@
 
 Nodes learn of blocked parts from each other. The records are for those that
 can't: a node that starts again, perhaps with all others at the same time, and
-one whose peers in other zones are out of reach.
+one whose peers in other zones are out of reach. A node writes its records again
+if a restored store lacks them.
 """
 
 import asyncio
@@ -91,6 +92,8 @@
         self._is_restarted = is_restarted
         self._reads_again = reads_again
         self._unwritten: dict[str, bytes] = {}
+        self._written: dict[str, bytes] = {}
+        self._is_restored = False
         self._recorded: set[str] = set()
         self._skipped_by_id: dict[str, bytes] = {}
         # Parts whose block this node writes; it also writes the end of it, as
@@ -113,6 +116,11 @@
             self._unwritten[verdict.part_id] = self._encode(verdict)
             self._has_unwritten.set()
 
+    def note_new_era(self) -> None:
+        """Lets this node look which of its records a restored store lacks."""
+        self._is_restored = True
+        self._has_unwritten.set()
+
     async def run(self) -> None:
         """Reads and writes records until cancelled."""
         while (is_restarted := self._is_restarted()) is None:
@@ -132,6 +140,8 @@
 
     async def _write(self) -> bool:
         """Writes what is unwritten; returns whether all of it was written."""
+        if self._is_restored and not await self._find_lost():
+            return False
         for part_id, value in list(self._unwritten.items()):
             try:
                 await self._store.put(
@@ -141,25 +151,48 @@
                 self._state.counters.add("suspects.record_failed")
                 logging.warning("recording part %s failed: %s", part_id, error)
                 return False
+            self._written[part_id] = value
             if self._unwritten.get(part_id) == value:
                 del self._unwritten[part_id]
-        if not self._unwritten:
+        if not (self._unwritten or self._is_restored):
             self._has_unwritten.clear()
         return True
 
+    async def _find_lost(self) -> bool:
+        """Finds own records that the store lacks; False if it didn't answer."""
+        self._is_restored = False
+        stored = await self._read()
+        if stored is None:
+            self._is_restored = True
+            return False
+        revision_by_id = {each.part_id: each.revision for each in stored}
+        now_s = self._state.environment.wall_s()
+        for part_id, value in self._written.items():
+            own = _decode(part_id, value, now_s)
+            if revision_by_id.get(part_id, -1) < own.revision:
+                self._unwritten.setdefault(part_id, value)
+                self._state.counters.add("suspects.recorded_again")
+        return True
+
     async def _load(self) -> bool:
         """Reads all records; returns whether the store answered."""
+        verdicts = await self._read()
+        if verdicts is None:
+            return False
+        self._recorded.update(verdict.part_id for verdict in verdicts)
+        self._learn(verdicts)
+        return True
+
+    async def _read(self) -> list[prompt_parts.PartVerdict] | None:
+        """Returns the verdicts of all records, None without an answer."""
         try:
             page = await self._store.newest(topics.Topic.BLOCKED_PARTS)
         except errors.StoreError as error:
             self._state.counters.add("store.read_failed.blocked_parts")
             logging.warning("reading blocked parts failed: %s", error)
-            return False
+            return None
         self._state.counters.add("store.read.blocked_parts")
-        verdicts = self._decode_all(page.records)
-        self._recorded.update(verdict.part_id for verdict in verdicts)
-        self._learn(verdicts)
-        return True
+        return self._decode_all(page.records)
 
     def _encode(self, verdict: prompt_parts.PartVerdict) -> bytes:
         now_s = self._state.environment.wall_s()
--- a/src/lycheegw/coordination/canary_rollouts.py
+++ b/src/lycheegw/coordination/canary_rollouts.py
@@ -157,6 +157,7 @@
         drained_since_s: When the last request at the old versions ended.
         decided_s: When `decision` last changed.
         decision: Outcome to write, None while the roll-out is open.
+        lost_since_s: When the outcome was found missing in a restored store.
     """
 
     def __init__(self, rollout: directory.KnownRollout):
@@ -167,6 +168,7 @@
         self.drained_since_s: float | None = None
         self.decided_s: float | None = None
         self.decision: orders.RolloutState | None = None
+        self.lost_since_s: float | None = None
 
 
 class CanaryRollouts:
@@ -491,7 +493,12 @@
 
     def _progress(self, rollout: directory.KnownRollout) -> _RolloutProgress:
         progress = self._progress_by_service.get(rollout.order.service)
-        if progress is None or progress.rollout.offset != rollout.offset:
+        # A restored store gives the offset of a lost order out again.
+        if (
+            progress is None
+            or progress.rollout.offset != rollout.offset
+            or progress.rollout.order != rollout.order
+        ):
             progress = _RolloutProgress(rollout)
             self._progress_by_service[rollout.order.service] = progress
             self._hold_recent_sessions(rollout)
@@ -689,10 +696,27 @@
                     self._evaluate(rollout.order.service)
                     decision = self._decide(rollout)
                     self._set_own_status(rollout)
-                    if decision is not None and self._is_turn_to_write(rollout):
-                        await self._write_outcome(
-                            store, exchange, encode_outcome, rollout, decision
-                        )
+                    decided_s = self._progress(rollout).decided_s
+                else:
+                    decision, decided_s = self._lost_outcome(rollout)
+                if decision is not None and self._is_turn_to_write(
+                    rollout, decided_s
+                ):
+                    await self._write_outcome(
+                        store, exchange, encode_outcome, rollout, decision
+                    )
+
+    def _lost_outcome(
+        self, rollout: directory.KnownRollout
+    ) -> tuple[orders.RolloutState | None, float | None]:
+        """Returns an outcome to write again, and since when it is missing."""
+        progress = self._progress(rollout)
+        if rollout.order.service not in self._directory.lost_outcomes:
+            progress.lost_since_s = None
+            return None, None
+        if progress.lost_since_s is None:
+            progress.lost_since_s = self._now_s()
+        return self._outcome(rollout), progress.lost_since_s
 
     def _decide(
         self, rollout: directory.KnownRollout
@@ -799,15 +823,21 @@
         """Returns 0 in the canary phase, 1 on the ramp, 2 after it."""
         return (share > self._canary_share()) + (share >= 1.0)
 
-    def _is_turn_to_write(self, rollout: directory.KnownRollout) -> bool:
-        """Returns whether it is this node's turn to write the outcome."""
-        progress = self._progress(rollout)
+    def _is_turn_to_write(
+        self, rollout: directory.KnownRollout, due_s: float | None
+    ) -> bool:
+        """Returns whether it is this node's turn to write an outcome.
+
+        Args:
+            rollout: The order.
+            due_s: Monotonic second since which the outcome is due.
+        """
         ids: Sequence[str] = rendezvous.order(
             f"rollout {rollout.order.service}",
             {*self._peers.live_nodes(), self._own_id},
         )
         rank = ids.index(self._own_id)
-        waited_s = self._now_s() - (progress.decided_s or 0.0)
+        waited_s = self._now_s() - (due_s or 0.0)
         return waited_s >= rank * _WRITER_RANK_DELAY_S
 
     async def _write_outcome(
@@ -820,16 +850,24 @@
     ) -> None:
         """Writes an outcome unless the store has a newer record."""
         outcomes = exchange.state_by_topic[topics.Topic.OUTCOMES]
+        if outcomes.era < exchange.era:
+            # The end of the copy says nothing about the restored topic.
+            await self._reload_outcomes(store, exchange)
+            return
         outcome = orders.RolloutOutcome(
             rollout.order.service, rollout.order.version, decision
         )
         key, value = encode_outcome(outcome)
-        expected = max(0, outcomes.end_offset)
+        era, end_offset = outcomes.position
         started_s = self._now_s()
         try:
-            offset = await store.put(
-                topics.Topic.OUTCOMES, key, value, expected
+            position = await store.put(
+                topics.Topic.OUTCOMES, key, value, max(0, end_offset)
             )
+            if position.era != era:
+                raise errors.StoreConflictError(
+                    f"written in era {position.era}, the copy is of era {era}"
+                )
         except errors.StoreError as error:
             self._state.counters.add("rollouts.write_failed")
             self._note(
@@ -847,10 +885,10 @@
             service=outcome.service,
             version=outcome.version,
             state=decision.value,
-            offset=offset,
+            offset=position.offset,
         )
-        record = topics.TopicRecord(key, offset, value)
-        page = topics.TopicPage([record], offset + 1, False)
+        record = topics.TopicRecord(key, position.offset, value)
+        page = topics.TopicPage([record], position.offset + 1, False, era=era)
         exchange.apply_read(topics.Topic.OUTCOMES, page, started_s)
 
     async def _reload_outcomes(
--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -232,8 +232,11 @@
         key: str,
         value: bytes,
         expected_end: int | None,
-    ) -> int:
-        """Writes the newest record of a key; returns its offset.
+    ) -> topics.Position:
+        """Writes the newest record of a key; returns its position.
+
+        A record of a later era than that of this node's copy was written
+        without regard to `expected_end`, which was the end in another era.
 
         Args:
             topic: The topic to write to.
--- a/src/lycheegw/coordination/node_registry.py
+++ b/src/lycheegw/coordination/node_registry.py
@@ -1,6 +1,7 @@
 """Registers this node in the store and reads which other nodes exist.
 
-The nodes write their addresses to one topic of the store.
+The nodes write their addresses to one topic of the store. Each writes its own
+again if a restored store lacks it; until then the others keep it listed.
 """
 
 from collections.abc import Callable
@@ -52,6 +53,10 @@
         self._apply_host_list = apply_host_list
         self._live_nodes = live_nodes
         self._entries: list[upstreams.HostEntry] = []
+        self._era = 0
+        # Entries that a restored store lacks, kept until a monotonic second.
+        self._lost_entries: list[upstreams.HostEntry] = []
+        self._lost_until_s = -math.inf
         self._skipped_by_id: dict[str, bytes] = {}
         self._members: Sequence[str] = [state.identity.node_id]
         self._settled_s = math.inf
@@ -108,6 +113,7 @@
 
     def apply(self) -> None:
         """Applies the list of nodes that was read from the store."""
+        former = self._entries
         self._entries = []
         skipped = {}
         for node_id, value in self._topic_state.values().items():
@@ -119,15 +125,31 @@
                     self._state.counters.add("nodes.unreadable")
                     logging.warning("skipping unreadable node entry: %s", error)
         self._skipped_by_id = skipped
+        self._keep_lost(former)
         own_id = self._state.identity.node_id
         ids = {own_id, *(each.host_id for each in self._entries)}
         self._members = sorted(ids)
         self._apply_host_list(self._entries)
 
+    def _keep_lost(self, former: Sequence[upstreams.HostEntry]) -> None:
+        """Keeps nodes that a restored store lacks until they registered."""
+        now_s = self._state.environment.monotonic_s()
+        listed = {each.host_id for each in self._entries}
+        if 0 < self._era < self._topic_state.era:
+            self._lost_entries = list(former)
+            self._lost_until_s = now_s + _SETTLE_S
+        self._era = self._topic_state.era
+        if now_s >= self._lost_until_s:
+            self._lost_entries = []
+        self._entries += [
+            each for each in self._lost_entries if each.host_id not in listed
+        ]
+
     async def run(self, address: str) -> None:
         """Registers this node if need be, and reads the list.
 
-        Runs until it is cancelled. Without peers, the list is read again.
+        Runs until it is cancelled. Without peers, the list is read again. A
+        node that a restored store lacks registers again.
         """
         await self._readers.load_until_known(topics.Topic.NODES)
         is_new = self._topic_state.value(self._state.identity.node_id) is None
@@ -136,13 +158,18 @@
         await self._register(address)
         now_s = self._state.environment.monotonic_s()
         self._settled_s = now_s + (_SETTLE_S if is_new else 0.0)
-        sleep = self._state.environment.sleep
         while True:
-            await sleep(_REREAD_WITHOUT_PEERS_S)
+            await self._state.environment.sleep(_REREAD_WITHOUT_PEERS_S)
+            if self._lost_entries:
+                self.apply()
             if len(self._live_nodes()) <= 1:
                 await self._readers.load(topics.Topic.NODES)
+            if self._topic_state.value(self._state.identity.node_id) is None:
+                self._state.counters.add("nodes.registered_again")
+                await self._register(address)
 
     async def _register(self, address: str) -> None:
+        """Writes this node's entry unless the store has it."""
         identity = self._state.identity
         value = json.dumps({"address": address, "zone": identity.zone})
         if self._topic_state.value(identity.node_id) == value.encode():
@@ -151,7 +178,7 @@
         while True:
             begun_s = self._state.environment.monotonic_s()
             try:
-                offset = await self._store.put(
+                position = await self._store.put(
                     topics.Topic.NODES, identity.node_id, value.encode(), None
                 )
             except errors.StoreError as error:
@@ -160,11 +187,13 @@
                 await sleep(_REGISTER_RETRY_S)
             else:
                 break
-        if offset == self._topic_state.end_offset:
+        if position == self._topic_state.position:
             record = topics.TopicRecord(
-                identity.node_id, offset, value.encode()
+                identity.node_id, position.offset, value.encode()
+            )
+            self._readers.apply_written(
+                topics.Topic.NODES, record, position.era, begun_s
             )
-            self._readers.apply_written(topics.Topic.NODES, record, begun_s)
             return
         # Other nodes registered at the same time.
         while not await self._readers.load(topics.Topic.NODES):
--- a/src/lycheegw/coordination/topic_readers.py
+++ b/src/lycheegw/coordination/topic_readers.py
@@ -6,6 +6,10 @@
 In addition one node keeps a long-polling read of the orders open, so that most
 orders are known at once. The others can't tell whether that read still works,
 so they go on polling.
+
+A reply of a later era than that of the copy, and one that says that the records
+are gone, lead to a read of the whole topic. Once one topic has entered an era,
+the nodes read the others in turn.
 """
 
 import asyncio
@@ -15,6 +19,8 @@
 import math
 from typing import NamedTuple
 
+from absl import logging
+
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import rendezvous
 from lycheegw.coordination import topic_exchange
@@ -104,6 +110,7 @@
             topic: asyncio.Event() for topic in topics.Topic
         }
         self._last_failure_s: dict[topics.Topic, float] = {}
+        self._has_new_era = asyncio.Event()
         self._ring_members: Mapping[str, Sequence[str]] | None = None
         self._index_by_id: dict[str, int] = {}
 
@@ -114,11 +121,22 @@
     async def _load_page(self, topic: topics.Topic) -> topics.TopicPage | None:
         """Reads and applies a whole topic; None if the store didn't answer."""
         begun_s = self._now_s()
+        former = self._exchange.state_by_topic[topic].position
         try:
             page = await self._store.newest(topic)
         except errors.StoreError as error:
             self._note_read_failed(topic, error, begun_s)
             return None
+        if topics.Position(page.era, page.end_offset) < former:
+            self._note_read_failed(
+                topic,
+                errors.StoreError(
+                    f"the log ends at {page.end_offset} of era {page.era},"
+                    f" before {former.offset} of era {former.era}"
+                ),
+                begun_s,
+            )
+            return None
         self._note_read(topic)
         self._exchange.apply_read(topic, page, begun_s)
         return page
@@ -133,16 +151,21 @@
             retry_wait_s = min(_MAX_RETRY_S, retry_wait_s * 2)
 
     def apply_written(
-        self, topic: topics.Topic, record: topics.TopicRecord, begun_s: float
+        self,
+        topic: topics.Topic,
+        record: topics.TopicRecord,
+        era: int,
+        begun_s: float,
     ) -> None:
         """Applies a record that this node wrote at the end of its copy.
 
         Args:
             topic: The topic.
             record: The record, whose offset is the end of the copy.
+            era: Era of the offset.
             begun_s: Monotonic second at which the write began.
         """
-        page = topics.TopicPage([record], record.offset + 1, False)
+        page = topics.TopicPage([record], record.offset + 1, False, era=era)
         self._exchange.apply_read(topic, page, begun_s)
 
     async def poll(self, topic: topics.Topic) -> None:
@@ -198,18 +221,26 @@
         self, topic: topics.Topic, wait_s: float, timeout_s: float | None
     ) -> topics.TopicPage | None:
         """Reads and applies new records; None if the store didn't answer."""
-        topic_state = self._exchange.state_by_topic[topic]
+        era, offset = self._exchange.state_by_topic[topic].position
         begun_s = self._now_s()
         try:
-            page = await self._store.changes(
-                topic, topic_state.end_offset, wait_s, timeout_s
-            )
-        except errors.StoreHistoryLostError:
+            page = await self._store.changes(topic, offset, wait_s, timeout_s)
+        except errors.StoreHistoryLostError as error:
             self._state.counters.add("store.history_lost")
+            logging.warning(
+                "topic %s: reading from %d of era %d: %s",
+                topic.value,
+                offset,
+                era,
+                error,
+            )
             return await self._load_page(topic)
         except errors.StoreError as error:
             self._note_read_failed(topic, error, begun_s)
             return None
+        if page.era != era:
+            # The records follow those of another history than the copy's.
+            return await self._load_page(topic)
         self._note_read(topic)
         if wait_s and not page.records:
             # The reply confirms that nothing changed up to the end of the wait;
@@ -341,10 +372,31 @@
     async def _sleep(self, seconds: float) -> None:
         await self._state.environment.sleep(seconds)
 
+    def note_new_era(self) -> None:
+        """Makes the nodes read the topics whose copies are of a former era."""
+        self._has_new_era.set()
+
+    async def _follow_era(self) -> None:
+        """Reads the topics that entered no new era with the first one."""
+        while True:
+            await self._has_new_era.wait()
+            self._has_new_era.clear()
+            # Nodes that read first spare the others the calls.
+            rank = min(self._ring()[self._own_id], _MAX_RANK)
+            await self._sleep(_AGE_STEP_PER_RANK_S * (rank + self._jitter()))
+            for topic, state in self._exchange.state_by_topic.items():
+                retry_wait_s = _RETRY_S
+                while state.is_known and state.era < self._exchange.era:
+                    if not await self.load(topic):
+                        await self._sleep(retry_wait_s * self._jitter())
+                        retry_wait_s = min(_MAX_RETRY_S, retry_wait_s * 2)
+
     async def run(self) -> None:
         """Reads the topics of upstreams and orders until cancelled."""
         await asyncio.gather(
-            self.poll(topics.Topic.UPSTREAMS), self._follow_orders()
+            self.poll(topics.Topic.UPSTREAMS),
+            self._follow_orders(),
+            self._follow_era(),
         )
 
     async def _follow_orders(self) -> None:
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -202,6 +202,7 @@
             self.peers.send_soon,
             self.histograms.observe,
         )
+        self.topic_exchange.on_era = self._handle_new_era
         self.topic_fetcher = topic_fetcher.TopicFetcher(
             self.state,
             self.peers,
@@ -284,6 +285,14 @@
             self.state.environment.monotonic_s() - begun_s,
         )
 
+    def _handle_new_era(self, former: int, era: int, source: str) -> None:
+        """Lets the components look what a restored store lacks."""
+        self.state.counters.add("store.new_era")
+        self._log.note("store_era", era=era, former=former, source=source)
+        self.topic_readers.note_new_era()
+        if former:
+            self.block_records.note_new_era()
+
     def _log_dependency(self, name: str, is_lost: bool, why: str) -> None:
         event = "dependency_lost" if is_lost else "dependency_regained"
         self._log.note(event, name=name, why=why)
--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -36,6 +36,9 @@
 _MAX_PAGES = 64
 _READ_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
+# Number of the backup that the store runs from; rises with each restore.
+_ERA_HEADER = b"store-era"
+_MAX_ERA_DIGITS = 18
 
 
 class StoreClient:
@@ -50,19 +53,28 @@
         self._pool = pool
         self._address = address
         self._wait_for_rate_limit = wait_for_rate_limit
+        # Latest era that a reply named, 0 as long as none did.
+        self._era = 0
 
     async def newest(self, topic: topics.Topic) -> topics.TopicPage:
         """Returns the newest record of every key; raises errors.StoreError."""
         records: list[topics.TopicRecord] = []
         after = None
         end_offset = None
+        first_era = None
         for _ in range(_MAX_PAGES):
             query = {"topic": _NAME_BY_TOPIC[topic], "part": "0"}
             if after is not None:
                 query["after"] = after
-            _, body = await self._call(
+            era, body = await self._call(
                 b"GET", "/v1/log-newest", query, b"", _NEWEST_TIMEOUT_S
             )
+            if first_era is None:
+                first_era = era
+            if era != first_era:
+                raise errors.StoreError(
+                    f"{topic.value}: pages of the eras {first_era} and {era}"
+                )
             page = _decode_page(body)
             records += page.records
             if end_offset is None:
@@ -70,7 +82,7 @@
                 # two pages are read again with the changes since the first.
                 end_offset = page.end_offset
             if page.is_complete:
-                return topics.TopicPage(records, end_offset, True)
+                return topics.TopicPage(records, end_offset, True, era=era)
             after = page.records[-1].key
         raise errors.StoreError(f"{topic.value}: more than {_MAX_PAGES} pages")
 
@@ -103,10 +115,10 @@
             query["wait_ms"] = str(int(wait_s * 1000))
         if timeout_s is None:
             timeout_s = _TIMEOUT_S
-        _, body = await self._call(
+        era, body = await self._call(
             b"GET", "/v1/log-read", query, b"", timeout_s + wait_s
         )
-        return _decode_changes(body, offset)
+        return _decode_changes(body, offset)._replace(era=era)
 
     async def put(
         self,
@@ -114,25 +126,26 @@
         key: str,
         value: bytes,
         expected_end: int | None,
-    ) -> int:
-        """Writes a record and returns its offset; raises errors.StoreError."""
+    ) -> topics.Position:
+        """Writes a record and returns its position; raises StoreError."""
         query = {"topic": _NAME_BY_TOPIC[topic], "part": "0"}
         if expected_end is not None:
             query["at"] = str(expected_end)
         key_bytes = key.encode()
         record = bytes([len(key_bytes)]) + key_bytes + value
         body = _RECORD_LENGTH.pack(len(record)) + record
-        _, answer = await self._call(
+        era, answer = await self._call(
             b"POST", "/v1/log-append", query, body, _TIMEOUT_S
         )
         try:
-            return json_fields.read(
+            offset = json_fields.read(
                 "reply", json_fields.load_object("reply", answer), "offset", int
             )
         except errors.RecordError as error:
             raise errors.StoreError(
                 f"malformed reply to an append: {error!r}", True
             ) from error
+        return topics.Position(era, offset)
 
     async def _call(
         self,
@@ -142,7 +155,7 @@
         body: bytes,
         timeout_s: float,
     ) -> tuple[int, bytes]:
-        """Returns status and body of a successful call.
+        """Returns the store's era and the body of a successful call.
 
         Raises:
             errors.StoreError: The call failed.
@@ -179,9 +192,32 @@
             if not is_answered:
                 # Other idle connections may be as silent as this one was.
                 self._pool.close_idle("store")
-        if head.status == 200:
-            return head.status, answer
-        raise _error_of_status(path, head.status, answer)
+        if head.status != 200:
+            raise _error_of_status(path, head.status, answer)
+        try:
+            self._era = _era_of(head, self._era)
+        except errors.RecordError as error:
+            raise errors.StoreError(f"{path}: {error}", is_write) from error
+        return self._era, answer
+
+
+def _era_of(head: connection_pool.RawResponseHead, known: int) -> int:
+    """Returns the era of a reply; raises errors.RecordError.
+
+    Args:
+        head: Head of the reply.
+        known: Era of the latest reply, 0 if there was none.
+    """
+    value = head.value(_ERA_HEADER)
+    if value is None and not known:
+        return 0
+    if value is None or not value.isdigit() or len(value) > _MAX_ERA_DIGITS:
+        raise errors.RecordError([f"{_ERA_HEADER.decode()}: {value!r}"])
+    if int(value) < known:
+        raise errors.RecordError(
+            [f"{_ERA_HEADER.decode()}: {int(value)} after {known}"]
+        )
+    return int(value)
 
 
 def _error_of_status(
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -58,6 +58,8 @@
         first_offset: Offset of the oldest readable record, by topic.
         bytes_per_s: Rate at which the links to it pass responses.
         read_delay_s: Seconds before it responds to a read of changes.
+        era: Number of the backup that it runs from, 0 for a store that names
+            none in its replies.
     """
 
     def __init__(self) -> None:
@@ -66,6 +68,7 @@
         self.read_delay_s = 0.0
         self.fault = ""
         self.lost_appends = 0
+        self.era = 0
         self.silent_reads: dict[str, int] = {}
         self.first_offset: dict[str, int] = {}
         self._records: dict[str, list[bytes]] = {}
@@ -103,6 +106,21 @@
             values[record[1 : 1 + size].decode()] = record[1 + size :]
         return {key: value for key, value in values.items() if value}
 
+    def backup(self) -> dict[str, int]:
+        """Returns the number of records of each topic."""
+        return {topic: len(each) for topic, each in self._records.items()}
+
+    async def restore(self, backup: dict[str, int]) -> None:
+        """Is away for a moment and comes back without later records."""
+        self.fault = "reset"
+        await asyncio.sleep(0.3)
+        async with self._changed:
+            for topic, records in self._records.items():
+                del records[backup.get(topic, 0) :]
+            self.era += 1
+            self._changed.notify_all()
+        self.fault = ""
+
     async def _append(self, topic: str, record: bytes) -> int:
         async with self._changed:
             records = self._records.setdefault(topic, [])
@@ -142,7 +160,7 @@
         end = len(self._records.get(topic, []))
         if "at" in query and int(query["at"]) != end:
             body = json.dumps({"end_offset": end}).encode()
-            await _respond(exchange, 412, body)
+            await self._respond(exchange, 412, body)
             return
         offset = await self._append(topic, exchange.incoming.body[4:])
         if self.lost_appends:
@@ -150,7 +168,17 @@
             exchange.abort()
             return
         body = json.dumps({"offset": offset, "end_offset": offset + 1})
-        await _respond(exchange, 200, body.encode())
+        await self._respond(exchange, 200, body.encode())
+
+    async def _respond(
+        self, exchange: ingress.Exchange, status: int, body: bytes
+    ) -> None:
+        await _respond(exchange, status, body, self._headers())
+
+    def _headers(self) -> forwarded_requests.Headers:
+        if not self.era:
+            return ()
+        return ((b"Store-Era", str(self.era).encode()),)
 
     def _newest_page(self, topic: str) -> bytes:
         records = self._records.get(topic, [])
@@ -180,17 +208,25 @@
             await asyncio.sleep(60)
         start = int(query["from"])
         first = self.first_offset.get(topic, 0)
-        if start < first:
+        if not first <= start <= self.end_offset(topic):
             body = json.dumps({"first_offset": first}).encode()
-            await _respond(exchange, 410, body)
+            await self._respond(exchange, 410, body)
             return
+        era = self.era
         await asyncio.sleep(self.read_delay_s)
         wait_s = int(query.get("wait_ms", "0")) / 1000
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s or 0.001), self._changed:
                 await self._changed.wait_for(
-                    lambda: len(self._records.get(topic, [])) > start
+                    lambda: (
+                        len(self._records.get(topic, [])) > start
+                        or self.era != era
+                    )
                 )
+        if self.era != era:
+            # Calls that were open when the store went away end with it.
+            exchange.abort()
+            return
         records = self._records.get(topic, [])
         body = struct.pack(">QQ", len(records), first)
         for record in records[start:]:
@@ -200,9 +236,9 @@
     async def _send_page(self, exchange: ingress.Exchange, body: bytes) -> None:
         """Sends a response at the rate of the link."""
         if self.bytes_per_s == math.inf:
-            await _respond(exchange, 200, body)
+            await self._respond(exchange, 200, body)
             return
-        await exchange.start(200, (), len(body))
+        await exchange.start(200, self._headers(), len(body))
         size = int(self.bytes_per_s * _LINK_STEP_S)
         for begin in range(0, len(body), size):
             await asyncio.sleep(_LINK_STEP_S)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -137,6 +137,36 @@
     listener.close()
 
 
+async def test_reply_of_no_known_era_is_a_failure_of_the_store() -> None:
+    """Issue 49: offsets of different histories can't be compared."""
+    eras = [b"", b"7", b"7", b"8", b"7", b"", b"-1", b"x", b"9" * 400, b"8"]
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for era in eras:
+            await reader.readuntil(b"\r\n\r\n")
+            header = b"Store-Era: %s\r\n" % era if era else b""
+            writer.write(_REPLY.replace(b"\r\n", b"\r\n" + header, 1))
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    pool = connection_pool.ConnectionPool(clocks.system())
+    client = store_client.StoreClient(pool, f"{host}:{port}", _no_wait)
+    read = []
+    for _ in eras:
+        try:
+            page = await client.changes(topics.Topic.ORDERS, 0, 0.0)
+        except errors.StoreError as error:
+            assert "store-era" in str(error)
+            read.append(None)
+        else:
+            read.append(page.era)
+    assert read == [0, 7, 7, 8, None, None, None, None, None, 8]
+    pool.close()
+    listener.close()
+
+
 def test_record_above_the_limit_of_a_read_is_not_skipped() -> None:
     """CONFIG, issue 32: a read without records counted as one to the end."""
     with pytest.raises(errors.StoreHistoryLostError):
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -201,10 +201,10 @@
 
     async def put(
         self, topic: topics.Topic, key: str, value: bytes, end: int | None
-    ) -> int:
+    ) -> topics.Position:
         del topic, end
         self.value_by_key[key] = value
-        return 1
+        return topics.Position(0, 1)
 
 
 class _Fleet:
--- a/tests/test_rollout_outcome.py
+++ b/tests/test_rollout_outcome.py
@@ -59,7 +59,7 @@
         key: str,
         value: bytes,
         expected_end: int | None,
-    ) -> int:
+    ) -> topics.Position:
         """Writes a key with the result that the test sends."""
         assert topic is _OUTCOMES and expected_end is not None
         self.result = await _Pause()
@@ -71,7 +71,7 @@
         offset = self._append(key, value, expected_end)
         if self.result == "lost":
             raise errors.StoreError("no answer", True)
-        return offset
+        return topics.Position(0, offset)
 
     def land_late_write(self) -> None:
         """Applies a write whose writer saw no answer."""
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -66,10 +66,10 @@
 
     async def put(
         self, topic: Any, key: str, value: bytes, expected_end: int | None
-    ) -> int:
+    ) -> topics.Position:
         """Counts a write."""
         self.writes.append(key)
-        return self.state.end_offset
+        return self.state.position
 
     def live_nodes(self) -> list[str]:
         """Ends the test; called once the node is registered."""
@@ -79,7 +79,7 @@
         """Does nothing, since the list is known."""
 
     def apply_written(
-        self, topic: Any, record: topics.TopicRecord, begun_s: float
+        self, topic: Any, record: topics.TopicRecord, era: int, begun_s: float
     ) -> None:
         """Does nothing; the test looks at the writes."""
 
