A response that this process gives up is not complete

Cause: connection_lost(None) after the node's own abort set neither an error nor the end of the other side, and was read as an orderly close. Change: a connection lost without an error and without the server's end was aborted here, and its readers get an error.

--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -157,6 +157,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._is_lost = True
         self._error = exc
+        if exc is None and not self._is_eof:
+            # Only an abort by this process ends a connection like this.
+            self._error = ConnectionAbortedError("aborted by this process")
         self._readable.set()
         self._writable.set()
         self.on_close(self)
@@ -257,7 +260,7 @@
             raise _connection_lost_error(
                 f"the connection broke: {self._error}", is_timeout
             )
-        if self._is_eof or self._is_lost:
+        if self._is_eof:
             # An orderly close ends a response without content length.
             self._parser.receive_data(b"")
             return
--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -141,8 +141,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Records the end of the stream and its error, if any."""
-        self._is_ended = True
         self._error = exc
+        if exc is None and not self._is_ended:
+            # Only an abort by this process ends a connection like this.
+            self._error = ConnectionAbortedError("aborted by this process")
+        self._is_ended = True
         self._wake_reader()
 
     def _wake_reader(self) -> None:
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -262,3 +262,34 @@
         assert raised.value.reason is reasons.RetryReason.CONNECT_FAILED
         assert raised.value.verdict is verdicts.RunVerdict.NOT_RUN
     assert not pool.open_connection_count("k")
+
+
+# ORDER, review/2: a pool that was closed by its own node while a response
+# without a length was read told the reader that the response was complete.
+@pytest.mark.parametrize("body", [b"", b"id: 1\ndata: x\n\n", b"x" * 70_000])
+async def test_response_that_its_own_pool_aborts_is_not_complete(
+    body: bytes,
+) -> None:
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await _read_request(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+        await reader.read()
+
+    async with _server(serve) as address:
+        pool = _pool()
+        call = await pool.send("k", address, REQUEST)
+        await call.head()
+        received = b""
+        while len(received) < len(body):
+            received += await call.read() or b""
+        reading = asyncio.create_task(call.read())
+        await asyncio.sleep(0.02)
+        pool.close()
+        with pytest.raises(errors.UpstreamError) as raised:
+            await reading
+        assert raised.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+        # The end of a response that is read later is missing as well.
+        with pytest.raises(errors.UpstreamError):
+            await call.read()
