Nodes that are cut off from all upstreams relay to those that are not

Change: nodes gossip whether they are cut off; such peers are asked last. Where less than half of the own zone reaches upstreams, all nodes that do share the load.

--- a/src/lycheegw/coordination/relays.py
+++ b/src/lycheegw/coordination/relays.py
@@ -23,6 +23,9 @@
 _MAX_PEERS = 3
 # Time for which a peer that declined, or was out of reach, is asked last.
 _AVOID_S = 1.0
+# Share of a zone's nodes that have to reach upstreams for the others to prefer
+# them; fewer would have to carry more than twice their load.
+_MIN_LOCAL_SHARE = 0.5
 # Relayed requests that a node serves at a time.
 _MAX_RELAYED = 64
 
@@ -61,6 +64,7 @@
         state: node_state.NodeState,
         client: interfaces.RelayClient,
         live_nodes: Callable[[str | None], Sequence[str]],
+        cut_off_nodes: Callable[[], set[str]],
         note: Callable[..., None],
     ):
         """Creates the relay.
@@ -69,11 +73,14 @@
             state: State of this node.
             client: Sends requests to peers.
             live_nodes: Returns the live nodes of a zone, or all of them.
+            cut_off_nodes: Returns the nodes that can't serve a relayed request,
+                as they are cut off from all upstreams themselves.
             note: Writes a line to the event log.
         """
         self._state = state
         self._client = client
         self._live_nodes = live_nodes
+        self._cut_off_nodes = cut_off_nodes
         self._note = note
         self._avoided_until_s_by_id: dict[str, float] = {}
 
@@ -112,16 +119,28 @@
         return False
 
     def _candidates(self) -> list[str]:
-        """Returns the peers, those of the own zone first."""
+        """Returns the peers in the order in which they are asked.
+
+        Those that are cut off come last. Others of the own zone come first, if
+        they are enough to share the load of the zone.
+        """
         own_id = self._state.identity.node_id
         now_s = self._state.environment.monotonic_s()
+        cut_off = self._cut_off_nodes()
         local = set(self._live_nodes(self._state.identity.zone))
+        prefers_local = len(
+            local - cut_off - {own_id}
+        ) >= _MIN_LOCAL_SHARE * len(local)
         ids = [each for each in self._live_nodes(None) if each != own_id]
         self._state.environment.random.shuffle(ids)
 
-        def rank(node_id: str) -> tuple[bool, bool]:
+        def rank(node_id: str) -> tuple[bool, bool, bool]:
             avoided_until_s = self._avoided_until_s_by_id.get(node_id, 0.0)
-            return now_s < avoided_until_s, node_id not in local
+            return (
+                node_id in cut_off,
+                now_s < avoided_until_s,
+                prefers_local and node_id not in local,
+            )
 
         return sorted(ids, key=rank)
 
--- a/src/lycheegw/coordination/upstream_reach.py
+++ b/src/lycheegw/coordination/upstream_reach.py
@@ -33,6 +33,7 @@
 
     Attributes:
         is_cut_off: Whether no upstream was within reach of the last check.
+        on_change: Called with `is_cut_off` after it has changed.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
             note: Writes a line to the event log.
         """
         self.is_cut_off = False
+        self.on_change: Callable[[bool], None] = lambda _: None
         self._state = state
         self._connect = connect
         self._crashed_upstreams = crashed_upstreams
@@ -151,3 +153,4 @@
             "upstreams_unreachable" if is_cut_off else "upstreams_reachable",
             checked=[upstream.entry.host_id for upstream in checked],
         )
+        self.on_change(is_cut_off)
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -21,6 +21,7 @@
 from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import node_registry
+from lycheegw.coordination import reach_reports
 from lycheegw.coordination import relays
 from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
@@ -35,6 +36,7 @@
 from lycheegw.coordination import zone_reachability
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import notice_codec
+from lycheegw.protocol import reach_codec
 from lycheegw.protocol import rollout_codec
 from lycheegw.protocol import suspect_codec
 from lycheegw.protocol import topic_codec
@@ -359,6 +361,11 @@
             self.suspects.crashed_upstreams,
             self._log.note,
         )
+        self.reach_reports = reach_reports.ReachReports(
+            self.state, self.peers, reach_codec.CODEC, self.peers.send_soon
+        )
+        self.peers.on_connect(self.reach_reports.forget_neighbour)
+        self.reach.on_change = self.reach_reports.set_cut_off
         self.relay_client = peer_relay.RelayClient(
             self.peers, self.state.environment.monotonic_s
         )
@@ -402,6 +409,7 @@
                     self.state,
                     self.relay_client,
                     self.peers.live_nodes,
+                    self.reach_reports.cut_off_nodes,
                     self._log.note,
                 ),
                 self._has_initial_state,
--- a/tests/platform/test_cut_off_nodes.py
+++ b/tests/platform/test_cut_off_nodes.py
@@ -16,6 +16,8 @@
 CONTACT_S = 3.0
 # Share of the others' rate at which a node that is cut off has to serve.
 MIN_SERVED_SHARE = 2 / 3
+# Rate at which a node forgets the peers that declined between two requests.
+_LOW_RATE = 0.6
 _PROMPT = {
     "X-Lycheegw-Model": "*",
     "X-Lycheegw-Token-Usage": "900,50",
@@ -117,6 +119,32 @@
         assert len(ids) == len(set(ids))
 
 
+# Guards against refusals by a zone whose nodes ask each other, while nodes of
+# another zone reach all upstreams (RECOVER, review/4).
+@pytest.mark.parametrize("kind", upstream_cuts.KINDS)
+async def test_callers_are_served_if_most_of_a_zone_is_cut_off(
+    kind: upstream_cuts.Kind,
+) -> None:
+    async with fleet_harness.fleet(nodes=8) as fleet:
+        await fleet.add_node("z-b")
+        await _wait_for_peers(fleet)
+        load = _Load(fleet)
+        await load.run(2.0, per_s=_LOW_RATE)
+        for node in fleet.nodes[:7]:
+            upstream_cuts.begin(node, kind)
+        load.first_counted_s = time.monotonic() + CONTACT_S
+        await load.run(CONTACT_S + 7.0, per_s=_LOW_RATE)
+        others_share = load.served_share(range(7, 9))
+        assert others_share >= 0.95
+        assert load.served_share(range(7)) >= 0.9 * others_share
+        ids = [
+            each.header_by_name["x-lycheegw-attempt-id"]
+            for each in fleet.seen
+            if each.target == "/book/1"
+        ]
+        assert len(ids) == len(set(ids))
+
+
 async def test_relayed_request_keeps_its_id_deadline_and_response() -> None:
     async with fleet_harness.fleet(nodes=2) as fleet:
         await _wait_for_peers(fleet)
