Silence ends an attempt only if another upstream may go on

Cause: limits for silence, between events and before the head, applied also where no other attempt may follow.

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -21,8 +21,8 @@
 
 _MAY_HAVE_RUN = verdicts.RunVerdict.MAY_HAVE_RUN
 
-# A stream without an event for this many times the longest regular gap has lost
-# its upstream; shorter gaps are caused by preemption.
+# A stream without an event for this many times the longest regular gap goes on
+# at another upstream, if there is one; shorter gaps are caused by preemption.
 _GAP_FACTOR = 2.5
 _MIN_GAP_S = 2.0
 # Number of events of an attempt after which its pace is recorded. A few are
@@ -110,6 +110,7 @@
     head: forwarded_requests.ResponseHead,
     version: str,
     note_pace: Callable[[], None],
+    may_try_elsewhere: Callable[[], bool],
 ) -> None:
     """Forwards a response to its end.
 
@@ -119,12 +120,16 @@
         head: Response head that passed `check_head`.
         version: Version of the upstream.
         note_pace: Called after the first `PACE_EVENTS` events of a stream.
+        may_try_elsewhere: Returns whether another upstream may go on with the
+            response. If none may, silence doesn't end it.
 
     Raises:
         errors.UpstreamError: The response broke off.
     """
     if is_stream(accepted.work) and head.status < 300:
-        await _forward_stream(accepted, call, head, version, note_pace)
+        await _forward_stream(
+            accepted, call, head, version, note_pace, may_try_elsewhere
+        )
         return
     body = await _read_body(call)
     accepted.progress.is_in_flight = False
@@ -153,6 +158,7 @@
     head: forwarded_requests.ResponseHead,
     version: str,
     note_pace: Callable[[], None],
+    may_try_elsewhere: Callable[[], bool],
 ) -> None:
     parser = event_streams.EventParser()
     events = 0
@@ -161,7 +167,10 @@
     # Counted from the last whole event: a stalled upstream may still send a
     # byte now and then. The time that the client takes to read doesn't count.
     due_s = loop.time() + gap_s
-    while (data := await _read_before(call, due_s, gap_s)) is not None:
+    while True:
+        data = await _read_before(call, due_s, gap_s, may_try_elsewhere)
+        if data is None:
+            break
         for event in parser.feed(data):
             await _forward_event(accepted, event, head, version)
             due_s = loop.time() + gap_s
@@ -194,28 +203,37 @@
 
 
 async def _read_before(
-    call: interfaces.ForwardCall, due_s: float, gap_s: float
+    call: interfaces.ForwardCall,
+    due_s: float,
+    gap_s: float,
+    may_try_elsewhere: Callable[[], bool],
 ) -> bytes | None:
     """Returns the next bytes, None at the end of the stream.
 
     Args:
         call: Call from which the body is read.
         due_s: Time of the event loop at which the next event is overdue.
-        gap_s: Longest time between two events, for the message.
+        gap_s: Longest time between two events.
+        may_try_elsewhere: Returns whether another upstream may go on.
 
     Raises:
-        errors.UpstreamError: The next event is overdue.
+        errors.UpstreamError: The next event is overdue, and another upstream
+            may go on.
     """
-    try:
-        async with asyncio.timeout_at(due_s):
-            return await call.read()
-    except TimeoutError:
-        raise errors.UpstreamError(
-            reasons.RetryReason.TOKEN_GAP,
-            f"no event received within {gap_s:.2f} s",
-            _MAY_HAVE_RUN,
-            is_timeout=True,
-        ) from None
+    loop = asyncio.get_running_loop()
+    while True:
+        try:
+            async with asyncio.timeout_at(due_s):
+                return await call.read()
+        except TimeoutError:
+            if may_try_elsewhere():
+                raise errors.UpstreamError(
+                    reasons.RetryReason.TOKEN_GAP,
+                    f"no event received within {gap_s:.2f} s",
+                    _MAY_HAVE_RUN,
+                    is_timeout=True,
+                ) from None
+            due_s = loop.time() + gap_s
 
 
 async def _forward_event(
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -393,7 +393,7 @@
                 # Before this, no bytes were sent to the upstream.
                 progress.is_in_flight = True
                 self._note_sent(accepted)
-                head = await self._wait_for_head(accepted, call, version)
+                head = await self._wait_for_head(accepted, call, choice)
             progress.head_s = self._now_s() - progress.attempt_start_s
             progress.status = head.status
             progress.confidence = head.confidence
@@ -415,6 +415,7 @@
                 head,
                 version,
                 lambda: self._note_pace(accepted, version),
+                lambda: self._may_try_elsewhere(accepted, choice),
             )
             call.finish()
             self._note_stream_end(accepted)
@@ -533,14 +534,16 @@
         self,
         accepted: accepted_requests.AcceptedRequest,
         call: interfaces.ForwardCall,
-        version: str,
+        choice: balancing.Choice,
     ) -> forwarded_requests.ResponseHead:
         """Returns the response head; raises UpstreamError on a timeout."""
         timeout_s = self._head_timeout_s(accepted)
         if timeout_s is None:
             return await call.head()
         try:
-            async with silence_timeouts.silence_timeout(timeout_s):
+            async with silence_timeouts.silence_timeout(
+                timeout_s, lambda: self._may_try_elsewhere(accepted, choice)
+            ):
                 return await call.head()
         except TimeoutError:
             self._response_times.note_head_timeout(
@@ -551,7 +554,7 @@
             )
             # Without this, only the fast responses of a version would count.
             self._dependencies.rollouts.note_first_byte_timeout(
-                accepted.service.name, version, timeout_s
+                accepted.service.name, choice.upstream.entry.version, timeout_s
             )
             raise errors.UpstreamError(
                 reasons.RetryReason.HEAD_TIMEOUT,
@@ -560,6 +563,47 @@
                 is_timeout=True,
             ) from None
 
+    def _may_try_elsewhere(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> bool:
+        """Returns whether a silent attempt may be given up for another one.
+
+        Where nobody else may go on, the deadlines of route and client are the
+        only limits.
+        """
+        route, progress = accepted.work.route, accepted.progress
+        may_repeat = (
+            accepted.request.is_idempotent
+            and (route.is_resumable or not progress.event_count)
+            and progress.run_count + 1 < route.max_attempts
+            and self._left_s(accepted.request) >= _MIN_TIME_LEFT_S
+            and self._dependencies.budgets.allows_attempt(accepted.service.name)
+        )
+        upstream_id = choice.upstream.entry.host_id
+        is_option = may_repeat and isinstance(
+            self._dependencies.balancer.choose(
+                accepted.request,
+                accepted.work,
+                accepted.service,
+                progress.model,
+                progress.tried | {upstream_id},
+                progress.version,
+            ),
+            balancing.Choice,
+        )
+        if not is_option:
+            self._state.counters.add("attempts.silence_awaited")
+            self._dependencies.note(
+                "silence_awaited",
+                request_id=accepted.request.request_id,
+                upstream=upstream_id,
+                events=progress.event_count,
+                left_s=round(self._left_s(accepted.request), 3),
+            )
+        return is_option
+
     def _head_timeout_s(
         self, accepted: accepted_requests.AcceptedRequest
     ) -> float | None:
--- a/src/lycheegw/state/silence_timeouts.py
+++ b/src/lycheegw/state/silence_timeouts.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 
 __all__ = ["SilenceTimeout", "silence_timeout"]
@@ -18,9 +19,15 @@
 class SilenceTimeout:
     """Counts down and ends the `async with` block that it belongs to."""
 
-    def __init__(self, limit_s: float, scope: asyncio.Timeout):
+    def __init__(
+        self,
+        limit_s: float,
+        scope: asyncio.Timeout,
+        may_end: Callable[[], bool],
+    ):
         self._limit_s = limit_s
         self._scope = scope
+        self._may_end = may_end
         self._loop = asyncio.get_running_loop()
         self._counted_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -35,6 +42,10 @@
         if self._counted_s < self._limit_s:
             self._schedule()
             return
+        if not self._may_end():
+            self._counted_s = 0.0
+            self._schedule()
+            return
         self._timer = None
         # The block goes on first if what it waits for was just received.
         self._scope.reschedule(self._loop.time())
@@ -53,17 +64,21 @@
 
 
 @contextlib.asynccontextmanager
-async def silence_timeout(limit_s: float) -> AsyncIterator[SilenceTimeout]:
+async def silence_timeout(
+    limit_s: float, may_end: Callable[[], bool] = lambda: True
+) -> AsyncIterator[SilenceTimeout]:
     """Ends the block once the event loop ran for `limit_s` without a stall.
 
     Args:
         limit_s: The time limit, in seconds.
+        may_end: Called when the limit has passed; if it returns False, the
+            block gets as much time again.
 
     Raises:
         TimeoutError: The block was ended.
     """
     async with asyncio.timeout(None) as scope:
-        counting = SilenceTimeout(limit_s, scope)
+        counting = SilenceTimeout(limit_s, scope, may_end)
         try:
             yield counting
         finally:
--- a/tests/test_stream_stalls.py
+++ b/tests/test_stream_stalls.py
@@ -72,6 +72,7 @@
         head,
         "v1",
         lambda: None,
+        lambda: True,
     )
 
 
