Limits of requests are those in force when the request begins

Cause: the parser's limit is that of the time at which a connection is opened; head and idle timeouts were those of the request before. Evidence: 8 of 15 new cases of tests/test_ingress.py fail on: raised and lowered limits of heads, raised and lowered head timeout, raised idle timeout. Bodies held already. Change: limits are read as a request begins; the server checks the size of heads itself, in one piece or in many; an idle connection looks again before it is closed.

--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -30,6 +30,9 @@
 # instead if it is shorter.
 _BODY_TIMEOUT_S = 15.0
 _ACCEPT_BACKLOG = 512
+# Bound of the parser's buffer; the limit of heads, which may change while a
+# connection is open, is checked before it is reached.
+_MAX_BUFFER_BYTES = 2**31
 
 # SO_LINGER with a timeout of 0 s: closing sends a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
@@ -101,7 +104,7 @@
         self._server = server
         self._limits = server.limits()
         self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=_MAX_BUFFER_BYTES
         )
         self._transport: Any = None
         self._loop = asyncio.get_running_loop()
@@ -140,7 +143,7 @@
             return
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
@@ -172,7 +175,7 @@
             while self._task is None and not self._is_lingering:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA:
-                    self._handle_partial_head()
+                    self._handle_partial_input()
                     return
                 if event is h11.PAUSED or isinstance(
                     event, h11.ConnectionClosed
@@ -182,13 +185,18 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
 
-    def _handle_partial_head(self) -> None:
-        has_bytes = bool(self._parser.trailing_data[0])
-        if self._request is None and has_bytes and not self._is_reading_head:
+    def _handle_partial_input(self) -> None:
+        """Bounds the time and the size of a head that is incomplete."""
+        buffered = len(self._parser.trailing_data[0])
+        if self._request is None and buffered and not self._is_reading_head:
             self._is_reading_head = True
+            self._limits = self._server.limits()
             self._start_timer(
                 self._limits.header_timeout_s, self._on_head_timeout
             )
+        if buffered > self._limits.header_bytes:
+            self._reject(431, "head too large")
+            return
         if self._parser.they_are_waiting_for_100_continue:
             self._send(
                 h11.InformationalResponse(
@@ -212,6 +220,9 @@
         self._received_s = self._loop.time()
         self._body = bytearray()
         self._limits = self._server.limits()
+        if _head_bytes(request) > self._limits.header_bytes:
+            self._reject(431, "head too large")
+            return
         self._start_timer(
             min(_BODY_TIMEOUT_S, self._limits.idle_timeout_s),
             self._on_body_timeout,
@@ -279,9 +290,24 @@
             self._close_after_linger()
             return
         self._parser.start_next_cycle()
-        self._start_timer(self._limits.idle_timeout_s, self.close)
+        self._start_idle_timer()
         self._process_events()
 
+    def _start_idle_timer(self) -> None:
+        """Closes the connection if it stays idle for the current limit."""
+        begun_s = self._loop.time()
+
+        def check() -> None:
+            left_s = begun_s + self._server.limits().idle_timeout_s
+            left_s -= self._loop.time()
+            if left_s > 0:
+                # The limit was raised meanwhile.
+                self._start_timer(left_s, check)
+            else:
+                self.close()
+
+        self._start_timer(self._server.limits().idle_timeout_s, check)
+
     def send_head(
         self,
         status: int,
@@ -381,6 +407,16 @@
         self._transport.abort()
 
 
+def _head_bytes(request: h11.Request) -> int:
+    """Returns the least number of bytes that a head has taken."""
+    fields = sum(
+        len(name) + len(value) + len(b": \r\n")
+        for name, value in request.headers.raw_items()
+    )
+    first_line = len(request.method) + len(request.target)
+    return first_line + len(b"  HTTP/1.1\r\n") + fields + len(b"\r\n")
+
+
 _STATUSES = {status.value for status in http.HTTPStatus}
 
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -178,3 +178,112 @@
         with contextlib.suppress(ConnectionError):
             assert await reader.read() == b""
         assert not handled
+
+
+@contextlib.asynccontextmanager
+async def _changing_server(
+    handle: ingress.Handler, limits: list[routing.CallerLimits]
+) -> AsyncIterator[ingress.IngressServer]:
+    """Runs a server whose limits are the last ones of a list."""
+    server = ingress.IngressServer(
+        "127.0.0.1:0", handle, lambda: limits[-1], lambda *_: None
+    )
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
+
+
+def _request(header_bytes: int, body_bytes: int) -> tuple[bytes, bytes]:
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nX-Fill: "
+    return head % body_bytes + b"f" * header_bytes + b"\r\n\r\n", (
+        b"b" * body_bytes
+    )
+
+
+async def _send(
+    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    header_bytes: int,
+    body_bytes: int,
+    pieces: int,
+) -> int:
+    """Sends a request in pieces; returns the status of its response."""
+    reader, writer = streams
+    data = b"".join(_request(header_bytes, body_bytes))
+    size = -(-len(data) // pieces)
+    for begin in range(0, len(data), size):
+        writer.write(data[begin : begin + size])
+        await writer.drain()
+        await asyncio.sleep(0.005)
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+    await reader.readexactly(length)
+    return int(head.split()[1])
+
+
+async def _answer(exchange: ingress.Exchange) -> None:
+    await exchange.send(forwarded_requests.LocalResponse(200, (), b"ok"))
+
+
+# DENIED, review/5: connections kept the limits of the time at which they were
+# opened, and refused heads that the manifest in force allowed.
+@pytest.mark.parametrize("pieces", [1, 2, 9])
+@pytest.mark.parametrize(
+    ("changes", "header_bytes", "body_bytes", "status"),
+    [
+        ({"header_bytes": 4000}, 3000, 2, 200),
+        ({"header_bytes": 300}, 600, 2, 431),
+        ({"body_bytes": 900}, 10, 800, 200),
+        ({"body_bytes": 20}, 10, 40, 413),
+    ],
+)
+async def test_kept_connection_has_the_size_limits_in_force(
+    changes: dict[str, int],
+    header_bytes: int,
+    body_bytes: int,
+    status: int,
+    pieces: int,
+) -> None:
+    limits = [LIMITS]
+    async with _changing_server(_answer, limits) as server:
+        streams = await _open(server)
+        assert await _send(streams, 10, 2, 1) == 200
+        limits.append(LIMITS._replace(**changes))
+        found = await _send(streams, header_bytes, body_bytes, pieces)
+        assert found == status
+        streams[1].close()
+
+
+# DENIED, issue 46: the same for the limits of time.
+@pytest.mark.parametrize(("limit_s", "is_served"), [(0.6, True), (0.05, False)])
+async def test_kept_connection_has_the_head_timeout_in_force(
+    limit_s: float, is_served: bool
+) -> None:
+    limits = [LIMITS]
+    async with _changing_server(_answer, limits) as server:
+        reader, writer = await _open(server)
+        assert await _send((reader, writer), 10, 2, 1) == 200
+        limits.append(LIMITS._replace(header_timeout_s=limit_s))
+        head, body = _request(10, 2)
+        writer.write(head[:20])
+        await asyncio.sleep(0.25 if is_served else 0.1)
+        writer.write(head[20:] + body)
+        assert await _read_status(reader) == (200 if is_served else 408)
+        writer.close()
+
+
+async def test_idle_connection_stays_open_for_a_raised_limit() -> None:
+    """LOST, issue 46: it was closed while its client could still use it."""
+    limits = [LIMITS]
+    async with _changing_server(_answer, limits) as server:
+        streams = await _open(server)
+        assert await _send(streams, 10, 2, 1) == 200
+        limits.append(LIMITS._replace(idle_timeout_s=1.2))
+        await asyncio.sleep(0.9)
+        assert await _send(streams, 10, 2, 1) == 200
+        limits.append(LIMITS._replace(idle_timeout_s=0.1))
+        # The limit that was in force when it became idle counts at the latest.
+        async with asyncio.timeout(1.5):
+            assert await streams[0].read() == b""
+        streams[1].close()
