A stopping node reads on until clients have closed refused connections

Cause: the node answers 503, and its process ends 0.1 s later; the caller writes on, and the reset takes the answer away. Evidence: test_client_that_writes_on_sees_the_refusal, whose client writes for 0.25 s after the refusal and then reads, gets a reset without the change. Change: the node reads and drops what arrives until clients have closed, 0.15 s before the end of the grace time at the latest. After: the test passes. A client that writes for longer than that still sees no answer.

--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -68,6 +68,8 @@
 _ABORT_MARGIN_S = 0.7
 # Part of that time for the answers to these.
 _ANSWER_TIME_S = 0.2
+# Part of it that is left for the end of the process.
+_EXIT_TIME_S = 0.15
 _DRAIN_POLL_INTERVAL_S = 0.05
 _HOUSEKEEPING_INTERVAL_S = 0.5
 # Lag of the event loop above which a line is logged.
@@ -676,7 +678,7 @@
             self.server.refuse_incomplete(
                 self._adapter.caller_codec.encode_refusal(error), str(error)
             )
-            await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
+            await self._wait_for_clients(end_s + _ABORT_MARGIN_S - _EXIT_TIME_S)
         if self._running_requests():
             logging.error(
                 "grace time is ending, aborting %d requests",
@@ -696,6 +698,17 @@
             await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
             self.server.close_idle()
 
+    async def _wait_for_clients(self, end_s: float) -> None:
+        """Reads on until clients have closed refused connections.
+
+        The end of the process resets a connection on which its client still
+        writes, and the client may then miss the response.
+        """
+        while self.server.is_lingering:
+            if self.state.environment.monotonic_s() >= end_s:
+                return
+            await self.state.environment.sleep(_DRAIN_POLL_INTERVAL_S)
+
     async def stop(self) -> None:
         """Drains, then stops all components."""
         await self.drain()
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -98,7 +98,12 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One client connection, which handles one request at a time."""
+    """One client connection, which handles one request at a time.
+
+    Attributes:
+        is_lingering: Whether a response has ended the connection, and what the
+            client still sends is read and dropped.
+    """
 
     def __init__(self, server: "IngressServer"):
         self._server = server
@@ -117,7 +122,7 @@
         self._writable.set()
         self._is_reading_head = False
         self._request_count = 0
-        self._is_lingering = False
+        self.is_lingering = False
 
     @property
     def is_idle(self) -> bool:
@@ -163,7 +168,7 @@
         self._writable.set()
 
     def data_received(self, data: bytes) -> None:
-        if self._is_lingering:
+        if self.is_lingering:
             return
         self._parser.receive_data(data)
         if self._task is None:
@@ -172,7 +177,7 @@
     def _process_events(self) -> None:
         """Handles parser events until a request is complete or input ends."""
         try:
-            while self._task is None and not self._is_lingering:
+            while self._task is None and not self.is_lingering:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA:
                     self._handle_partial_input()
@@ -371,7 +376,7 @@
 
     def _close_after_linger(self) -> None:
         """Closes after the client has had time to read the response."""
-        self._is_lingering = True
+        self.is_lingering = True
         if self._parser.their_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}:
             self.close()
         else:
@@ -465,6 +470,11 @@
         """Whether a part of some request was read, and not all of it."""
         return any(each.is_receiving for each in self.connections)
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether a client may still write a request that was refused."""
+        return any(each.is_lingering for each in self.connections)
+
     def refuse_incomplete(
         self, response: forwarded_requests.LocalResponse, reason: str
     ) -> None:
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Any
 
 import pytest
@@ -158,3 +159,47 @@
         assert sending.done()
         reply = await sending
         assert reply is not None and reply.status == 200
+
+
+async def _write_then_read(address: str, seconds: float) -> int | None:
+    """Writes a whole request over some seconds before it reads anything.
+
+    Returns:
+        The status, None if the connection was reset before.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    with socket.create_connection((host, int(port))) as client:
+        client.setblocking(False)
+        head = (
+            "POST /book/1 HTTP/1.1\r\n"
+            f"Host: {platform_standins.HOST}\r\n"
+            "X-Lycheegw-Attempt-Id: late-1\r\n"
+            "X-Lycheegw-Deadline-Ms: 15000\r\n"
+            f"Api-Key: {platform_standins.API_KEY}\r\n"
+            "Content-Length: 20\r\n\r\n"
+        )
+        try:
+            await loop.sock_sendall(client, head.encode())
+            for _ in range(20):
+                await asyncio.sleep(seconds / 20)
+                await loop.sock_sendall(client, b"x")
+            line = await loop.sock_recv(client, 4096)
+        except ConnectionError:
+            return None
+        return int(line.split()[1]) if line else None
+
+
+# LOST, issue 45: the end of the process reset connections on which clients were
+# still writing refused requests, before these had read the refusal.
+async def test_client_that_writes_on_sees_the_refusal() -> None:
+    async with fleet_harness.fleet(manifest=_manifest(20_000)) as fleet:
+        node = fleet.nodes[0]
+        _set_grace(node)
+        # The refusal comes half a second before the grace time ends.
+        sending = asyncio.create_task(
+            _write_then_read(node.settings.listen, GRACE_S - 0.25)
+        )
+        await _stop(node)
+        assert await sending == 503
+        assert not fleet.seen
