Lost outcomes are known with the time at which they were found missing

The roll-outs made progress objects for orders that had long ended, to remember since when their outcome was missing.

--- a/src/lycheegw/coordination/canary_rollouts.py
+++ b/src/lycheegw/coordination/canary_rollouts.py
@@ -157,7 +157,6 @@
         drained_since_s: When the last request at the old versions ended.
         decided_s: When `decision` last changed.
         decision: Outcome to write, None while the roll-out is open.
-        lost_since_s: When the outcome was found missing in a restored store.
     """
 
     def __init__(self, rollout: directory.KnownRollout):
@@ -168,7 +167,6 @@
         self.drained_since_s: float | None = None
         self.decided_s: float | None = None
         self.decision: orders.RolloutState | None = None
-        self.lost_since_s: float | None = None
 
 
 class CanaryRollouts:
@@ -698,26 +696,20 @@
                     self._set_own_status(rollout)
                     decided_s = self._progress(rollout).decided_s
                 else:
-                    decision, decided_s = self._lost_outcome(rollout)
-                if decision is not None and self._is_turn_to_write(
-                    rollout, decided_s
+                    # Known outcomes are written only if the store lost them.
+                    decision = self._outcome(rollout)
+                    decided_s = self._directory.lost_outcomes.get(
+                        rollout.order.service
+                    )
+                if (
+                    decided_s is not None
+                    and decision is not None
+                    and self._is_turn_to_write(rollout, decided_s)
                 ):
                     await self._write_outcome(
                         store, exchange, encode_outcome, rollout, decision
                     )
 
-    def _lost_outcome(
-        self, rollout: directory.KnownRollout
-    ) -> tuple[orders.RolloutState | None, float | None]:
-        """Returns an outcome to write again, and since when it is missing."""
-        progress = self._progress(rollout)
-        if rollout.order.service not in self._directory.lost_outcomes:
-            progress.lost_since_s = None
-            return None, None
-        if progress.lost_since_s is None:
-            progress.lost_since_s = self._now_s()
-        return self._outcome(rollout), progress.lost_since_s
-
     def _decide(
         self, rollout: directory.KnownRollout
     ) -> orders.RolloutState | None:
@@ -824,7 +816,7 @@
         return (share > self._canary_share()) + (share >= 1.0)
 
     def _is_turn_to_write(
-        self, rollout: directory.KnownRollout, due_s: float | None
+        self, rollout: directory.KnownRollout, due_s: float
     ) -> bool:
         """Returns whether it is this node's turn to write an outcome.
 
@@ -837,8 +829,7 @@
             {*self._peers.live_nodes(), self._own_id},
         )
         rank = ids.index(self._own_id)
-        waited_s = self._now_s() - (due_s or 0.0)
-        return waited_s >= rank * _WRITER_RANK_DELAY_S
+        return self._now_s() - due_s >= rank * _WRITER_RANK_DELAY_S
 
     async def _write_outcome(
         self,
--- a/src/lycheegw/coordination/directory.py
+++ b/src/lycheegw/coordination/directory.py
@@ -87,7 +87,8 @@
         closed_zones: Zones whose upstreams get no new requests.
         rollout_by_service: The ordered roll-outs.
         outcome_by_service: The latest known outcomes of roll-outs.
-        lost_outcomes: Services whose outcome is missing in a restored store.
+        lost_outcomes: Services whose outcome a restored store lacks, and the
+            monotonic second at which this was found.
     """
 
     def __init__(
@@ -102,7 +103,7 @@
         self.closed_zones: set[str] = set()
         self.rollout_by_service: dict[str, KnownRollout] = {}
         self.outcome_by_service: dict[str, orders.RolloutOutcome] = {}
-        self.lost_outcomes: set[str] = set()
+        self.lost_outcomes: dict[str, float] = {}
         self._state = state
         self._codec = codec
         self._state_by_topic = state_by_topic
@@ -286,7 +287,7 @@
             outcome = self._decode_outcome(key, topic_state)
             if outcome is not None:
                 self.outcome_by_service[outcome.service] = outcome
-                self.lost_outcomes.discard(outcome.service)
+                self.lost_outcomes.pop(outcome.service, None)
                 self._note(
                     "rollout_outcome",
                     service=outcome.service,
@@ -316,7 +317,7 @@
             if (outcome := self._decode_outcome(key, topic_state)) is not None
         }
         self.lost_outcomes = {
-            service
+            service: self._now_s()
             for service, outcome in self.outcome_by_service.items()
             if (service, outcome.version) not in stored
         }
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -356,6 +356,6 @@
     fixture.put(outcomes, "rollout/llm", latest)
     fixture.restore(outcomes, {"rollout/llm": former})
     assert fixture.directory.outcome_by_service["llm"].version == "v2"
-    assert fixture.directory.lost_outcomes == {"llm"}
+    assert set(fixture.directory.lost_outcomes) == {"llm"}
     fixture.put(outcomes, "rollout/llm", latest)
     assert not fixture.directory.lost_outcomes
