--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,6 +20,7 @@
     logs: str = "soak-logs",
     *,
     strict: bool = False,
+    restores: bool = False,
     print_schedule: bool = False,
 ) -> None:
     """Runs one soak for each seed; exits with 1 if a rule was broken.
@@ -31,17 +32,20 @@
         logs: Folder of the nodes' settings and logs.
         strict: Whether a freeze excuses nothing once it has ended, and little
             processor time nothing at all.
+        restores: Whether the store is restored from backups, besides.
         print_schedule: Whether to print the faults of each seed.
     """
     first, _, last = str(seeds).partition("-")
     is_broken = False
     for seed in range(int(first), int(last or first) + 1):
         faults = schedule.draw(seed, seconds)
+        if restores:
+            faults = sorted(faults + schedule.draw_restores(seed, seconds))
         if print_schedule:
             print(*faults, sep="\n")
         started_s = time.monotonic()
         folder = pathlib.Path(logs) / str(seed)
-        run = world.Soak(seed, seconds, nodes, folder)
+        run = world.Soak(seed, seconds, nodes, folder, restores=restores)
         asyncio.run(run.run())
         if strict:
             checker.drop_disturbances(run.record, "freeze")
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["ORDERS", "RESPONSE_FAULTS", "Fault", "draw"]
+__all__ = ["ORDERS", "RESPONSE_FAULTS", "Fault", "draw", "draw_restores"]
 
 # What an operator does.
 ORDERS = frozenset(
@@ -77,6 +77,9 @@
 _SLOW_PROCESS_GAP_S = (2.0, 8.0)
 _SLOW_PROCESS_S = (2.0, 6.0)
 
+# Bounds of the time between two restores of the store.
+_RESTORE_GAP_S = (1.0, 9.0)
+
 
 class Fault(NamedTuple):
     """A fault to cause.
@@ -120,6 +123,18 @@
     return sorted(faults)
 
 
+def draw_restores(seed: int, seconds: float) -> list[Fault]:
+    """Returns when the store comes back from a backup, `for_s` old."""
+    generator = random.Random(f"restores of {seed}")
+    faults = []
+    at_s = _QUIET_START_S + generator.uniform(*_RESTORE_GAP_S)
+    while at_s < seconds:
+        for_s = round(2 * generator.uniform(*_DURATION_S), 2)
+        faults.append(Fault(round(at_s, 2), "store_restored", 0, for_s))
+        at_s += generator.uniform(*_RESTORE_GAP_S)
+    return faults
+
+
 def _draw_response_faults(seed: int, seconds: float) -> list[Fault]:
     """Returns the faults in the responses of upstreams."""
     generator = random.Random(f"announcements of {seed}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import contextlib
 import itertools
+import json
 import math
 import os
 import pathlib
@@ -53,6 +54,12 @@
 )
 # Interval at which upstreams write their entries.
 _HEARTBEAT_S = 0.4
+# Interval of the backups of the store, and how long they are kept.
+_BACKUP_INTERVAL_S = 0.25
+_BACKUPS_KEPT_S = 8.0
+# Closures that a restore loses, of a zone without upstreams.
+_LOST_CLOSURE = "evacuate/z-none"
+_LOST_ORDERS = 5
 _BAD_VERSION = "v2-bad"
 # Time limit of a roll-out.
 _ROLLOUT_S = 20.0
@@ -131,8 +138,23 @@
     """
 
     def __init__(
-        self, seed: int, seconds: float, nodes: int, folder: pathlib.Path
+        self,
+        seed: int,
+        seconds: float,
+        nodes: int,
+        folder: pathlib.Path,
+        *,
+        restores: bool = False,
     ):
+        """Creates a soak.
+
+        Args:
+            seed: Seed of the faults.
+            seconds: Length of the load.
+            nodes: Number of node processes.
+            folder: Folder of the nodes' settings and logs.
+            restores: Whether the store is restored from backups, besides.
+        """
         self.record = checker.Record()
         self._random = random.Random(seed)
         self._seconds = seconds
@@ -143,6 +165,14 @@
             default=math.inf,
         )
         self._store = platform_standins.Store()
+        self._backups: list[tuple[float, dict[str, int]]] = []
+        self._manifest: dict[str, Any] = {}
+        self._closed_zone: str | None = None
+        self._rollout: dict[str, Any] | None = None
+        if restores:
+            self._store.era = 1
+            self._faults += schedule.draw_restores(seed, seconds)
+            self._faults.sort()
         # Soaks may run at the same time: each has addresses, request ids and
         # names of upstreams of its own.
         pid = os.getpid()
@@ -183,6 +213,7 @@
             self._shift(offset_s)
             self._spawn(self._watch_lag())
             self._spawn(self._write_heartbeats())
+            self._spawn(self._back_up_store())
             callers = [self._spawn(self._call()) for _ in range(_CALLERS)]
             await self._cause_faults()
             await asyncio.sleep(max(0.0, self._seconds - self._now_s()))
@@ -298,6 +329,7 @@
             "target": _BAD_VERSION,
             "duration_s": _ROLLOUT_S,
         }
+        self._rollout = order
         await self._store.put("keyed.op", "rollout/llm", order)
         from_s = self._now_s()
         self.record.bad_versions.append(
@@ -393,6 +425,7 @@
         if self._added_routes:
             # The last route is one that no caller uses.
             changed["routes"][-1]["timeout_ms"] = 1000 + self._version
+        self._manifest = changed
         await self._store.put("keyed.op", "config", changed)
 
     # Callers.
@@ -612,6 +645,9 @@
         self._proxies[number].set_mode("")
 
     async def _harm_store(self, fault: schedule.Fault) -> None:
+        if fault.kind == "store_restored":
+            await self._restore_store(fault)
+            return
         if fault.kind == "store_loses_replies":
             self._store.silent_reads.update(dict.fromkeys(_TOPICS, 2))
             await asyncio.sleep(fault.for_s)
@@ -621,6 +657,58 @@
         await asyncio.sleep(fault.for_s)
         self._store.fault = ""
 
+    async def _back_up_store(self) -> None:
+        """Keeps backups of the store for as long as restores use them."""
+        while True:
+            now_s = self._now_s()
+            self._backups.append((now_s, self._store.backup()))
+            while self._backups[0][0] < now_s - _BACKUPS_KEPT_S:
+                del self._backups[0]
+            await asyncio.sleep(_BACKUP_INTERVAL_S)
+
+    async def _restore_store(self, fault: schedule.Fault) -> None:
+        """Restores a backup; operator and upstreams write again what is lost.
+
+        Orders that no longer stand are lost as well, so that the next ones get
+        offsets below the former end. The next heartbeats of upstreams are in
+        the store at the end.
+        """
+        from_s = self._now_s() - fault.for_s
+        for _ in range(_LOST_ORDERS):
+            await self._store.put("keyed.op", _LOST_CLOSURE, {})
+            await self._store.delete("keyed.op", _LOST_CLOSURE)
+        backup = max(
+            (each for each in self._backups if each[0] <= from_s),
+            default=self._backups[0],
+            key=lambda each: each[0],
+        )
+        # History that was dropped stays dropped.
+        await self._store.restore(
+            {
+                topic: max(count, self._store.first_offset.get(topic, 0))
+                for topic, count in backup[1].items()
+            }
+        )
+        present = self._store.newest("keyed.op")
+        if present.get("config") != json.dumps(self._manifest).encode():
+            await self._store.put("keyed.op", "config", self._manifest)
+        closure = f"evacuate/{self._closed_zone}"
+        if self._closed_zone is not None and closure not in present:
+            await self._store.put("keyed.op", closure, {})
+        for key in present:
+            if key.startswith("evacuate/") and key != closure:
+                await self._store.delete("keyed.op", key)
+        if self._rollout is not None and "rollout/llm" not in present:
+            await self._store.put("keyed.op", "rollout/llm", self._rollout)
+        listed = self._store.newest("keyed.servers")
+        for name, state in self._state_by_name.items():
+            if state == "removed" and name in listed:
+                await self._store.delete("keyed.servers", name)
+            elif state == "draining":
+                await self._put_entry(name, 1_000_000)
+        await self._rotate_keys()
+        await asyncio.sleep(_HEARTBEAT_S)
+
     async def _harm_upstream(self, fault: schedule.Fault, name: str) -> None:
         proxy = self._upstreams[name].proxy
         proxy.set_mode(fault.kind.removeprefix("upstream_"))
@@ -688,10 +776,12 @@
             return
         self._is_zone_closed = True
         zone = _ZONES[fault.target % 2]
+        self._closed_zone = zone
         await self._store.put("keyed.op", f"evacuate/{zone}", {})
         closure = checker.Closure(zone, self._now_s(), math.inf)
         self.record.closures.append(closure)
         await asyncio.sleep(checker.Bounds().evacuate_s + fault.for_s)
         self.record.closures[-1] = closure._replace(until_s=self._now_s())
+        self._closed_zone = None
         await self._store.delete("keyed.op", f"evacuate/{zone}")
         self._is_zone_closed = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -284,3 +284,14 @@
     assert len(soak.record.ended_by_id) > 500
     checker.drop_disturbances(soak.record, "freeze")
     assert checker.check(soak.record, BOUNDS) == []
+
+
+# Guards against nodes that follow a lost history after the store was restored
+# (CONFIG, DRAIN, issue 49).
+async def test_short_soak_with_restores_breaks_no_rule(
+    tmp_path: pathlib.Path,
+) -> None:
+    soak = world.Soak(1, 20.0, 4, tmp_path, restores=True)
+    await soak.run()
+    assert len(soak.record.ended_by_id) > 500
+    assert checker.check(soak.record, BOUNDS) == []
