--- a/src/lycheegw/coordination/block_records.py
+++ b/src/lycheegw/coordination/block_records.py
@@ -160,6 +160,7 @@
 
     async def _find_lost(self) -> bool:
         """Finds own records that the store lacks; False if it didn't answer."""
+        # A further restore may be noted during the read.
         self._is_restored = False
         stored = await self._read()
         if stored is None:
