Requests wait for reads of the store until their time limit at most

Cause: a read that takes longer than its timeout by a stall doesn't count as a failure of the store, six reads are made, and nothing bounded the wait of a request for them. Change: the wait ends at the time limit of the request, with 503, as it has not run. Requests that are served in time are not affected.

--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -32,6 +32,8 @@
 _NOT_READY_RETRY_AFTER_S = 1.0
 # A request that ends with less time left was ended by the stop of the process.
 _MIN_TIME_TO_STOP_S = 0.01
+# Time limit of a request whose route isn't known, in seconds.
+_MAX_TIME_LIMIT_S = 60.0
 # Logged age of orders that the store has not confirmed yet.
 _MAX_LOGGED_AGE_S = 999.0
 
@@ -102,7 +104,7 @@
         try:
             end.traits = self._codec.decode_traits(sink.incoming)
             await self._wait_for_startup()
-            await self._dependencies.freshness.ensure_current()
+            await self._wait_for_current_copies(sink.incoming, end.traits)
             manifest = self._dependencies.directory.manifest
             end.manifest_version = manifest.version if manifest else None
             end.orders_age_s = self._dependencies.freshness.age_s(
@@ -128,6 +130,36 @@
                 forward_attempts.WAIT_POLL_INTERVAL_S
             )
 
+    async def _wait_for_current_copies(
+        self,
+        incoming: forwarded_requests.IncomingRequest,
+        traits: forwarded_requests.RequestTraits,
+    ) -> None:
+        """Waits until the orders and upstreams are known well enough.
+
+        Raises:
+            errors.RefusalError: They are not, and the time limit of the request
+                has passed or peers know later ones.
+        """
+        freshness = self._dependencies.freshness
+        if freshness.is_current():
+            await freshness.ensure_current()
+            return
+        manifest = self._dependencies.directory.manifest
+        route = manifest and manifest.find_route(traits.host, traits.path)
+        left_s = _time_limit_s(incoming, traits, route)
+        try:
+            async with asyncio.timeout(
+                incoming.received_s + left_s - self._now_s()
+            ):
+                await freshness.ensure_current()
+        except TimeoutError as error:
+            raise errors.RefusalError(
+                reasons.RefusalReason.NOT_READY,
+                f"the store could not be read within {left_s:.2f} s",
+                retry_after_s=_NOT_READY_RETRY_AFTER_S,
+            ) from error
+
     def _accept(
         self,
         sink: accepted_requests.ResponseSink,
@@ -345,17 +377,29 @@
     }
 
 
+def _time_limit_s(
+    incoming: forwarded_requests.IncomingRequest,
+    traits: forwarded_requests.RequestTraits,
+    route: routing.Route | None,
+) -> float:
+    """Returns the seconds that a request has from when it was received."""
+    limits_s = [_MAX_TIME_LIMIT_S]
+    if route is not None:
+        limits_s = [route.timeout_s]
+    if traits.time_left_s is not None:
+        limits_s.append(traits.time_left_s)
+    if incoming.relayed_time_left_s is not None:
+        limits_s.append(incoming.relayed_time_left_s)
+    return min(limits_s)
+
+
 def _request(
     work: forwarded_requests.ForwardedWork,
     organisation: routing.Organisation | None,
 ) -> requests.Request:
     """Returns the properties that the policies of all requests use."""
     route, traits = work.route, work.traits
-    left_s = route.timeout_s
-    if traits.time_left_s is not None:
-        left_s = min(left_s, traits.time_left_s)
-    if work.incoming.relayed_time_left_s is not None:
-        left_s = min(left_s, work.incoming.relayed_time_left_s)
+    left_s = _time_limit_s(work.incoming, traits, route)
     priority = route.priority
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
--- a/tests/platform/test_slow_nodes.py
+++ b/tests/platform/test_slow_nodes.py
@@ -11,6 +11,7 @@
 from lycheegw.state import topics
 from tests.platform import fleet_harness
 from tests.platform import long_manifests
+from tests.platform import platform_standins
 from tests.platform import slow_loops
 
 # Of the bounds that the harness sets, `config_apply_ms`.
@@ -143,3 +144,30 @@
                 mock.MagicMock(),
             )
         assert head == "head"
+
+
+# CONFIG, issue 45: a slow node reads a silent store again and again, and its
+# requests wait for that past the time limit of their route.
+async def test_request_ends_in_time_if_a_slow_node_gets_no_reply() -> None:
+    timeout_s = platform_standins.manifest()["routes"][0]["timeout_ms"] / 1000
+    async with fleet_harness.fleet() as fleet:
+        node = fleet.nodes[0]
+        fleet.store.fault = "silent"
+        await fleet_harness.wait_until(lambda: not node.freshness.is_current())
+
+        async def stall() -> None:
+            while True:
+                await asyncio.sleep(0.12)
+                slow_loops.stall(0.05)
+
+        stalling = asyncio.create_task(stall())
+        try:
+            async with asyncio.timeout(timeout_s + 0.5):
+                reply = await platform_standins.send_request(
+                    node.settings.listen,
+                    "/look/1",
+                    headers={"X-Lycheegw-Deadline-Ms": "10000"},
+                )
+        finally:
+            stalling.cancel()
+        assert reply is not None
