Backlogs are added up by a node of each zone and read before a choice

Each frame took along a new version of the sender's own report, which all nodes passed on, 16 a frame; reports were superseded faster than links passed them on, so that more work made them older.

--- /dev/null
+++ b/src/lycheegw/coordination/backlog_aggregator.py
@@ -0,0 +1,183 @@
+"""Adds up the backlogs that the nodes of a zone report.
+
+Each node reports to the aggregator of its zone, and gets the sums of all zones
+in reply. Aggregators read each other's sums at intervals while they are asked.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+
+from lycheegw.coordination import backlog_sums
+from lycheegw.coordination import interfaces
+from lycheegw.coordination import zone_aggregators
+from lycheegw.state import errors
+from lycheegw.state import node_state
+
+__all__ = [
+    "CALL_TIMEOUT_S",
+    "EXPIRE_AFTER_S",
+    "TOPIC",
+    "BacklogAggregator",
+    "Codec",
+    "Query",
+    "Report",
+]
+
+TOPIC = "backlog_sums"
+# Time within which an aggregator replies, in seconds.
+CALL_TIMEOUT_S = 0.3
+# Time after which the report of a node that isn't heard of doesn't count.
+EXPIRE_AFTER_S = 3.0
+# Interval at which the sums of other zones are read, in seconds.
+_READ_INTERVAL_S = 0.2
+# Reading goes on for this long after the latest question of a node.
+_READ_AFTER_QUESTION_S = 1.0
+
+
+class Report(NamedTuple):
+    """The outstanding prefill work of the requests of one node process.
+
+    Attributes:
+        node_id: Node that sent the requests.
+        started_ms: Start of the node's process, in Unix milliseconds.
+        sequence: Grows with each report of a process.
+        ms_by_upstream: Milliseconds of prefill of unanswered requests by
+            upstream id.
+    """
+
+    node_id: str
+    started_ms: int
+    sequence: int
+    ms_by_upstream: dict[str, int]
+
+
+class Query(NamedTuple):
+    """A question for the sums that changed.
+
+    Attributes:
+        report: Report of the node that asks; None if an aggregator of another
+            zone asks for the sums of this zone alone.
+        known_started_ms: Start of the process that sent the sums that the
+            caller has, 0 if it has none.
+        known_sequence: Sequence number of these sums.
+    """
+
+    report: Report | None
+    known_started_ms: int
+    known_sequence: int
+
+
+class Codec(NamedTuple):
+    """Encodes and decodes the calls; decoding raises PeerMessageError."""
+
+    encode_query: Callable[[Query], bytes]
+    decode_query: Callable[[bytes], Query]
+    encode_sums: Callable[[backlog_sums.Sums], bytes]
+    decode_sums: Callable[[bytes], backlog_sums.Sums]
+
+
+class BacklogAggregator:
+    """Answers the questions of nodes that take this one as an aggregator."""
+
+    def __init__(
+        self,
+        state: node_state.NodeState,
+        peers: interfaces.PeerBus,
+        codec: Codec,
+        aggregators: zone_aggregators.ZoneAggregators,
+    ):
+        self._state = state
+        self._peers = peers
+        self._codec = codec
+        self._aggregators = aggregators
+        started_ms = int(state.environment.wall_s() * 1000)
+        # Sums of the zone's nodes, and of these and the other zones.
+        self._zone_sums = backlog_sums.BacklogSums(started_ms)
+        self._fleet_sums = backlog_sums.BacklogSums(started_ms)
+        self._version_by_node: dict[str, tuple[int, int]] = {}
+        self._copy_by_zone: dict[str, backlog_sums.SumsCopy] = {}
+        self._asked = asyncio.Event()
+        self._read_until_s = 0.0
+        peers.on_call(TOPIC, self._handle_query)
+
+    async def _handle_query(self, node_id: str, payload: bytes) -> bytes:
+        return self._codec.encode_sums(
+            self.answer(self._codec.decode_query(payload))
+        )
+
+    def answer(self, query: Query) -> backlog_sums.Sums:
+        """Takes in the report of a question; returns the sums asked for."""
+        now_s = self._now_s()
+        self._zone_sums.expire(now_s)
+        self._fleet_sums.expire(now_s)
+        sums = self._zone_sums
+        if query.report is not None:
+            self._put(query.report, now_s)
+            self._read_until_s = now_s + _READ_AFTER_QUESTION_S
+            self._asked.set()
+            sums = self._fleet_sums
+        return sums.since(query.known_started_ms, query.known_sequence)
+
+    def _put(self, report: Report, now_s: float) -> None:
+        """Replaces a node's former report, unless this one is older."""
+        version = (report.started_ms, report.sequence)
+        if version < self._version_by_node.get(report.node_id, (0, 0)):
+            return
+        self._version_by_node[report.node_id] = version
+        expires_s = now_s + EXPIRE_AFTER_S
+        for sums in (self._zone_sums, self._fleet_sums):
+            sums.put(report.node_id, report.ms_by_upstream, expires_s)
+
+    async def run(self) -> None:
+        """Reads the sums of the other zones until cancelled."""
+        while True:
+            await self._asked.wait()
+            if not self.is_reading():
+                self._asked.clear()
+                continue
+            await asyncio.gather(*map(self.read_zone, self.other_zones()))
+            await self._state.environment.sleep(_READ_INTERVAL_S)
+
+    def is_reading(self) -> bool:
+        """Returns whether nodes asked lately for the sums of all zones."""
+        return self._now_s() < self._read_until_s
+
+    def other_zones(self) -> list[str]:
+        """Returns the other zones that have live nodes."""
+        own_zone = self._state.identity.zone
+        return [each for each in self._aggregators.zones() if each != own_zone]
+
+    async def read_zone(self, zone: str) -> None:
+        """Reads the sums of another zone once."""
+        aggregator = self._aggregators.aggregator(zone)
+        if aggregator is None:
+            return
+        copy = self._copy_by_zone.setdefault(zone, backlog_sums.SumsCopy())
+        query = Query(None, copy.started_ms, copy.sequence)
+        try:
+            reply = await self._peers.call(
+                aggregator,
+                TOPIC,
+                self._codec.encode_query(query),
+                CALL_TIMEOUT_S,
+            )
+            sums = self._codec.decode_sums(reply)
+        except (
+            errors.PeerUnavailableError,
+            errors.PeerMessageError,
+        ) as error:
+            self._state.counters.add("backlogs.zone_unread")
+            logging.info("backlogs of %s: %s", zone, error)
+            self._aggregators.note_no_reply(aggregator)
+            return
+        now_s = self._now_s()
+        copy.apply(sums, now_s)
+        self._fleet_sums.put(
+            f"zone {zone}", dict(copy.ms_by_upstream), now_s + EXPIRE_AFTER_S
+        )
+
+    def _now_s(self) -> float:
+        return self._state.environment.monotonic_s()
--- /dev/null
+++ b/src/lycheegw/coordination/backlog_sums.py
@@ -0,0 +1,151 @@
+"""Sums of the backlogs that several nodes report, and copies of such sums.
+
+A sum knows the order in which its entries changed, so that a copy gets only
+what changed since it was last brought up to date.
+"""
+
+import collections
+from collections.abc import Mapping
+import math
+from typing import NamedTuple
+
+__all__ = ["BacklogSums", "Sums", "SumsCopy"]
+
+
+class Sums(NamedTuple):
+    """Backlogs of upstreams that changed after a sequence number.
+
+    Attributes:
+        started_ms: Start of the process that added them up, in Unix
+            milliseconds.
+        sequence: Number of the latest change.
+        is_complete: Whether upstreams that are missing have no backlog.
+        ms_by_upstream: Milliseconds of prefill by upstream id.
+    """
+
+    started_ms: int
+    sequence: int
+    is_complete: bool
+    ms_by_upstream: Mapping[str, int]
+
+
+class _Source(NamedTuple):
+    """What one source contributes.
+
+    Attributes:
+        ms_by_upstream: Milliseconds of prefill by upstream id.
+        expires_s: Monotonic second from which on it doesn't count.
+    """
+
+    ms_by_upstream: Mapping[str, int]
+    expires_s: float
+
+
+class BacklogSums:
+    """The sums of what several sources report, by upstream.
+
+    Milliseconds are whole numbers, so that a sum has no rounding error after
+    any number of changes.
+    """
+
+    def __init__(self, started_ms: int):
+        self._started_ms = started_ms
+        self._sequence = 0
+        self._source_by_id: dict[str, _Source] = {}
+        # Sum and the number of its latest change, the latest one last. Zero is
+        # kept, since copies have to learn of it.
+        self._change_by_upstream: collections.OrderedDict[
+            str, tuple[int, int]
+        ] = collections.OrderedDict()
+        self._next_expiry_s = math.inf
+
+    def put(
+        self,
+        source_id: str,
+        ms_by_upstream: Mapping[str, int],
+        expires_s: float,
+    ) -> None:
+        """Replaces what a source contributes."""
+        former = self._source_by_id.get(source_id)
+        former_ms = former.ms_by_upstream if former is not None else {}
+        self._source_by_id[source_id] = _Source(ms_by_upstream, expires_s)
+        self._next_expiry_s = min(self._next_expiry_s, expires_s)
+        for upstream in former_ms.keys() | ms_by_upstream.keys():
+            self._add(
+                upstream,
+                ms_by_upstream.get(upstream, 0) - former_ms.get(upstream, 0),
+            )
+
+    def _add(self, upstream: str, change_ms: int) -> None:
+        if not change_ms:
+            return
+        self._sequence += 1
+        sum_ms, _ = self._change_by_upstream.get(upstream, (0, 0))
+        self._change_by_upstream[upstream] = (
+            sum_ms + change_ms,
+            self._sequence,
+        )
+        self._change_by_upstream.move_to_end(upstream)
+
+    def expire(self, now_s: float) -> None:
+        """Removes sources that were not heard of for too long."""
+        if now_s < self._next_expiry_s:
+            return
+        for source_id, source in list(self._source_by_id.items()):
+            if source.expires_s <= now_s:
+                self.put(source_id, {}, math.inf)
+                del self._source_by_id[source_id]
+        self._next_expiry_s = min(
+            (each.expires_s for each in self._source_by_id.values()),
+            default=math.inf,
+        )
+
+    def since(self, started_ms: int, sequence: int) -> Sums:
+        """Returns what changed after a sequence number of a process.
+
+        The sums are complete if the process is another one.
+        """
+        is_complete = (
+            started_ms != self._started_ms or sequence > self._sequence
+        )
+        after = 0 if is_complete else sequence
+        ms_by_upstream = {}
+        for upstream, (sum_ms, number) in reversed(
+            self._change_by_upstream.items()
+        ):
+            if number <= after:
+                break
+            if sum_ms or not is_complete:
+                ms_by_upstream[upstream] = sum_ms
+        return Sums(
+            self._started_ms, self._sequence, is_complete, ms_by_upstream
+        )
+
+
+class SumsCopy:
+    """A copy of the sums of another process.
+
+    Attributes:
+        started_ms: Start of that process, 0 before the first update.
+        sequence: Number of the latest change that the copy has.
+        updated_s: Monotonic second of the latest update.
+        ms_by_upstream: Milliseconds of prefill by upstream id.
+    """
+
+    def __init__(self) -> None:
+        self.started_ms = 0
+        self.sequence = 0
+        self.updated_s = -math.inf
+        self.ms_by_upstream: dict[str, int] = {}
+
+    def apply(self, sums: Sums, now_s: float) -> None:
+        """Brings the copy up to date."""
+        if sums.is_complete:
+            self.ms_by_upstream.clear()
+        self.started_ms, self.sequence = sums.started_ms, sums.sequence
+        self.updated_s = now_s
+        for upstream, sum_ms in sums.ms_by_upstream.items():
+            if sum_ms > 0:
+                self.ms_by_upstream[upstream] = sum_ms
+            else:
+                self.ms_by_upstream.pop(upstream, None)
--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/backlogs.py
@@ -2,109 +2,69 @@
 
 Upstreams report their load as a number of requests, but one prompt may take a
 thousand times as long as another. Each node sums the expected prefill times of
-the requests that it has sent and that await their response head, and gossips
-the sums, so that all nodes balance load by the same backlogs.
+the requests that it has sent and that await their response head. It reports
+them to the aggregator of its zone, and gets the sums of all nodes in reply.
 """
 
-from collections.abc import Callable
+import asyncio
 from collections.abc import Iterator
-from collections.abc import Mapping
 import contextlib
 import math
-from typing import NamedTuple
 
-from lycheegw.coordination import change_tracker
+from absl import logging
+
+from lycheegw.coordination import backlog_aggregator
+from lycheegw.coordination import backlog_sums
 from lycheegw.coordination import interfaces
+from lycheegw.coordination import zone_aggregators
+from lycheegw.state import errors
 from lycheegw.state import node_state
 
-__all__ = ["Backlogs", "Codec", "Report"]
-
-_TOPIC = "backlogs"
-# Smaller changes wait for the next heartbeat.
-_MIN_REPORTED_CHANGE_S = 0.05
-# Minimum time between two reports that a node sends ahead of its heartbeat, as
-# a time per node of the fleet and as a lower bound. It grows with the fleet
-# because every node forwards each report.
-_REPORT_GAP_S_PER_NODE = 0.015
-_MIN_REPORT_GAP_S = 0.1
-# Maximum reports in a frame; the rest go with later frames.
-_MAX_REPORTS = 16
-# Nodes whose reports are kept for neighbours.
-_MAX_NODES = 2_000
-# A report that is not empty is repeated after this time. After three times as
-# long without a repetition, its node is taken to be gone.
+__all__ = ["Backlogs"]
+
+# Changes of an upstream's backlog from this on are reported soon, in
+# milliseconds. Smaller ones go with the next report.
+_MIN_REPORTED_CHANGE_MS = 100
+# Minimum time between two reports of a node, and the age from which on the sums
+# are read before an upstream is chosen, in seconds: as a lower bound, and for
+# each node of the zone, which bounds the work of the aggregator.
+_MIN_INTERVAL_S = 0.02
+_INTERVAL_S_PER_NODE = 0.0015
+# Time for which a request waits for the sums, in seconds.
+_MAX_WAIT_S = 0.1
+# A report that is not empty is repeated after this time, in seconds.
 _REPEAT_AFTER_S = 1.0
-_EXPIRE_AFTER_S = 3.0
-
-
-class Report(NamedTuple):
-    """The outstanding prefill work of the requests of one node process.
-
-    Attributes:
-        node_id: Node that sent the requests.
-        started_ms: Start of the node's process, in Unix milliseconds.
-        sequence: Grows with each report of a process.
-        age_s: Seconds since the report was made.
-        seconds_by_upstream: Prefill time of unanswered requests by upstream id.
-    """
-
-    node_id: str
-    started_ms: int
-    sequence: int
-    age_s: float
-    seconds_by_upstream: Mapping[str, float]
-
-
-class Codec(NamedTuple):
-    """Encodes and decodes reports for gossip messages."""
-
-    encode: Callable[[list[Report]], bytes]
-    decode: Callable[[bytes], list[Report]]
-
-
-class _Received(NamedTuple):
-    """A report and the monotonic second at which it was made."""
-
-    report: Report
-    made_s: float
+# Longest backlog in a report, in milliseconds; the field has 32 bits.
+_MAX_BACKLOG_MS = 2**32 - 1
 
 
 class Backlogs:
     """This node's estimate of the prefill backlog of every upstream.
 
-    The estimate combines the node's own outstanding requests with the latest
-    reports of the other nodes.
+    The estimate combines the node's own outstanding requests with the sums
+    that the aggregator of its zone sent last.
     """
 
     def __init__(
         self,
         state: node_state.NodeState,
         peers: interfaces.PeerBus,
-        codec: Codec,
-        send_soon: Callable[[], None],
+        codec: backlog_aggregator.Codec,
+        aggregators: zone_aggregators.ZoneAggregators,
     ):
         self._state = state
+        self._peers = peers
         self._codec = codec
-        self._send_soon = send_soon
-        self._own_id = state.identity.node_id
+        self._aggregators = aggregators
         self._started_ms = int(state.environment.wall_s() * 1000)
         self._sequence = 0
         self._own_by_upstream: dict[str, float] = {}
-        self._received_by_node: dict[str, _Received] = {}
-        # Sum of the other nodes' reports, until one of them changes or expires.
-        self._others_by_upstream: dict[str, float] = {}
-        self._others_valid_until_s = -math.inf
-        self._reports_to_gossip: change_tracker.ChangeTracker[_Received] = (
-            change_tracker.ChangeTracker(_MAX_NODES)
-        )
-        # Sequence of the latest own report that each neighbour got.
-        self._own_sent_by_neighbour: dict[str, int] = {}
-        peers.on_delta(_TOPIC, self._encode_unknown_reports, self._merge)
-
-    def forget_neighbour(self, neighbour: str) -> None:
-        """Forgets what was sent to a neighbour, since its link is new."""
-        self._reports_to_gossip.forget_sent(neighbour)
-        self._own_sent_by_neighbour.pop(neighbour, None)
+        self._copy = backlog_sums.SumsCopy()
+        # The own report that is contained in the copy.
+        self._reported_ms: dict[str, int] = {}
+        self._exchanged_s = -math.inf
+        self._is_due = asyncio.Event()
+        self._exchange_ended: asyncio.Future[None] | None = None
 
     @contextlib.contextmanager
     def track(self, upstream_id: str, seconds: float) -> Iterator[None]:
@@ -117,128 +77,143 @@
 
     def wait_s(self, upstream_id: str) -> float:
         """Returns the outstanding prefill time at an upstream, of all nodes."""
-        if self._now_s() >= self._others_valid_until_s:
-            self._sum_others()
-        others_s = self._others_by_upstream.get(upstream_id, 0.0)
-        return self._own_by_upstream.get(upstream_id, 0.0) + others_s
-
-    def _sum_others(self) -> None:
-        """Adds up the reports of the other nodes that have not expired."""
-        now_s = self._now_s()
-        total_by_upstream: dict[str, float] = {}
-        until_s = math.inf
-        for node_id, received in list(self._received_by_node.items()):
-            expiry_s = received.made_s + _EXPIRE_AFTER_S
-            if node_id == self._own_id:
-                continue
-            if expiry_s <= now_s:
-                del self._received_by_node[node_id]
-                self._reports_to_gossip.discard(node_id)
-                continue
-            until_s = min(until_s, expiry_s)
-            for each, seconds in received.report.seconds_by_upstream.items():
-                total_by_upstream[each] = (
-                    total_by_upstream.get(each, 0.0) + seconds
-                )
-        self._others_by_upstream = total_by_upstream
-        self._others_valid_until_s = until_s
+        own_s = self._own_by_upstream.get(upstream_id, 0.0)
+        if self.age_s() > backlog_aggregator.EXPIRE_AFTER_S:
+            return own_s
+        others_ms = self._copy.ms_by_upstream.get(
+            upstream_id, 0
+        ) - self._reported_ms.get(upstream_id, 0)
+        return own_s + max(0, others_ms) / 1000
 
     def longest_s(self) -> float:
         """Returns the longest backlog of all listed upstreams."""
         ids = self._state.upstreams.by_id
         return max((self.wait_s(each) for each in ids), default=0.0)
 
+    def age_s(self) -> float:
+        """Returns the age of what is known of the other nodes' backlogs."""
+        return self._now_s() - self._copy.updated_s
+
     def _add(self, upstream_id: str, seconds: float) -> None:
         total_s = self._own_by_upstream.get(upstream_id, 0.0) + seconds
         if total_s < 1e-6:
             self._own_by_upstream.pop(upstream_id, None)
         else:
             self._own_by_upstream[upstream_id] = total_s
-        received = self._received_by_node.get(self._own_id)
-        gap_s = max(
-            _MIN_REPORT_GAP_S,
-            _REPORT_GAP_S_PER_NODE * len(self._received_by_node),
+        change_ms = _milliseconds(total_s) - self._reported_ms.get(
+            upstream_id, 0
         )
-        if received is not None and self._now_s() - received.made_s < gap_s:
-            return
-        if self._unreported_change_s() >= _MIN_REPORTED_CHANGE_S:
-            self._update_own_report()
-            self._send_soon()
-
-    def _unreported_change_s(self) -> float:
-        """Returns the largest change of any backlog since the last report."""
-        received = self._received_by_node.get(self._own_id)
-        reported = (
-            received.report.seconds_by_upstream if received is not None else {}
+        if abs(change_ms) >= _MIN_REPORTED_CHANGE_MS:
+            self._is_due.set()
+
+    def interval_s(self) -> float:
+        """Returns the minimum time between two exchanges."""
+        nodes = self._aggregators.node_count(self._state.identity.zone)
+        return max(_MIN_INTERVAL_S, _INTERVAL_S_PER_NODE * nodes)
+
+    def is_outdated(self) -> bool:
+        """Returns whether the sums should be read before they are used."""
+        zone = self._state.identity.zone
+        return (
+            self.age_s() > self.interval_s()
+            and self._aggregators.aggregator(zone) is not None
         )
-        own = self._own_by_upstream
-        return max(
-            (
-                abs(own.get(each, 0.0) - reported.get(each, 0.0))
-                for each in {*own, *reported}
-            ),
-            default=0.0,
+
+    def next_exchange_s(self) -> float:
+        """Returns the monotonic second from which on an exchange is allowed."""
+        return self._exchanged_s + self.interval_s()
+
+    async def refresh(self) -> None:
+        """Reads the sums unless they are recent; waits only a short time.
+
+        What was known before holds on if there is no reply.
+        """
+        if not self.is_outdated():
+            return
+        if self._exchange_ended is None:
+            loop = asyncio.get_running_loop()
+            self._exchange_ended = loop.create_future()
+        self._is_due.set()
+        await asyncio.wait({self._exchange_ended}, timeout=_MAX_WAIT_S)
+
+    @property
+    def is_report_due(self) -> bool:
+        """Whether a change is to be reported, or a request waits for sums."""
+        return self._is_due.is_set()
+
+    def is_repetition_due(self) -> bool:
+        """Returns whether the last report is to be repeated or withdrawn."""
+        return (
+            bool(self._own_by_upstream or self._reported_ms)
+            and self._now_s() >= self._exchanged_s + _REPEAT_AFTER_S
         )
 
-    def _update_own_report(self) -> None:
+    async def run(self) -> None:
+        """Reports this node's backlogs and reads the sums until cancelled."""
+        sleep = self._state.environment.sleep
+        while True:
+            await self._wait_until_due()
+            await sleep(max(0.0, self.next_exchange_s() - self._now_s()))
+            await self.run_once()
+
+    async def _wait_until_due(self) -> None:
+        """Returns when a report is due: after a change, or as a repetition."""
+        while not self.is_report_due and not self.is_repetition_due():
+            has_report = bool(self._own_by_upstream or self._reported_ms)
+            limit_s = _REPEAT_AFTER_S if has_report else None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    await self._is_due.wait()
+
+    async def run_once(self) -> None:
+        """Reports once, and lets the requests go on that wait for the sums."""
+        self._is_due.clear()
+        await self.exchange()
+        if self._exchange_ended is not None:
+            self._exchange_ended.set_result(None)
+            self._exchange_ended = None
+
+    async def exchange(self) -> None:
+        """Reports this node's backlogs once, and reads the sums."""
+        aggregator = self._aggregators.aggregator(self._state.identity.zone)
+        self._exchanged_s = self._now_s()
+        if aggregator is None:
+            return
         self._sequence += 1
-        report = Report(
-            self._own_id,
+        report = backlog_aggregator.Report(
+            self._state.identity.node_id,
             self._started_ms,
             self._sequence,
-            0.0,
-            dict(self._own_by_upstream),
+            {
+                upstream: _milliseconds(seconds)
+                for upstream, seconds in self._own_by_upstream.items()
+            },
         )
-        self._received_by_node[self._own_id] = _Received(report, self._now_s())
-
-    def _encode_unknown_reports(self, neighbour: str) -> bytes | None:
-        """Returns the encoded reports that a neighbour doesn't have yet."""
-        now_s = self._now_s()
-        own = self._received_by_node.get(self._own_id)
-        is_due = own is None or now_s - own.made_s > _REPEAT_AFTER_S
-        is_empty = not self._own_by_upstream
-        if self._unreported_change_s() > 0 or (is_due and not is_empty):
-            self._update_own_report()
-        reports: list[Report] = []
-        own = self._received_by_node.get(self._own_id)
-        if (
-            own is not None
-            and self._own_sent_by_neighbour.get(neighbour)
-            != own.report.sequence
-        ):
-            self._own_sent_by_neighbour[neighbour] = own.report.sequence
-            reports.append(own.report._replace(age_s=now_s - own.made_s))
-        for received in self._reports_to_gossip.take_unsent(
-            neighbour, _MAX_REPORTS - len(reports)
-        ):
-            age_s = now_s - received.made_s
-            if age_s <= _EXPIRE_AFTER_S:
-                reports.append(received.report._replace(age_s=age_s))
-        return self._codec.encode(reports) if reports else None
-
-    def _merge(self, neighbour: str, payload: bytes) -> None:
-        """Merges the reports of a neighbour that are new to this node."""
-        now_s = self._now_s()
-        for report in self._codec.decode(payload):
-            if report.node_id == self._own_id:
-                continue
-            version = _version(report)
-            previous = self._received_by_node.get(report.node_id)
-            if previous is not None and _version(previous.report) >= version:
-                if _version(previous.report) == version:
-                    self._reports_to_gossip.note_known(
-                        report.node_id, neighbour
-                    )
-                continue
-            received = _Received(report, now_s - report.age_s)
-            self._received_by_node[report.node_id] = received
-            self._reports_to_gossip.put(report.node_id, received, neighbour)
-            self._others_valid_until_s = -math.inf
+        query = backlog_aggregator.Query(
+            report, self._copy.started_ms, self._copy.sequence
+        )
+        try:
+            reply = await self._peers.call(
+                aggregator,
+                backlog_aggregator.TOPIC,
+                self._codec.encode_query(query),
+                backlog_aggregator.CALL_TIMEOUT_S,
+            )
+            sums = self._codec.decode_sums(reply)
+        except (
+            errors.PeerUnavailableError,
+            errors.PeerMessageError,
+        ) as error:
+            self._state.counters.add("backlogs.unread")
+            logging.info("sums of backlogs: %s", error)
+            self._aggregators.note_no_reply(aggregator)
+            return
+        self._copy.apply(sums, self._now_s())
+        self._reported_ms = report.ms_by_upstream
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
 
 
-def _version(report: Report) -> tuple[int, int]:
-    """Returns a key that orders the reports of a node, also over restarts."""
-    return report.started_ms, report.sequence
+def _milliseconds(seconds: float) -> int:
+    return int(max(0.0, min(seconds * 1000, _MAX_BACKLOG_MS)))
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -79,8 +79,8 @@
 _SMALLEST_MODEL_URGENCY = 2
 _DEFAULT_URGENCY = 5
 _LONG_PROMPT_TOKENS = (8_000, 25_000)
-# Logged age of a load that was never reported.
-_UNKNOWN_LOAD_AGE_S = 999.0
+# Logged age of a load or a backlog that was never reported.
+_UNKNOWN_AGE_S = 999.0
 
 # Failures caused by an upstream's software, which count against its version.
 _SOFTWARE_FAILURES = frozenset(
@@ -211,6 +211,8 @@
                 and await self._dependencies.relays.serve(accepted)
             ):
                 return
+            if accepted.service.engine is not None:
+                await self._dependencies.backlogs.refresh()
             await self._dependencies.freshness.ensure_current()
             choice = await self._choose(accepted)
             try:
@@ -449,7 +451,10 @@
             service.name, upstream.entry.version, accepted.request.session
         )
         upstream.note_sent()
-        load_age_s = min(_UNKNOWN_LOAD_AGE_S, upstream.report_age_s(now_s))
+        load_age_s = min(_UNKNOWN_AGE_S, upstream.report_age_s(now_s))
+        wait_age_s = min(_UNKNOWN_AGE_S, self._dependencies.backlogs.age_s())
+        if service.engine is not None:
+            self._dependencies.observe("backlog_age", service.name, wait_age_s)
         self._dependencies.note(
             "attempt",
             request_id=accepted.request.request_id,
@@ -464,6 +469,7 @@
             load=round(upstream.estimated_load(now_s), 1),
             load_age_s=round(load_age_s, 2),
             wait_s=round(choice.wait_s, 2),
+            wait_age_s=round(wait_age_s, 2),
             left_s=round(self._left_s(accepted.request), 3),
             last_event=progress.last_event,
         )
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from lycheegw import lifecycle
+from lycheegw.coordination import backlog_aggregator
 from lycheegw.coordination import backlogs
 from lycheegw.coordination import balancing
 from lycheegw.coordination import block_records
@@ -33,6 +34,7 @@
 from lycheegw.coordination import topic_readers
 from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import upstream_reach
+from lycheegw.coordination import zone_aggregators
 from lycheegw.coordination import zone_reachability
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import notice_codec
@@ -372,10 +374,7 @@
             self.peers, self.state.environment.monotonic_s
         )
         timings = response_times.ResponseTimes()
-        self.backlogs = backlogs.Backlogs(
-            self.state, self.peers, backlog_codec.CODEC, self.peers.send_soon
-        )
-        self.peers.on_connect(self.backlogs.forget_neighbour)
+        self._build_backlogs()
         self.balancer = balancing.Balancer(
             self.state,
             self.directory,
@@ -436,6 +435,20 @@
         self.application.add_task(self._run_rollouts)
         self.application.add_task(self._run_housekeeping)
 
+    def _build_backlogs(self) -> None:
+        """Adds the components that add up the backlogs of all nodes."""
+        aggregators = zone_aggregators.ZoneAggregators(
+            self.state, self.peers.liveness.live_by_zone
+        )
+        aggregator = backlog_aggregator.BacklogAggregator(
+            self.state, self.peers, backlog_codec.CODEC, aggregators
+        )
+        self.backlogs = backlogs.Backlogs(
+            self.state, self.peers, backlog_codec.CODEC, aggregators
+        )
+        self.application.add_task(aggregator.run)
+        self.application.add_task(self.backlogs.run)
+
     def _time_to_stop_s(self) -> float:
         """Returns the seconds until running requests are aborted."""
         return self._drain_end_s - self.state.environment.monotonic_s()
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -1,54 +1,96 @@
-"""Protobuf encoding of the backlog reports that nodes exchange."""
+"""Protobuf encoding of reports and sums of backlogs."""
 
-from lycheegw.coordination import backlogs
+from collections.abc import Mapping
+
+from google.protobuf import message as protobuf_message
+
+from lycheegw.coordination import backlog_aggregator
+from lycheegw.coordination import backlog_sums
 from lycheegw.protocol.pb import backlogs_pb2
+from lycheegw.state import errors
 
 __all__ = ["CODEC"]
 
-# Longest backlog in a message, in milliseconds; the field has 32 bits.
+
+# Longest backlog in a message, in milliseconds; the field has 32 bits. A sum
+# may exceed it.
 _MAX_BACKLOG_MS = 2**32 - 1
 
 
-def _encode(reports: list[backlogs.Report]) -> bytes:
-    message = backlogs_pb2.News(
-        reports=[
+def _encode_backlogs(
+    ms_by_upstream: Mapping[str, int],
+) -> list[backlogs_pb2.Backlog]:
+    return [
+        backlogs_pb2.Backlog(
+            upstream=upstream, milliseconds=min(milliseconds, _MAX_BACKLOG_MS)
+        )
+        for upstream, milliseconds in ms_by_upstream.items()
+    ]
+
+
+def _encode_query(query: backlog_aggregator.Query) -> bytes:
+    report = query.report
+    message = backlogs_pb2.Query(
+        is_zone_only=report is None,
+        known_started_ms=query.known_started_ms,
+        known_sequence=query.known_sequence,
+    )
+    if report is not None:
+        message.report.CopyFrom(
             backlogs_pb2.Report(
                 node_id=report.node_id,
                 started_ms=report.started_ms,
                 sequence=report.sequence,
-                age_ms=max(0, int(report.age_s * 1000)),
-                backlogs=[
-                    backlogs_pb2.Backlog(
-                        upstream=upstream,
-                        milliseconds=_milliseconds(seconds),
-                    )
-                    for upstream, seconds in report.seconds_by_upstream.items()
-                ],
+                backlogs=_encode_backlogs(report.ms_by_upstream),
             )
-            for report in reports
-        ]
-    )
+        )
     return bytes(message.SerializeToString())
 
 
-def _milliseconds(seconds: float) -> int:
-    return int(max(0.0, min(seconds * 1000, _MAX_BACKLOG_MS)))
-
-
-def _decode(payload: bytes) -> list[backlogs.Report]:
-    return [
-        backlogs.Report(
-            report.node_id,
-            report.started_ms,
-            report.sequence,
-            report.age_ms / 1000,
+def _decode_query(payload: bytes) -> backlog_aggregator.Query:
+    try:
+        message = backlogs_pb2.Query.FromString(payload)
+    except protobuf_message.DecodeError as error:
+        raise errors.PeerMessageError(f"question: {error}") from error
+    report = None
+    if not message.is_zone_only:
+        report = backlog_aggregator.Report(
+            message.report.node_id,
+            message.report.started_ms,
+            message.report.sequence,
             {
-                each.upstream: each.milliseconds / 1000
-                for each in report.backlogs
+                each.upstream: each.milliseconds
+                for each in message.report.backlogs
             },
         )
-        for report in backlogs_pb2.News.FromString(payload).reports
-    ]
+    return backlog_aggregator.Query(
+        report, message.known_started_ms, message.known_sequence
+    )
+
+
+def _encode_sums(sums: backlog_sums.Sums) -> bytes:
+    message = backlogs_pb2.Sums(
+        started_ms=sums.started_ms,
+        sequence=sums.sequence,
+        is_complete=sums.is_complete,
+        backlogs=_encode_backlogs(sums.ms_by_upstream),
+    )
+    return bytes(message.SerializeToString())
+
+
+def _decode_sums(payload: bytes) -> backlog_sums.Sums:
+    try:
+        message = backlogs_pb2.Sums.FromString(payload)
+    except protobuf_message.DecodeError as error:
+        raise errors.PeerMessageError(f"sums: {error}") from error
+    return backlog_sums.Sums(
+        message.started_ms,
+        message.sequence,
+        message.is_complete,
+        {each.upstream: each.milliseconds for each in message.backlogs},
+    )
 
 
-CODEC = backlogs.Codec(_encode, _decode)
+CODEC = backlog_aggregator.Codec(
+    _encode_query, _decode_query, _encode_sums, _decode_sums
+)
