The writer of a link wakes once a frame, and sends no early frame without deltas

Each request for an early frame woke the writer, which then waited for the earliest time by a second timeout; each send had a timeout of its own, whose timer ticks; an early frame was sent also if it had nothing to say.

--- a/src/lycheegw/transport/peer_bus.py
+++ b/src/lycheegw/transport/peer_bus.py
@@ -236,6 +236,7 @@
                 self._maintain_link(node_id)
             )
         for link in list(self._link_by_id.values()):
+            link.check_blocked(_RECONCILE_INTERVAL_S)
             is_surplus = link.is_neighbour and link.peer.node_id not in wanted
             if self._is_idle(link) or (link.is_opener and is_surplus):
                 link.close()
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 
@@ -16,7 +17,6 @@
 from lycheegw.coordination import liveness
 from lycheegw.protocol.pb import peer_pb2
 from lycheegw.state import node_state
-from lycheegw.state import silence_timeouts
 
 __all__ = [
     "LINK_ERRORS",
@@ -130,7 +130,15 @@
         self._reply_by_call_id: dict[int, asyncio.Future[Any]] = {}
         self._last_call_id = 0
         self._call_tasks: set[asyncio.Task[None]] = set()
-        self._wake_event = asyncio.Event()
+        # The writer waits for this future until a monotonic second.
+        self._waiter: asyncio.Future[None] | None = None
+        self._wake_timer: asyncio.TimerHandle | None = None
+        self._wake_s = math.inf
+        self._is_early_requested = False
+        self._earliest_heartbeat_s = 0.0
+        # The send that lasts, if any, and how many checks it has outlasted.
+        self._is_sending = False
+        self._blocked_checks = 0
         # A separate generator: the number of heartbeats doesn't affect other
         # random choices.
         self._random = random.Random(peer.node_id)
@@ -161,8 +169,26 @@
         self._reply_by_call_id.clear()
 
     def send_soon(self) -> None:
-        """Requests an early heartbeat, which carries the pending deltas."""
-        self._wake_event.set()
+        """Requests that the pending deltas are sent, if there are any."""
+        self._is_early_requested = True
+        self._wake_writer_by(self._earliest_heartbeat_s)
+
+    def check_blocked(self, interval_s: float) -> None:
+        """Ends the link if a send lasts for longer than the timeout.
+
+        Flow control blocks a send if the peer doesn't read. Checks are counted
+        rather than seconds, as a process that was suspended may have sent.
+
+        Args:
+            interval_s: Interval at which this is called.
+        """
+        if not self._is_sending:
+            self._blocked_checks = 0
+            return
+        self._blocked_checks += 1
+        if self._blocked_checks * interval_s > liveness.HEARTBEAT_TIMEOUT_S:
+            self.is_silent = True
+            self.close()
 
     async def call(self, topic: str, payload: bytes) -> Any:
         """Returns the reply frame; raises one of LINK_ERRORS."""
@@ -178,7 +204,7 @@
         self._queue.put_nowait(
             peer_pb2.Frame(call_id=call_id, topic=topic, payload=payload)
         )
-        self._wake_event.set()
+        self._wake_writer_by(0.0)
         try:
             return await reply
         finally:
@@ -186,20 +212,33 @@
 
     async def _write(self) -> None:
         """Sends queued frames at once, and heartbeats at their interval."""
-        heartbeat_s = earliest_heartbeat_s = 0.0
+        heartbeat_s = 0.0
         while not await self._check_silence():
             while not self._queue.empty():
                 await self._send(self._queue.get_nowait())
-            if self._now_s() >= heartbeat_s:
-                earliest_heartbeat_s = self._now_s() + _MIN_EARLY_HEARTBEAT_S
-                for frame in self._heartbeat_frames():
-                    await self._send(frame)
-                heartbeat_s = self._next_heartbeat_s()
-            is_woken = await self._wait_until(heartbeat_s)
-            if is_woken and self.is_neighbour:
-                heartbeat_s = min(
-                    heartbeat_s, max(self._now_s(), earliest_heartbeat_s)
+            is_regular = self._now_s() >= heartbeat_s
+            if is_regular or self._is_early_heartbeat_due():
+                self._is_early_requested = False
+                self._earliest_heartbeat_s = (
+                    self._now_s() + _MIN_EARLY_HEARTBEAT_S
                 )
+                frames = self._heartbeat_frames()
+                # An early heartbeat is of use only for its deltas.
+                if is_regular or frames[0].deltas:
+                    for frame in frames:
+                        await self._send(frame)
+                    heartbeat_s = self._next_heartbeat_s()
+            until_s = heartbeat_s
+            if self._is_early_requested and self.is_neighbour:
+                until_s = min(until_s, self._earliest_heartbeat_s)
+            await self._wait_until(until_s)
+
+    def _is_early_heartbeat_due(self) -> bool:
+        return (
+            self._is_early_requested
+            and self.is_neighbour
+            and self._now_s() >= self._earliest_heartbeat_s
+        )
 
     async def _check_silence(self) -> bool:
         if self._silence_s() <= liveness.HEARTBEAT_TIMEOUT_S:
@@ -219,15 +258,37 @@
         jitter = 1 + _HEARTBEAT_JITTER * self._random.random()
         return self._now_s() + interval_s * jitter
 
-    async def _wait_until(self, until_s: float) -> bool:
-        """Waits until `until_s`; returns whether it was woken before that."""
+    async def _wait_until(self, until_s: float) -> None:
+        """Waits until `until_s`, or until the writer is woken before that."""
+        if not self._queue.empty():
+            return
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        self._wake_s = math.inf
+        self._wake_writer_by(until_s)
         try:
-            async with asyncio.timeout(max(0.0, until_s - self._now_s())):
-                await self._wake_event.wait()
-        except TimeoutError:
-            return False
-        self._wake_event.clear()
-        return True
+            await self._waiter
+        finally:
+            self._waiter = None
+            if self._wake_timer is not None:
+                self._wake_timer.cancel()
+                self._wake_timer = None
+
+    def _wake_writer_by(self, at_s: float) -> None:
+        """Ends the writer's wait at a monotonic second, or before."""
+        if self._waiter is None or at_s >= self._wake_s:
+            return
+        self._wake_s = at_s
+        if self._wake_timer is not None:
+            self._wake_timer.cancel()
+        delay_s = max(0.0, at_s - self._now_s())
+        self._wake_timer = asyncio.get_running_loop().call_later(
+            delay_s, self._wake_writer
+        )
+
+    def _wake_writer(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
     def _heartbeat_frames(self) -> list[Any]:
         """Returns a heartbeat, in several frames if its deltas are long."""
@@ -260,15 +321,12 @@
 
     async def _send(self, frame: Any) -> None:
         self._count(frame)
-        # If the peer doesn't read, flow control blocks the sender.
+        self._is_sending = True
         try:
-            async with silence_timeouts.silence_timeout(
-                liveness.HEARTBEAT_TIMEOUT_S
-            ):
-                await self._stream.send_message(frame)
-        except TimeoutError:
-            self.is_silent = True
-            raise
+            await self._stream.send_message(frame)
+        finally:
+            self._is_sending = False
+            self._blocked_checks = 0
 
     async def _read(self) -> None:
         """Handles received frames until the stream ends."""
@@ -323,7 +381,7 @@
             self._state.counters.add("peers.replies_dropped")
             return
         self._queue.put_nowait(frame)
-        self._wake_event.set()
+        self._wake_writer_by(0.0)
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
