A start runs no garbage collections

Of a start's 333 ms of processor time, collections during the imports and one before the freeze took 50 ms, and freed 0.35 MB.

--- a/src/lycheegw/platform/main.py
+++ b/src/lycheegw/platform/main.py
@@ -83,8 +83,8 @@
     )
     # Objects created at startup live until the process ends, so the garbage
     # collector need not scan them.
-    gc.collect()
     gc.freeze()
+    gc.enable()
     await stop_requested.wait()
     settings_watcher.cancel()
     await node.stop()
