Measure balance: lateness beside an oracle and own counts, without sockets

`lycheegw measure balance` runs the product's balancer, backlogs and estimates of response times in 7, 76 and 186 nodes in simulated time. Lateness, median and 99th percentile of the time to the head, the largest tenth and avoidable waits stand beside an oracle that knows all queues and caches and the least connections of each node.

--- a/src/lycheegw/measure/backlog_fleet.py
+++ b/src/lycheegw/measure/backlog_fleet.py
@@ -6,6 +6,7 @@
 
 import bisect
 import collections
+from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -28,10 +29,10 @@
 from lycheegw.state import limits
 from lycheegw.state import node_state
 
-__all__ = ["BacklogFleet", "Spread", "run_at_once"]
+__all__ = ["ATTEMPTS_PER_S", "Attempt", "BacklogFleet", "Spread", "run_at_once"]
 
 # Attempts a second of each node, as on a day of 195 nodes.
-_ATTEMPTS_PER_S = 2.1
+ATTEMPTS_PER_S = 2.1
 # Share of the attempts that stay in the node's zone.
 _LOCAL_SHARE = 0.6
 # Prompts are of lognormal length; two fifths go to a model of ten times the
@@ -58,6 +59,22 @@
 _BLIND_SHARE, _LONG_BACKLOG_S = 0.25, 0.5
 
 
+class Attempt(NamedTuple):
+    """An attempt of a node at an upstream.
+
+    Attributes:
+        upstream: Id of the upstream.
+        expected_s: Prefill time that the node expects.
+        head_s: Time from now to the head of the response.
+        note_head: Called once the head has arrived.
+    """
+
+    upstream: str
+    expected_s: float
+    head_s: float
+    note_head: Callable[[], None] = lambda: None
+
+
 class Spread(NamedTuple):
     """What nodes know of the backlogs, and what that costs a node.
 
@@ -121,8 +138,16 @@
         return reply
 
 
-class _Node:
-    """The parts of a node that exchange backlogs."""
+class Node:
+    """The parts of a node that exchange backlogs.
+
+    Attributes:
+        zone: Its availability zone.
+        bus: Its links.
+        state: Its state, without upstreams.
+        aggregator: Adds up the backlogs of the zone, if it is the first node.
+        backlogs: What it knows.
+    """
 
     def __init__(
         self,
@@ -133,7 +158,7 @@
     ):
         self.zone = zone
         self.bus = _Bus(fleet, node_id)
-        state = node_state.create(
+        self.state = state = node_state.create(
             node_state.Identity(node_id, zone, "r"),
             limits.Limits(),
             fleet.environment,
@@ -155,8 +180,10 @@
 
     Attributes:
         node_by_id: The nodes.
+        zone_by_upstream: Zones of the upstreams by their id.
         cut_off: Ids of the nodes that reach no other one.
         environment: Clock and random numbers of all nodes.
+        draw_attempt: Chooses prompt and upstream of a node's next attempt.
     """
 
     def __init__(self, nodes: int, upstreams: int, zones: int, seed: int):
@@ -174,17 +201,22 @@
             zone = f"zone-{number % zones}"
             ids_by_zone.setdefault(zone, []).append(f"node-{zone}-{number}")
         self.node_by_id = {
-            node_id: _Node(self, node_id, zone, ids_by_zone)
+            node_id: Node(self, node_id, zone, ids_by_zone)
             for zone, ids in ids_by_zone.items()
             for node_id in ids
         }
         self._upstreams = [
             f"i-{self._random.getrandbits(40):010x}" for _ in range(upstreams)
         ]
+        self.zone_by_upstream = {
+            each: f"zone-{number % zones}"
+            for number, each in enumerate(self._upstreams)
+        }
         self._upstreams_by_zone = {
             f"zone-{zone}": self._upstreams[zone::zones]
             for zone in range(zones)
         }
+        self.draw_attempt: Callable[[Node], Attempt] = self._draw_attempt
         self._backlog_s_by_id: collections.Counter[str] = collections.Counter()
         self._history_by_id: dict[str, list[tuple[float, float]]] = {
             each: [(0.0, 0.0)] for each in self._upstreams
@@ -212,7 +244,7 @@
         begin_s = self._now_s
         for node_id in self.node_by_id:
             for action, interval_s in (
-                (self._begin_attempt, 1 / _ATTEMPTS_PER_S),
+                (self._begin_attempt, 1 / ATTEMPTS_PER_S),
                 (self._repeat_report, _REPEAT_CHECK_S),
                 (self._read_zones, _READ_INTERVAL_S),
             ):
@@ -281,33 +313,39 @@
                     run_at_once(aggregator.read_zone(zone))
 
     def _begin_attempt(self, node_id: str) -> None:
-        wait_s = self._random.expovariate(_ATTEMPTS_PER_S)
+        wait_s = self._random.expovariate(ATTEMPTS_PER_S)
         self._at(self._now_s + wait_s, self._begin_attempt, node_id)
         node = self.node_by_id[node_id]
-        is_local = self._random.random() < _LOCAL_SHARE
-        upstream = self._random.choice(
-            self._upstreams_by_zone[node.zone] if is_local else self._upstreams
-        )
         if node.backlogs.is_outdated():
             self._exchange(node_id)
-        backlog_s = self._backlog_s_by_id[upstream]
+        attempt = self.draw_attempt(node)
+        backlog_s = self._backlog_s_by_id[attempt.upstream]
         if backlog_s > _LONG_BACKLOG_S:
-            expected_s = node.backlogs.wait_s(upstream)
+            expected_s = node.backlogs.wait_s(attempt.upstream)
             self._blind.append(expected_s < _BLIND_SHARE * backlog_s)
-        prefill_s = self._draw_prefill_s()
-        hold = node.backlogs.track(upstream, prefill_s)
+        hold = node.backlogs.track(attempt.upstream, attempt.expected_s)
         hold.__enter__()
-        self._change(upstream, prefill_s)
+        self._change(attempt.upstream, attempt.expected_s)
         self._exchange_if_due(node_id)
         self._at(
-            self._now_s + backlog_s + prefill_s,
+            self._now_s + attempt.head_s,
             self._end_attempt,
             node_id,
-            upstream,
-            prefill_s,
+            attempt,
             hold,
         )
 
+    def _draw_attempt(self, node: Node) -> Attempt:
+        """Returns an attempt at an upstream that is chosen at random."""
+        is_local = self._random.random() < _LOCAL_SHARE
+        upstream = self._random.choice(
+            self._upstreams_by_zone[node.zone] if is_local else self._upstreams
+        )
+        prefill_s = self._draw_prefill_s()
+        return Attempt(
+            upstream, prefill_s, self._backlog_s_by_id[upstream] + prefill_s
+        )
+
     def _draw_prefill_s(self) -> float:
         tokens = min(
             _MAX_TOKENS,
@@ -323,12 +361,12 @@
     def _end_attempt(
         self,
         node_id: str,
-        upstream: str,
-        prefill_s: float,
+        attempt: Attempt,
         hold: contextlib.AbstractContextManager[None],
     ) -> None:
         hold.__exit__(None, None, None)
-        self._change(upstream, -prefill_s)
+        attempt.note_head()
+        self._change(attempt.upstream, -attempt.expected_s)
         self._exchange_if_due(node_id)
 
     def _change(self, upstream: str, seconds: float) -> None:
--- a/src/lycheegw/measure/targets.py
+++ b/src/lycheegw/measure/targets.py
@@ -87,6 +87,11 @@
         _at_most("cost_to_hindsight", 1.1),
         _at_least("quality_minus_target", 0),
     ),
+    # Lateness of the largest tenth of the prompts, as a ratio to an oracle.
+    "balance": tuple(
+        _at_most(f"late_of_largest_to_oracle_{nodes}", 1.25)
+        for nodes in (7, 76, 186)
+    ),
     "control-cost": (
         _at_most("core_share", 0.013),
         _at_most("memory_mb", 32),
