--- a/src/lycheegw/measure/backlog_fleet.py
+++ b/src/lycheegw/measure/backlog_fleet.py
@@ -268,6 +268,10 @@
             self._work_s * 1000 * share,
         )
 
+    def advance(self, seconds: float) -> None:
+        """Lets time pass, with what happens meanwhile."""
+        self._run_until(self._now_s + seconds)
+
     def _at(self, at_s: float, action: Any, *arguments: Any) -> None:
         self._event_count += 1
         event = (at_s, self._event_count, (action, arguments))
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -1077,3 +1077,26 @@
             lambda: restarted.settled_members() == ["node-1", "node-2"], 2.0
         )
         assert restarted.budget_member_count(10.0) == 2
+
+
+async def test_nodes_know_the_backlogs_of_each_other_before_they_choose() -> (
+    None
+):
+    """Over real links, the aggregator's own node included."""
+    async with fleet_harness.fleet(3) as fleet:
+        await fleet_harness.wait_until(
+            lambda: all(
+                len(node.peers.live_nodes()) == 3 for node in fleet.nodes
+            )
+        )
+        first, *others = fleet.nodes
+        with first.backlogs.track("m1", 4.0):
+            await asyncio.sleep(0.1)
+            for node in others:
+                await node.backlogs.refresh()
+                assert node.backlogs.wait_s("m1") == 4.0
+                assert node.backlogs.age_s() < 0.5
+        await asyncio.sleep(0.1)
+        for node in others:
+            await node.backlogs.refresh()
+            assert node.backlogs.wait_s("m1") == 0.0
--- a/tests/test_backlog_spread.py
+++ b/tests/test_backlog_spread.py
@@ -43,3 +43,36 @@
     whole, cut = spreads
     assert cut.kilobytes_per_s <= whole.kilobytes_per_s
     assert cut.frames_per_s <= whole.frames_per_s
+
+
+def test_backlogs_of_a_zone_that_is_cut_off_expire() -> None:
+    fleet = backlog_fleet.BacklogFleet(4, 4, 2, 1)
+    near, far = (
+        next(node for node in fleet.node_by_id.values() if node.zone == zone)
+        for zone in ("zone-0", "zone-1")
+    )
+    upstream = next(iter(fleet.zone_by_upstream))
+
+    def exchange() -> None:
+        for node in (far, near):
+            backlog_fleet.run_at_once(node.backlogs.run_once())
+        for node in fleet.node_by_id.values():
+            for zone in node.aggregator.other_zones():
+                backlog_fleet.run_at_once(node.aggregator.read_zone(zone))
+        backlog_fleet.run_at_once(near.backlogs.run_once())
+
+    with far.backlogs.track(upstream, 4.0):
+        exchange()
+        assert near.backlogs.wait_s(upstream) == 4.0
+        assert far.backlogs.wait_s(upstream) == 4.0
+        fleet.cut_off = frozenset(
+            node_id
+            for node_id, node in fleet.node_by_id.items()
+            if node.zone == "zone-1"
+        )
+        for _ in range(4):
+            fleet.advance(1.0)
+            exchange()
+        assert near.backlogs.wait_s(upstream) == 0.0
+        # A node that is cut off knows its own requests.
+        assert far.backlogs.wait_s(upstream) == 4.0
