Sums of backlogs drop upstreams that are gone

Found by reading: each start of an upstream has a new id, and the aggregator kept a zero for each of them, and the version of each node, for as long as it ran. Beyond 4,000 sums those that are zero for the longest time go; a copy that may lack one of these gets complete sums. Nodes that don't get an answer log a warning. test_sums_of_upstreams_that_are_gone_are_dropped, with 10,000 ids.

--- a/src/lycheegw/coordination/backlog_aggregator.py
+++ b/src/lycheegw/coordination/backlog_aggregator.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -31,6 +32,8 @@
 CALL_TIMEOUT_S = 0.3
 # Time after which the report of a node that isn't heard of doesn't count.
 EXPIRE_AFTER_S = 3.0
+# Nodes of which the version of the last report is kept.
+_MAX_NODES = 2_000
 # Interval at which the sums of other zones are read, in seconds.
 _READ_INTERVAL_S = 0.2
 # Reading goes on for this long after the latest question of a node.
@@ -97,7 +100,9 @@
         # Sums of the zone's nodes, and of these and the other zones.
         self._zone_sums = backlog_sums.BacklogSums(started_ms)
         self._fleet_sums = backlog_sums.BacklogSums(started_ms)
-        self._version_by_node: dict[str, tuple[int, int]] = {}
+        self._version_by_node: collections.OrderedDict[str, tuple[int, int]] = (
+            collections.OrderedDict()
+        )
         self._copy_by_zone: dict[str, backlog_sums.SumsCopy] = {}
         self._asked = asyncio.Event()
         self._read_until_s = 0.0
@@ -127,6 +132,9 @@
         if version < self._version_by_node.get(report.node_id, (0, 0)):
             return
         self._version_by_node[report.node_id] = version
+        self._version_by_node.move_to_end(report.node_id)
+        while len(self._version_by_node) > _MAX_NODES:
+            self._version_by_node.popitem(last=False)
         expires_s = now_s + EXPIRE_AFTER_S
         for sums in (self._zone_sums, self._fleet_sums):
             sums.put(report.node_id, report.ms_by_upstream, expires_s)
@@ -170,7 +178,7 @@
             errors.PeerMessageError,
         ) as error:
             self._state.counters.add("backlogs.zone_unread")
-            logging.info("backlogs of %s: %s", zone, error)
+            logging.warning("sums of backlogs of %s: %s", zone, error)
             self._aggregators.note_no_reply(aggregator)
             return
         now_s = self._now_s()
--- a/src/lycheegw/coordination/backlog_sums.py
+++ b/src/lycheegw/coordination/backlog_sums.py
@@ -11,6 +11,9 @@
 
 __all__ = ["BacklogSums", "Sums", "SumsCopy"]
 
+# Upstreams of which a sum is kept; those without a backlog are dropped beyond.
+_MAX_UPSTREAMS = 4_000
+
 
 class Sums(NamedTuple):
     """Backlogs of upstreams that changed after a sequence number.
@@ -58,6 +61,8 @@
             str, tuple[int, int]
         ] = collections.OrderedDict()
         self._next_expiry_s = math.inf
+        # Number of the latest change among the sums that were dropped.
+        self._dropped_number = 0
 
     def put(
         self,
@@ -86,6 +91,16 @@
             self._sequence,
         )
         self._change_by_upstream.move_to_end(upstream)
+        if len(self._change_by_upstream) > _MAX_UPSTREAMS:
+            self._drop_oldest_zero()
+
+    def _drop_oldest_zero(self) -> None:
+        """Drops the sum that is zero for the longest time, if any is."""
+        for upstream, (sum_ms, number) in self._change_by_upstream.items():
+            if not sum_ms:
+                del self._change_by_upstream[upstream]
+                self._dropped_number = max(self._dropped_number, number)
+                return
 
     def expire(self, now_s: float) -> None:
         """Removes sources that were not heard of for too long."""
@@ -103,10 +118,13 @@
     def since(self, started_ms: int, sequence: int) -> Sums:
         """Returns what changed after a sequence number of a process.
 
-        The sums are complete if the process is another one.
+        The sums are complete if the process is another one, or if changes
+        after that number were dropped.
         """
         is_complete = (
-            started_ms != self._started_ms or sequence > self._sequence
+            started_ms != self._started_ms
+            or sequence > self._sequence
+            or sequence < self._dropped_number
         )
         after = 0 if is_complete else sequence
         ms_by_upstream = {}
--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/backlogs.py
@@ -205,7 +205,7 @@
             errors.PeerMessageError,
         ) as error:
             self._state.counters.add("backlogs.unread")
-            logging.info("sums of backlogs: %s", error)
+            logging.warning("sums of backlogs: %s", error)
             self._aggregators.note_no_reply(aggregator)
             return
         self._copy.apply(sums, self._now_s())
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -561,6 +561,18 @@
             assert copy.ms_by_upstream == complete.ms_by_upstream
 
 
+def test_sums_of_upstreams_that_are_gone_are_dropped() -> None:
+    """Each start of an upstream has another id; copies still learn of zeros."""
+    sums, copy = backlog_sums.BacklogSums(7), backlog_sums.SumsCopy()
+    sums.put("n1", {"u0": 900, "kept": 50}, math.inf)
+    copy.apply(sums.since(0, 0), 0.0)
+    for number in range(10_000):
+        sums.put("n1", {f"u{number}": 900, "kept": 50}, math.inf)
+    assert len(sums._change_by_upstream) <= backlog_sums._MAX_UPSTREAMS
+    copy.apply(sums.since(copy.started_ms, copy.sequence), 0.0)
+    assert copy.ms_by_upstream == {"u9999": 900, "kept": 50}
+
+
 # Guards against exchanges that end because of one estimate.
 @pytest.mark.parametrize("seconds", [-1.0, 0.0, 1e7, 1e12, 1e300, math.inf])
 def test_backlog_of_any_length_is_exchanged(seconds: float) -> None:
