--- a/src/lycheegw/measure/balance.py
+++ b/src/lycheegw/measure/balance.py
@@ -1,4 +1,4 @@
-"""Measures how late heads come in fleets of 7 to 374 nodes, in simulated time.
+"""Measures how late heads come in fleets of 7 to 186 nodes, in simulated time.
 
 The router's balancer chooses by what its node knows. It is compared with an
 oracle that knows all queues and caches, and with the least connections of each
