Verdicts: a ledger over all attempts of a request

An attempt that was begun counts as one that may have run until its end is recorded, and no later end makes a run less certain. Nothing uses the ledger yet.

--- a/src/lycheegw/state/verdicts.py
+++ b/src/lycheegw/state/verdicts.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["RunVerdict"]
+__all__ = ["RunLedger", "RunVerdict"]
 
 
 class RunVerdict(enum.Enum):
@@ -16,3 +16,43 @@
         """Returns the one of two verdicts that makes a run more certain."""
         order = list(RunVerdict)
         return max(self, other, key=order.index)
+
+
+class RunLedger:
+    """The verdict on a request over all its attempts.
+
+    An attempt that was begun may have run unless it ends with another verdict.
+    The verdict never becomes less certain of a run.
+
+    Attributes:
+        run_count: Attempts that were begun and may have run.
+        rejection_count: Attempts that ended without a run.
+    """
+
+    def __init__(self) -> None:
+        self.run_count = 0
+        self.rejection_count = 0
+        self._ended = RunVerdict.NOT_RUN
+        self._is_open = False
+
+    @property
+    def verdict(self) -> RunVerdict:
+        """The verdict, including an attempt that has not ended."""
+        if self._is_open:
+            return self._ended.max_with(RunVerdict.MAY_HAVE_RUN)
+        return self._ended
+
+    def begin(self) -> None:
+        """Starts an attempt, before its first byte is written."""
+        if self._is_open:
+            self.end(RunVerdict.MAY_HAVE_RUN)
+        self._is_open = True
+
+    def end(self, verdict: RunVerdict) -> None:
+        """Ends the current attempt, or counts one that was not begun."""
+        if verdict is RunVerdict.NOT_RUN:
+            self.rejection_count += 1
+        elif self._is_open:
+            self.run_count += 1
+        self._is_open = False
+        self._ended = self._ended.max_with(verdict)
