--- a/src/lycheegw/state/verdicts.py
+++ b/src/lycheegw/state/verdicts.py
@@ -25,13 +25,11 @@
     The verdict never becomes less certain of a run.
 
     Attributes:
-        run_count: Attempts that were begun and may have run.
-        rejection_count: Attempts that ended without a run.
+        run_count: Ended attempts that may have run.
     """
 
     def __init__(self) -> None:
         self.run_count = 0
-        self.rejection_count = 0
         self._ended = RunVerdict.NOT_RUN
         self._is_open = False
 
@@ -49,10 +47,8 @@
         self._is_open = True
 
     def end(self, verdict: RunVerdict) -> None:
-        """Ends the current attempt, or counts one that was not begun."""
-        if verdict is RunVerdict.NOT_RUN:
-            self.rejection_count += 1
-        elif self._is_open:
+        """Ends the attempt that was begun last, if it has not ended."""
+        if self._is_open and verdict is not RunVerdict.NOT_RUN:
             self.run_count += 1
         self._is_open = False
         self._ended = self._ended.max_with(verdict)
