Log lines and counters tell what a verdict on a run rests on

A forwarded error has an event of its own now (error_forwarded, not one of the routine lines), the verdict and the evidence (status, mark, id, signature) follow the id of the request, refused has the number of attempts that may have run, and evidence.BASIS counts what the verdicts on responses rest on. The judgement is computed for these alone; no verdict changes.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -88,6 +88,8 @@
         send_delay_s: Seconds from `attempt_start_s` to the first byte sent.
         list_age_s: Age of the list of upstreams when that byte was sent.
         status: HTTP status of the last response, 0 before the first one.
+        evidence: What the last attempt's response says about a run, for the
+            log; empty before it.
         is_relay_declined: Whether no peer took the request.
         unreached: Ids of upstreams that could not be reached.
         head_s: Seconds from `attempt_start_s` to the response head.
@@ -113,6 +115,7 @@
         self.send_delay_s = 0.0
         self.list_age_s = 0.0
         self.status = 0
+        self.evidence = ""
         self.is_relay_declined = False
         self.unreached: set[str] = set()
         self.head_s = 0.0
--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -15,6 +15,7 @@
 from lycheegw.state import forwarded_requests
 from lycheegw.state import reasons
 from lycheegw.state import routing
+from lycheegw.state import run_evidence
 from lycheegw.state import verdicts
 
 __all__ = ["PACE_EVENTS", "check_head", "deliver", "is_stream"]
@@ -63,11 +64,11 @@
             f"status {head.status} without an id on a used connection",
             _MAY_HAVE_RUN,
         )
-    if head.is_not_run:
+    is_misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+    if head.mark is not run_evidence.Mark.ABSENT or is_misdirected:
         # A connection can be reused only once its response was read.
         await _read_body(call)
         call.finish()
-        is_misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
         raise errors.UpstreamError(
             reasons.RetryReason.MISDIRECTED
             if is_misdirected
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -31,6 +31,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import routing
+from lycheegw.state import run_evidence
 from lycheegw.state import silence_timeouts
 from lycheegw.state import upstreams
 from lycheegw.state import verdicts
@@ -398,6 +399,7 @@
                 head = await self._wait_for_head(accepted, call, choice)
             progress.head_s = self._now_s() - progress.attempt_start_s
             progress.status = head.status
+            self._note_evidence(accepted, head)
             progress.confidence = head.confidence
             self._note_load(choice, head)
             self._dependencies.notices.note_response(
@@ -443,6 +445,7 @@
         progress.attempt_count += 1
         progress.attempt_start_s = now_s
         progress.upstream = upstream.entry.host_id
+        progress.evidence = ""
         if progress.sent_count:
             self._dependencies.budgets.note_extra_attempt(service.name)
         progress.sent_count += 1
@@ -474,6 +477,17 @@
             last_event=progress.last_event,
         )
 
+    def _note_evidence(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        head: forwarded_requests.ResponseHead,
+    ) -> None:
+        """Records what a response says about a run."""
+        evidence = head.evidence(accepted.request.request_id)
+        accepted.progress.evidence = str(evidence)
+        basis = run_evidence.judge(evidence).basis
+        self._state.counters.add(f"evidence.{basis.value}")
+
     def _note_sent(self, accepted: accepted_requests.AcceptedRequest) -> None:
         """Records how late, and by how old a list, an attempt was sent."""
         progress, route = accepted.progress, accepted.work.route.name
@@ -829,10 +843,11 @@
         self._dependencies.note(
             "attempt_failed",
             request_id=accepted.request.request_id,
+            run=error.verdict.value,
+            evidence=accepted.progress.evidence,
             upstream=host_id,
             version=version,
             reason=error.reason.value,
-            run=error.verdict.value,
             message=str(error),
         )
         if error.reason in _UNSENT_REASONS:
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import hashlib
+import http
 from typing import NamedTuple
 
 from lycheegw.coordination import accepted_requests
@@ -118,7 +119,7 @@
             self._note_end(end, "caller_gone", error)
             raise
         else:
-            self._note_end(end, "answered", None)
+            self._note_end(end, _outcome(end), None)
 
     async def _wait_for_startup(self) -> None:
         """Waits a short time for a process that has not read the store yet."""
@@ -313,20 +314,23 @@
         """Records the outcome of a request in counters, histogram and log."""
         taken_s = self._now_s() - end.incoming.received_s
         self._state.counters.add(f"requests.{outcome}")
-        fields: dict[str, object] = {"taken_s": round(taken_s, 3)}
+        # Records of incidents may cut lines short: the verdict comes first.
+        fields: dict[str, object] = {}
         if end.traits is not None:
             fields["request_id"] = end.traits.request_id
+        if isinstance(error, errors.RefusalError):
+            fields |= {"reason": error.reason.value, "run": error.verdict.value}
         if end.accepted is not None:
             self._dependencies.observe(
                 outcome, end.accepted.request.kind, taken_s
             )
+            fields["evidence"] = end.accepted.progress.evidence
+            fields["runs"] = end.accepted.progress.run_count
+        fields["taken_s"] = round(taken_s, 3)
+        if end.accepted is not None:
             fields |= _progress_fields(end.accepted)
         if isinstance(error, errors.RefusalError):
-            fields |= {
-                "reason": error.reason.value,
-                "run": error.verdict.value,
-                "message": str(error),
-            }
+            fields["message"] = str(error)
         if end.manifest_version is not None:
             fields["manifest"] = end.manifest_version
             fields["orders_age_s"] = round(
@@ -339,6 +343,14 @@
         return self._state.environment.monotonic_s()
 
 
+def _outcome(end: "_End") -> str:
+    """Returns how a request ended whose response was sent whole."""
+    is_error = end.accepted is not None and (
+        end.accepted.progress.status >= http.HTTPStatus.BAD_REQUEST
+    )
+    return "error_forwarded" if is_error else "answered"
+
+
 class _End:
     """A request as far as it was read and accepted, for the final log line.
 
--- a/src/lycheegw/coordination/relays.py
+++ b/src/lycheegw/coordination/relays.py
@@ -170,6 +170,8 @@
                     return False
                 if part.status:
                     accepted.progress.upstream = f"node {node_id}"
+                    accepted.progress.status = part.status
+                    accepted.progress.evidence = ""
                     await accepted.sink.start(
                         part.status, part.headers, part.content_length
                     )
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -10,6 +10,7 @@
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
 from lycheegw.state import reasons
+from lycheegw.state import run_evidence
 from lycheegw.state import verdicts
 from lycheegw.transport import connection_pool
 
@@ -199,7 +200,6 @@
     running, waiting, slots = _parse_load(
         value_by_name.get(b"x-lycheegw-instance-load", "")
     )
-    is_not_run = b"x-lycheegw-not-executed" in value_by_name
     retry_after_s = _parse_amount(value_by_name.get(b"retry-after"))
     rate_limit_per_s = _parse_amount(value_by_name.get(b"server-limit"))
     max_rejections_per_s = _parse_amount(value_by_name.get(b"server-brittle"))
@@ -224,9 +224,9 @@
             if name.lower() not in dropped_names
         ),
         None if length is None else int(length),
-        value_by_name.get(b"x-lycheegw-attempt-id"),
+        _values(head, b"x-lycheegw-attempt-id"),
         b"x-lycheegw-response-signature" in value_by_name,
-        is_not_run or head.status == 421,
+        _decode_mark(_values(head, b"x-lycheegw-not-executed")),
         encoding.lower() != "identity",
         confidence,
         running,
@@ -250,6 +250,26 @@
     )
 
 
+def _values(
+    head: connection_pool.RawResponseHead, name: bytes
+) -> frozenset[str]:
+    """Returns the different values of a header, by its name in lower case."""
+    return frozenset(
+        value.decode("latin-1").strip()
+        for each, value in head.headers
+        if each == name
+    )
+
+
+def _decode_mark(values: frozenset[str]) -> run_evidence.Mark:
+    """Returns the mark of a rejection, whose value is 1."""
+    if not values:
+        return run_evidence.Mark.ABSENT
+    if values == {"1"}:
+        return run_evidence.Mark.NOT_RUN
+    return run_evidence.Mark.UNCLEAR
+
+
 def _parse_float(text: str | None) -> float | None:
     """Returns a number that is finite, else None."""
     with contextlib.suppress(ValueError):
--- a/src/lycheegw/request_explanation.py
+++ b/src/lycheegw/request_explanation.py
@@ -17,7 +17,9 @@
 # cold, and stay ejected, for a few seconds.
 _CONTEXT_BEFORE_S = 5.0
 _CONTEXT_AFTER_S = 0.5
-_FINAL_EVENTS = frozenset({"answered", "refused", "caller_gone"})
+_FINAL_EVENTS = frozenset(
+    {"answered", "error_forwarded", "refused", "caller_gone"}
+)
 _UPSTREAM_EVENTS = frozenset({"upstream", "upstream_lapsed", "upstream_gone"})
 _NODE_EVENTS = frozenset(
     {
@@ -148,6 +150,11 @@
             f"answered after {final_line['taken_s']} s,"
             f" {final_line['attempts']} attempts"
         )
+    if final_line["event"] == "error_forwarded":
+        return (
+            f"the error of {final_line['upstream']} was forwarded after"
+            f" {final_line['taken_s']} s ({final_line.get('evidence')})"
+        )
     if final_line["event"] == "caller_gone":
         return f"the client disconnected after {final_line['taken_s']} s"
     run_text = {"not_run": "it has not run", "ran": "it ran"}.get(
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from lycheegw.state import routing
+from lycheegw.state import run_evidence
 
 __all__ = [
     "ForwardedWork",
@@ -99,9 +100,9 @@
         status: HTTP status.
         headers: Headers to forward, without hop-by-hop headers.
         content_length: Length of the body, None if the head has none.
-        echoed_id: Id of the request that the response is for, or None.
+        echoed_ids: Ids of requests that the response names; one, as a rule.
         is_signed: Whether the upstream signed the response.
-        is_not_run: Whether the upstream reports that the request did not run.
+        mark: Whether the upstream marked the response as a rejection.
         is_encoded: Whether the body has a content encoding other than identity.
         confidence: The model's estimate of its answer's quality (0 to 100).
         running: Requests running at the upstream, or None.
@@ -127,9 +128,9 @@
     status: int
     headers: Headers
     content_length: int | None
-    echoed_id: str | None
+    echoed_ids: frozenset[str]
     is_signed: bool
-    is_not_run: bool
+    mark: run_evidence.Mark
     is_encoded: bool
     confidence: float | None
     running: int | None
@@ -147,6 +148,23 @@
     claims_not_run: bool = False
     has_framing: bool = True
 
+    def evidence(self, request_id: str) -> run_evidence.RunEvidence:
+        """Returns what the head says about a run of a request."""
+        echo = run_evidence.Echo.OTHER
+        if self.echoed_ids == {request_id}:
+            echo = run_evidence.Echo.OWN
+        elif not self.echoed_ids:
+            echo = run_evidence.Echo.NONE
+        elif len(self.echoed_ids) > 1:
+            echo = run_evidence.Echo.CONFLICTING
+        return run_evidence.RunEvidence(
+            self.status,
+            echo,
+            self.mark,
+            self.is_signed,
+            self.claims_not_run,
+        )
+
 
 class LocalResponse(NamedTuple):
     """A response that the router makes itself.
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -71,11 +71,11 @@
         """Returns the response head; raises errors.UpstreamError."""
         while True:
             head = self._codec.decode_response_head(await self._call.head())
-            if head.echoed_id == self._request_id:
+            if head.echoed_ids == {self._request_id}:
                 self._call.note_idle_timeout(head.keep_alive_s)
                 return head
             is_success = 200 <= head.status < 300
-            if head.echoed_id is None and not is_success:
+            if not head.echoed_ids and not is_success:
                 # On a used connection it may be for an earlier request.
                 is_used = self._call.is_reused or self._has_skipped
                 return head._replace(is_attributed=not is_used)
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -12,9 +12,10 @@
 ID = "X-Lycheegw-Attempt-Id"
 
 
-async def _book(
+async def send(
     fleet: fleet_harness.Fleet, attempt_id: str, path: str = "/book/1"
 ) -> platform_standins.Reply:
+    """Sends a request, an unsafe one by default; returns its response."""
     reply = await platform_standins.send_request(
         fleet.nodes[0].settings.listen, path, "POST", b"crew", {ID: attempt_id}
     )
@@ -50,8 +51,8 @@
     async with fleet_harness.fleet() as fleet:
         await fleet.store.delete("keyed.servers", "d2")
         async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
-            assert (await _book(fleet, "first")).status == 200
-            reply = await _book(fleet, "second")
+            assert (await send(fleet, "first")).status == 200
+            reply = await send(fleet, "second")
             assert ran.count("second") == 1
             assert reply.status not in PROMISES
             name = "upstreams.unattributed"
@@ -76,7 +77,7 @@
         raw_upstreams.raw_upstream(fleet, "d1", "desk", respond),
     ):
         for number in range(4):
-            reply = await _book(fleet, f"b{number}")
+            reply = await send(fleet, f"b{number}")
             assert reply.status == 200
 
 
@@ -90,7 +91,7 @@
     async with fleet_harness.fleet() as fleet:
         for name in ("d1", "d2"):
             fleet.upstream_by_name[name].status = status
-        reply = await _book(fleet, "a", path)
+        reply = await send(fleet, "a", path)
         assert fleet.seen
         assert reply.status == 502
         assert "x-lycheegw-response-signature" not in reply.header_by_name
@@ -129,7 +130,7 @@
         await fleet.store.delete("keyed.servers", "d2")
         async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
             for number in range(5):
-                reply = await _book(fleet, f"r{number}", path)
+                reply = await send(fleet, f"r{number}", path)
                 assert ran.count(f"r{number}") == 1
                 assert reply.status == 200
                 assert reply.is_whole
@@ -168,8 +169,8 @@
         await fleet.store.delete("keyed.servers", "d2")
         async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
             pool = fleet.nodes[0].upstream_pool
-            await asyncio.gather(_book(fleet, "a"), _book(fleet, "b"))
+            await asyncio.gather(send(fleet, "a"), send(fleet, "b"))
             opened = pool.opened_count
             for number in range(5):
-                assert (await _book(fleet, f"r{number}")).status == 200
+                assert (await send(fleet, f"r{number}")).status == 200
             assert pool.opened_count - opened == 5
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -5,6 +5,7 @@
 from lycheegw.coordination import upstream_notices
 from lycheegw.protocol import notice_codec
 from lycheegw.state import forwarded_requests
+from lycheegw.state import run_evidence
 from lycheegw.state import upstreams
 from tests import fakes
 
@@ -20,9 +21,11 @@
         status=status,
         headers=(),
         content_length=0,
-        echoed_id="a",
+        echoed_ids=frozenset({"a"}),
         is_signed=status == 200,
-        is_not_run=status != 200,
+        mark=run_evidence.Mark.ABSENT
+        if status == 200
+        else run_evidence.Mark.NOT_RUN,
         is_encoded=False,
         confidence=None,
         running=None,
