Runs that no path recorded count, and answers are held for a larger model

Cause: the verdict of a request started as not run, with a flag for an attempt under way, and each path had to raise it. The branch that goes on with a larger model counted the run and left the verdict; the relay passed on the refusal of a peer, which knows of its own attempts only. Class: a promise by omission.

Change: verdicts.RunLedger is the only place for the verdict. An attempt begins in the turn of the event loop in which its first byte is written, or a peer gets it, and counts as one that may have run until its end is recorded. A peer's refusal is passed on only if nothing may have run before it.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from lycheegw.coordination import held_answers
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
 from lycheegw.state import reasons
@@ -69,12 +70,10 @@
     """The state of a request over all its attempts.
 
     Attributes:
-        run_count: Attempts that may have run.
+        runs: Verdict over all attempts, by upstreams or peers.
         rejection_count: Attempts that upstreams rejected without running them.
         attempt_count: Attempts of any kind.
         sent_count: Attempts that may have reached an upstream.
-        is_in_flight: Whether an attempt was sent and has not ended.
-        verdict: Whether any ended attempt may have run.
         tried: Ids of upstreams that failed the request.
         answered: Keys of the upstream processes that responded on a connection
             that was kept.
@@ -94,15 +93,14 @@
         unreached: Ids of upstreams that could not be reached.
         head_s: Seconds from `attempt_start_s` to the response head.
         confidence: Confidence that the last model reported.
+        held: Answer of the model before, until it is given up; else None.
     """
 
     def __init__(self, work: forwarded_requests.ForwardedWork) -> None:
-        self.run_count = 0
+        self.runs = verdicts.RunLedger()
         self.rejection_count = 0
         self.attempt_count = 0
         self.sent_count = 0
-        self.is_in_flight = False
-        self.verdict = verdicts.RunVerdict.NOT_RUN
         self.tried: set[str] = set()
         self.answered: set[str] = set()
         self.last_event = work.traits.last_event
@@ -120,12 +118,7 @@
         self.unreached: set[str] = set()
         self.head_s = 0.0
         self.confidence: float | None = None
-
-    def current_verdict(self) -> verdicts.RunVerdict:
-        """Returns the verdict, including an attempt in flight."""
-        if self.is_in_flight:
-            return self.verdict.max_with(verdicts.RunVerdict.MAY_HAVE_RUN)
-        return self.verdict
+        self.held: held_answers.HeldAnswer | None = None
 
 
 class AcceptedRequest(NamedTuple):
--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -152,8 +152,7 @@
         )
         return
     body = await _read_body(call)
-    accepted.progress.is_in_flight = False
-    accepted.progress.verdict = verdicts.RunVerdict.RAN
+    accepted.progress.runs.end(verdicts.RunVerdict.RAN)
     await accepted.sink.start(head.status, head.headers, len(body))
     await accepted.sink.write(body)
     await accepted.sink.finish()
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -14,6 +14,7 @@
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
 from lycheegw.coordination import freshness
+from lycheegw.coordination import held_answers
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
 from lycheegw.coordination import relays
@@ -45,6 +46,7 @@
 
 _NOT_RUN = verdicts.RunVerdict.NOT_RUN
 _MAY_HAVE_RUN = verdicts.RunVerdict.MAY_HAVE_RUN
+_RAN = verdicts.RunVerdict.RAN
 
 # Rejections by upstreams after which a request is refused. Upstreams are tried
 # one after the other, and more attempts would only burden a busy fleet.
@@ -205,6 +207,24 @@
         """Makes attempts at upstreams as long as these are within reach."""
         progress = accepted.progress
         progress.model = model_cascade.first_model(accepted.work)
+        try:
+            await self._make_attempts(accepted)
+        except errors.RefusalError:
+            if not await self._deliver_held(accepted):
+                raise
+        finally:
+            if progress.held is not None:
+                progress.held.drop()
+
+    async def _make_attempts(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> None:
+        """Makes attempts at upstreams until a response has ended.
+
+        Raises:
+            errors.RefusalError: The request failed.
+        """
+        progress = accepted.progress
         while True:
             self._dependencies.suspects.refuse_blocked(accepted.request)
             if (
@@ -226,6 +246,12 @@
                 await self._handle_failure(accepted, choice, error)
                 if progress.is_error_forwarded:
                     return
+                if (
+                    progress.held is not None
+                    and progress.held.model == progress.model
+                    and await self._deliver_held(accepted)
+                ):
+                    return
                 continue
             except BaseException:
                 self._dependencies.suspects.release(
@@ -240,7 +266,6 @@
             if larger is None:
                 return
             progress.model = larger
-            progress.run_count += 1
             progress.tried.clear()
 
     def connection_limit(self, service: routing.Service) -> int:
@@ -320,7 +345,7 @@
             reason,
             f"no available upstream among {choice.pool_size} of"
             f" {accepted.service.name}",
-            accepted.progress.verdict,
+            accepted.progress.runs.verdict,
             # Clients return spread out after the pause.
             choice.pause_s + retry_after_s,
         )
@@ -394,8 +419,6 @@
                 call = await self._dependencies.client.send(
                     self._build_attempt(accepted, choice)
                 )
-                # Before this, no bytes were sent to the upstream.
-                progress.is_in_flight = True
                 self._note_sent(accepted)
                 head = await self._wait_for_head(accepted, call, choice)
             progress.head_s = self._now_s() - progress.attempt_start_s
@@ -409,31 +432,102 @@
             await answer_delivery.check_head(
                 head, evidence, call, accepted.sink.is_started
             )
+            if progress.held is not None:
+                progress.held.drop()
             larger = self._larger_model(accepted)
             self._note_answer(accepted, version, larger)
+            answer = held_answers.Answer(
+                call,
+                head,
+                choice,
+                progress.model,
+                progress.attempt_start_s,
+                progress.head_s,
+            )
             if larger is not None:
-                call.abort()
+                progress.runs.end(_RAN)
+                progress.held = held_answers.HeldAnswer(
+                    answer, lambda: self._note_call_ended(accepted, choice)
+                )
                 return larger
+        except BaseException:
+            if call is not None:
+                call.abort()
+            self._note_call_ended(accepted, choice)
+            raise
+        await self._deliver(accepted, answer)
+        return None
+
+    async def _deliver(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        answer: held_answers.Answer,
+    ) -> None:
+        """Forwards the body of a response; raises errors.UpstreamError."""
+        version = answer.choice.upstream.entry.version
+        try:
             await answer_delivery.deliver(
                 accepted,
-                call,
-                head,
+                answer.call,
+                answer.head,
                 version,
                 lambda: self._note_pace(accepted, version),
-                lambda: self._may_try_elsewhere(accepted, choice),
+                lambda: self._may_try_elsewhere(accepted, answer.choice),
             )
-            call.finish()
+            answer.call.finish()
             self._note_stream_end(accepted)
-            return None
         except BaseException:
-            if call is not None:
-                call.abort()
+            answer.call.abort()
             raise
         finally:
-            choice.upstream.in_flight -= 1
-            self._dependencies.rollouts.note_ended(
-                accepted.service.name, version, accepted.request.session
-            )
+            self._note_call_ended(accepted, answer.choice)
+
+    def _note_call_ended(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> None:
+        """Records that an upstream has no more work with an attempt."""
+        choice.upstream.in_flight -= 1
+        self._dependencies.rollouts.note_ended(
+            accepted.service.name,
+            choice.upstream.entry.version,
+            accepted.request.session,
+        )
+
+    async def _deliver_held(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> bool:
+        """Delivers the answer that was to be given up, if it is still there.
+
+        Raises:
+            errors.RefusalError: It broke off, and the request failed.
+        """
+        progress = accepted.progress
+        answer = None if progress.held is None else progress.held.take()
+        if answer is None:
+            return False
+        progress.model = answer.model
+        progress.upstream = answer.choice.upstream.entry.host_id
+        progress.status = answer.head.status
+        progress.confidence = answer.head.confidence
+        progress.attempt_start_s = answer.started_s
+        progress.head_s = answer.head_s
+        self._state.counters.add("answers.held_delivered")
+        self._dependencies.note(
+            "held_answer",
+            request_id=accepted.request.request_id,
+            upstream=progress.upstream,
+            model=progress.model,
+            confidence=progress.confidence,
+        )
+        try:
+            await self._deliver(accepted, answer)
+        except errors.UpstreamError as error:
+            await self._handle_failure(accepted, answer.choice, error)
+            if not progress.is_error_forwarded:
+                await self._make_attempts(accepted)
+        return True
 
     def _note_attempt(
         self,
@@ -493,6 +587,8 @@
     def _note_sent(self, accepted: accepted_requests.AcceptedRequest) -> None:
         """Records how late, and by how old a list, an attempt was sent."""
         progress, route = accepted.progress, accepted.work.route.name
+        if progress.held is not None:
+            progress.held.note_sent()
         progress.send_delay_s = self._now_s() - progress.attempt_start_s
         progress.list_age_s = self._dependencies.list_age_s()
         self._dependencies.observe("send_delay", route, progress.send_delay_s)
@@ -513,10 +609,21 @@
             progress.last_event if progress.event_count else None,
             _urgency(accepted.work, progress.model),
             self.connection_limit(accepted.service),
-            lambda: not self._new_objections(accepted, choice),
+            lambda: self._may_send(accepted, choice),
             progress.answered,
         )
 
+    def _may_send(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> bool:
+        """Begins an attempt, in the turn of its first byte, or rules it out."""
+        if self._new_objections(accepted, choice):
+            return False
+        accepted.progress.runs.begin()
+        return True
+
     def _new_objections(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -599,7 +706,7 @@
         may_repeat = (
             accepted.request.is_idempotent
             and (route.is_resumable or not progress.event_count)
-            and progress.run_count + 1 < route.max_attempts
+            and progress.runs.run_count + 1 < route.max_attempts
             and self._left_s(accepted.request) >= _MIN_TIME_LEFT_S
             and self._dependencies.budgets.allows_attempt(accepted.service.name)
         )
@@ -633,7 +740,7 @@
         route, progress = accepted.work.route, accepted.progress
         if not accepted.request.is_idempotent:
             return None
-        if progress.run_count + 1 >= route.max_attempts:
+        if progress.runs.run_count + 1 >= route.max_attempts:
             return None
         min_timeout_s = (
             _MIN_TIMEOUT_SHARE_OF_TARGET[route.kind] * route.target_latency_s
@@ -681,7 +788,9 @@
     ) -> str | None:
         """Returns the model to ask next, None if the response is kept."""
         progress, service = accepted.progress, accepted.service
-        has_attempt = progress.run_count + 1 < accepted.work.route.max_attempts
+        has_attempt = (
+            progress.runs.run_count + 1 < accepted.work.route.max_attempts
+        )
         if progress.event_count or not has_attempt:
             return None
         larger = model_cascade.larger_model(
@@ -792,12 +901,10 @@
             errors.RefusalError: The request failed.
         """
         progress = accepted.progress
-        progress.is_in_flight = False
-        progress.verdict = progress.verdict.max_with(error.verdict)
-        if error.verdict is _NOT_RUN:
-            progress.rejection_count += 1
-        else:
-            progress.run_count += 1
+        if progress.held is not None:
+            progress.held.note_failed()
+        progress.runs.end(error.verdict)
+        progress.rejection_count += error.verdict is _NOT_RUN
         progress.tried.add(choice.upstream.entry.host_id)
         await self._note_failure(accepted, choice, error)
         reason = self._refusal_reason(accepted, error)
@@ -807,13 +914,14 @@
         elif (
             isinstance(error, accepted_requests.HttpStatusError)
             and not progress.event_count
+            and (progress.held is None or progress.held.model is None)
         ):
             await _forward_error_response(accepted, error.answer)
         else:
             raise errors.RefusalError(
                 reason,
                 f"{progress.attempt_count} attempts, last error: {error}",
-                progress.verdict,
+                progress.runs.verdict,
                 self._retry_after_s(
                     accepted.work, error.reason in _ABSENT_REASONS
                 ),
@@ -902,9 +1010,10 @@
         route, progress = accepted.work.route, accepted.progress
         if progress.event_count and not route.is_resumable:
             return reasons.RefusalReason.STREAM_BROKEN
-        if error.verdict is not _NOT_RUN and not accepted.request.is_idempotent:
+        may_have_run = progress.runs.verdict is not _NOT_RUN
+        if may_have_run and not accepted.request.is_idempotent:
             return reasons.RefusalReason.MAY_HAVE_RUN
-        if progress.run_count >= route.max_attempts:
+        if progress.runs.run_count >= route.max_attempts:
             return reasons.RefusalReason.ATTEMPTS_EXHAUSTED
         if progress.rejection_count > _MAX_REJECTIONS:
             return reasons.RefusalReason.SHED
@@ -947,8 +1056,8 @@
 def _may_relay(accepted: accepted_requests.AcceptedRequest) -> bool:
     """Returns whether a peer may serve a request in this node's place."""
     progress = accepted.progress
-    has_not_run = progress.current_verdict() is _NOT_RUN
-    has_attempt = progress.run_count < accepted.work.route.max_attempts
+    has_not_run = progress.runs.verdict is _NOT_RUN
+    has_attempt = progress.runs.run_count < accepted.work.route.max_attempts
     return (
         not accepted.work.incoming.is_relayed
         and not progress.is_relay_declined
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -40,7 +40,14 @@
 
 
 class Codec(NamedTuple):
-    """Decodes the headers of requests and encodes refusals."""
+    """Decodes the headers of requests and encodes refusals.
+
+    Attributes:
+        decode_traits: Returns the traits in a client's headers.
+        encode_refusal: Returns the response to a refused request.
+        promises_not_run: Returns whether clients take a status for a promise
+            that their request has not run and never will.
+    """
 
     decode_traits: Callable[
         [forwarded_requests.IncomingRequest], forwarded_requests.RequestTraits
@@ -48,6 +55,7 @@
     encode_refusal: Callable[
         [errors.RefusalError], forwarded_requests.LocalResponse
     ]
+    promises_not_run: Callable[[int], bool]
 
 
 def shutting_down_error() -> errors.RefusalError:
@@ -273,7 +281,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"no complete response within {left_s:.2f} s",
-                accepted.progress.current_verdict(),
+                accepted.progress.runs.verdict,
                 forward_attempts.MIN_RETRY_AFTER_S,
             ) from None
         finally:
@@ -288,7 +296,7 @@
     ) -> None:
         """Sends a refusal, or breaks off a response that has begun."""
         if end.accepted is not None:
-            verdict = end.accepted.progress.current_verdict()
+            verdict = end.accepted.progress.runs.verdict
             error.verdict = error.verdict.max_with(verdict)
         self._state.counters.add(f"refusal.{error.reason.value}")
         self._note_end(end, "refused", error)
@@ -325,7 +333,7 @@
                 outcome, end.accepted.request.kind, taken_s
             )
             fields["evidence"] = end.accepted.progress.evidence
-            fields["runs"] = end.accepted.progress.run_count
+            fields["runs"] = end.accepted.progress.runs.run_count
         fields["taken_s"] = round(taken_s, 3)
         if end.accepted is not None:
             fields |= _progress_fields(end.accepted)
--- a/src/lycheegw/coordination/relays.py
+++ b/src/lycheegw/coordination/relays.py
@@ -65,6 +65,7 @@
         client: interfaces.RelayClient,
         live_nodes: Callable[[str | None], Sequence[str]],
         cut_off_nodes: Callable[[], set[str]],
+        promises_not_run: Callable[[int], bool],
         note: Callable[..., None],
     ):
         """Creates the relay.
@@ -75,10 +76,13 @@
             live_nodes: Returns the live nodes of a zone, or all of them.
             cut_off_nodes: Returns the nodes that can't serve a relayed request,
                 as they are cut off from all upstreams themselves.
+            promises_not_run: Returns whether callers take a status for a
+                promise that their request has not run.
             note: Writes a line to the event log.
         """
         self._state = state
         self._client = client
+        self._promises_not_run = promises_not_run
         self._live_nodes = live_nodes
         self._cut_off_nodes = cut_off_nodes
         self._note = note
@@ -94,14 +98,18 @@
         """
         progress = accepted.progress
         for node_id in self._candidates()[:_MAX_PEERS]:
+            verdict = progress.runs.verdict
             # The deadline may pass while the peer has the request.
-            progress.is_in_flight = True
+            progress.runs.begin()
             try:
-                if await self._serve_by(node_id, accepted):
+                if await self._serve_by(node_id, accepted, verdict):
                     return True
+                progress.runs.end(verdicts.RunVerdict.NOT_RUN)
             except errors.PeerUnavailableError as error:
+                progress.runs.end(verdicts.RunVerdict.NOT_RUN)
                 self._note_relay(accepted, node_id, "unavailable", str(error))
             except errors.PeerLostError as error:
+                progress.runs.end(verdicts.RunVerdict.MAY_HAVE_RUN)
                 self._note_relay(accepted, node_id, "lost", str(error))
                 if accepted.sink.is_started or not (
                     accepted.request.is_idempotent
@@ -111,9 +119,6 @@
                         f"the response by {node_id} broke off",
                         verdicts.RunVerdict.MAY_HAVE_RUN,
                     ) from error
-                progress.verdict = verdicts.RunVerdict.MAY_HAVE_RUN
-                progress.run_count += 1
-            progress.is_in_flight = False
             self._avoid(node_id)
         progress.is_relay_declined = True
         return False
@@ -154,9 +159,22 @@
         self._avoided_until_s_by_id[node_id] = now_s + _AVOID_S
 
     async def _serve_by(
-        self, node_id: str, accepted: accepted_requests.AcceptedRequest
+        self,
+        node_id: str,
+        accepted: accepted_requests.AcceptedRequest,
+        verdict: verdicts.RunVerdict,
     ) -> bool:
-        """Passes on the response of a peer; returns whether it took it."""
+        """Passes on the response of a peer; returns whether it took it.
+
+        Args:
+            node_id: The peer.
+            accepted: The request.
+            verdict: Verdict on the attempts before.
+
+        Raises:
+            errors.RefusalError: The peer refused as not run what may have run
+                before.
+        """
         now_s = self._state.environment.monotonic_s()
         parts = self._client.relay(
             node_id,
@@ -168,6 +186,18 @@
                 if part.is_declined:
                     self._note_relay(accepted, node_id, "declined")
                     return False
+                if (
+                    self._promises_not_run(part.status)
+                    and verdict is not verdicts.RunVerdict.NOT_RUN
+                ):
+                    # The peer knows of its own attempts only.
+                    accepted.progress.runs.end(verdicts.RunVerdict.NOT_RUN)
+                    self._note_relay(accepted, node_id, "refused")
+                    raise errors.RefusalError(
+                        reasons.RefusalReason.MAY_HAVE_RUN,
+                        f"{node_id} refused it with status {part.status}",
+                        verdict,
+                    )
                 if part.status:
                     accepted.progress.upstream = f"node {node_id}"
                     accepted.progress.status = part.status
@@ -178,7 +208,6 @@
                 if part.data:
                     await accepted.sink.write(part.data)
                 if part.is_end:
-                    accepted.progress.is_in_flight = False
                     await accepted.sink.finish()
                     self._note_relay(accepted, node_id, "answered")
                     return True
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -411,6 +411,7 @@
                     self.relay_client,
                     self.peers.live_nodes,
                     self.reach_reports.cut_off_nodes,
+                    self._adapter.caller_codec.promises_not_run,
                     self._log.note,
                 ),
                 self._has_initial_state,
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -21,6 +21,7 @@
     "encode_health_check",
     "encode_refusal",
     "is_readiness_check",
+    "promises_not_run",
 ]
 
 _READY_CHECK_PATH = b"/v1/readyz"
@@ -245,7 +246,7 @@
             if name in value_by_name and value is None
         ),
         True,
-        head.status in _NOT_RUN_STATUSES,
+        promises_not_run(head.status),
         bool({b"content-length", b"transfer-encoding"} & value_by_name.keys()),
     )
 
@@ -331,6 +332,11 @@
     return 504 if error.reason in _TIMEOUT_REASONS else 502
 
 
+def promises_not_run(status: int) -> bool:
+    """Returns whether clients take a status for a promise of no run."""
+    return status in _NOT_RUN_STATUSES
+
+
 def is_readiness_check(incoming: forwarded_requests.IncomingRequest) -> bool:
     """Returns whether a request is a load balancer's readiness check."""
     return incoming.target.partition(b"?")[0] == _READY_CHECK_PATH
--- a/src/lycheegw/platform/main.py
+++ b/src/lycheegw/platform/main.py
@@ -33,7 +33,11 @@
     store_client.StoreClient,
     records.create_codec,
     records.upstream_digest,
-    forwarding.Codec(headers.decode_traits, headers.encode_refusal),
+    forwarding.Codec(
+        headers.decode_traits,
+        headers.encode_refusal,
+        headers.promises_not_run,
+    ),
     forward_client.Codec(
         headers.encode_attempt,
         headers.decode_response_head,
--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -18,7 +18,6 @@
 PROMISES = {408, 421, 429, 503}
 ID = "X-Lycheegw-Attempt-Id"
 GRACE_S = 3.0
-_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED: promises after runs")
 
 _MARK = "X-Lycheegw-Not-Executed: 1\r\n"
 _OWN_ID = f"{ID}: {{id}}\r\n"
@@ -425,7 +424,6 @@
 
 # Guards against a promise after a good run: the answer of the smallest model
 # was dropped for that of the largest one, which no upstream made.
-@_RED
 @pytest.mark.parametrize("rejection", _REJECTIONS)
 async def test_dropped_answer_counts_as_a_run(rejection: str) -> None:
     async with _cascade(1, rejection) as (fleet, ran):
@@ -436,7 +434,6 @@
 
 # Guards against the loss of an answer that was there, when no upstream makes
 # the better one for which it was dropped.
-@_RED
 @pytest.mark.parametrize("rejection", _REJECTIONS)
 async def test_answer_is_kept_if_no_better_one_is_made(rejection: str) -> None:
     async with _cascade(1, rejection) as (fleet, ran):
@@ -457,7 +454,6 @@
 
 # Guards against a promise after a run: the peer that served a relayed request
 # declined it after it had dropped an answer.
-@_RED
 async def test_peer_that_declines_has_dropped_no_answer() -> None:
     def cut_off(fleet: fleet_harness.Fleet) -> None:
         fleet.nodes[1].reach.is_cut_off = True
@@ -480,7 +476,6 @@
 
 # Guards against a promise after a run here: a node passed on the refusal of a
 # peer, which knew nothing of the attempt that this node had made.
-@_RED
 async def test_refusal_by_a_peer_is_no_promise_after_a_run_here() -> None:
     ran: list[str] = []
 
@@ -509,7 +504,7 @@
         )
         assert reply is not None
         counters = fleet.nodes[0].state.counters.by_name
-        assert ran and counters["relay.answered"] == 1
+        assert ran and counters["relay.refused"] == 1
         assert reply.status not in PROMISES
 
 
@@ -518,7 +513,7 @@
 @pytest.mark.parametrize(
     ("path", "method"),
     [
-        pytest.param("/look/1", "GET", marks=_RED),
+        ("/look/1", "GET"),
         ("/book/1", "POST"),
     ],
 )
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -64,6 +64,7 @@
             None,  # type: ignore[arg-type]
             self.live_nodes,
             self.reports_by_id[node_id].cut_off_nodes,
+            lambda status: status == 503,
             lambda *_, **__: None,
         )
 
