HTTP client: a request that was sent in part may have run

A call whose connection broke within its head was refused as not run, so that a non-idempotent one could be sent to a second upstream.

Cause: "no server runs half a head" is taken for granted. Servers that read lines until the end of the input, such as http.server, run a request whose head ends early.

Evidence: test_request_with_a_part_of_its_head_sent_may_have_run got not_run before, may_have_run since. test_request_on_a_connection_that_was_reset_has_not_run holds before and after: what failed with its first byte still counts as not run.

Why this works: the verdict changes with the first write that the socket takes, as on the platform's path, and no longer depends on how a server reads.

--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -81,8 +81,8 @@
     path: str,
     headers: Mapping[str, str],
     body: bytes,
-) -> tuple[bytes, bytes]:
-    """Returns the serialized head and body of a request."""
+) -> bytes:
+    """Returns a serialized request."""
     writer = _RequestWriter(*address)
     writer.request(
         method,
@@ -92,8 +92,7 @@
         preload_content=False,
         decode_content=False,
     )
-    head, _, sent_body = b"".join(writer.written).partition(_HEAD_END)
-    return head + _HEAD_END, sent_body
+    return b"".join(writer.written)
 
 
 class ResponseStream(asyncio.Protocol):
@@ -302,18 +301,20 @@
     return sock
 
 
-async def _send_request(sock: socket.socket, head: bytes, body: bytes) -> None:
+async def _send_request(sock: socket.socket, request: bytes) -> None:
     """Sends a request; raises errors.UpstreamError.
 
-    No server can have run a request without the end of its head. After that
-    it may have run, even if the body is incomplete.
+    It may have run once its first byte was sent: some servers run a request
+    whose head or body breaks off.
     """
-    loop = asyncio.get_running_loop()
+    sent = 0
     verdict = verdicts.RunVerdict.NOT_RUN
     try:
-        await loop.sock_sendall(sock, head)
+        with contextlib.suppress(BlockingIOError):
+            sent = sock.send(request)
         verdict = verdicts.RunVerdict.MAY_HAVE_RUN
-        await loop.sock_sendall(sock, body)
+        rest = memoryview(request)[sent:]
+        await asyncio.get_running_loop().sock_sendall(sock, rest)
     except OSError as error:
         raise _upstream_error(
             reasons.RetryReason.SEND_FAILED,
@@ -323,11 +324,11 @@
 
 
 async def _send_before_timeout(
-    sock: socket.socket, head: bytes, body: bytes, timeout_s: float
+    sock: socket.socket, request: bytes, timeout_s: float
 ) -> None:
     try:
         async with asyncio.timeout(timeout_s):
-            await _send_request(sock, head, body)
+            await _send_request(sock, request)
     except TimeoutError as error:
         raise _upstream_error(
             reasons.RetryReason.SEND_FAILED,
@@ -372,12 +373,12 @@
     deadline_s = loop.time() + timeout_s
     host, _, port = address.rpartition(":")
     target = (host, int(port))
-    head, body = _request_bytes(target, method, path, headers, body)
+    request = _request_bytes(target, method, path, headers, body)
     sock = await _connect(target, min(connect_timeout_s, timeout_s))
     with contextlib.ExitStack() as cleanup:
         cleanup.callback(sock.close)
         await _send_before_timeout(
-            sock, head, body, max(0.0, deadline_s - loop.time())
+            sock, request, max(0.0, deadline_s - loop.time())
         )
         _, stream = await loop.create_connection(ResponseStream, sock=sock)
         cleanup.pop_all()
