Upstreams: a rejection counts for the call whose id it echoes

A call could be refused as not run, and a non-idempotent one be sent to a second upstream, by the rejection of another request.

Cause: the status and x-run: not_run were taken for proof before the echoed id was looked at. An answer needed the echo, a rejection didn't.

Evidence: test_rejection_of_another_call_does_not_mean_not_run (another id, or none; service and model calls) and test_rejected_order_may_have_taken_effect got not_run before, may_have_run since. A rejection with the echoed id still means not run (test_rejection_of_this_call_means_not_run, before and after).

Why this works: the one place that makes "not run" of a response compares the ids itself. The reason stays "refused", so that an upstream that is full isn't counted as a faulty version. The stand-ins echo the id in rejections.

--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -387,8 +387,8 @@
         """Sends an order; returns once the upstream accepted it.
 
         Raises:
-            errors.UpstreamError: The order was refused (NOT_RUN), or its
-                outcome is unknown.
+            errors.UpstreamError: The order was refused, or its outcome is
+                unknown.
         """
 
 
--- a/src/lycheegw/standins/base.py
+++ b/src/lycheegw/standins/base.py
@@ -87,12 +87,18 @@
         if self.faults["delay_s"]:
             await asyncio.sleep(self.faults["delay_s"])
         if self.faults["is_refusing"]:
-            await exchange.send_json(
-                503, {"error": "refused"}, {"x-run": "not_run"}
-            )
+            await self.reject(exchange, 503, "refused")
             return
         await self.answer(exchange)
 
+    async def reject(
+        self, exchange: http_server.Exchange, status: int, message: str
+    ) -> None:
+        """Answers that a request did not run."""
+        echoed_id = exchange.request.header_by_name.get("x-request-id", "")
+        headers = {"x-run": "not_run", "x-request-id": echoed_id}
+        await exchange.send_json(status, {"error": message}, headers)
+
     async def _answer_faults(self, exchange: http_server.Exchange) -> None:
         try:
             self.set_faults(json.loads(exchange.request.body or b"{}"))
--- a/src/lycheegw/standins/engine.py
+++ b/src/lycheegw/standins/engine.py
@@ -222,9 +222,7 @@
     async def _generate(self, exchange: http_server.Exchange) -> None:
         call = json.loads(exchange.request.body)
         if call["version"] not in self.versions:
-            await exchange.send_json(
-                409, {"error": "version not loaded"}, {"x-run": "not_run"}
-            )
+            await self.reject(exchange, 409, "version not loaded")
             return
         self.runs.append(
             base.Run(
--- a/src/lycheegw/transport/upstream_client.py
+++ b/src/lycheegw/transport/upstream_client.py
@@ -25,7 +25,7 @@
 _GENERATE_PATH = "/v1/generate"
 _REPORT_PATH = "/report"
 _ORDER_PATH = "/order"
-_REFUSAL_STATUSES = frozenset({409, 429, 503})
+_REJECTION_STATUSES = frozenset({409, 429, 503})
 _EMPTY_RESULTS: tuple[Any, ...] = (None, "", [], {})
 _MAX_FRAME_BYTES = 256 * 1024
 _MAX_RETRY_AFTER_S = 3600.0
@@ -40,23 +40,25 @@
     return errors.UpstreamError(reason, message, verdict, retry_after_s)
 
 
-def _check_status(status: int, headers: Mapping[str, str]) -> None:
-    """Raises errors.UpstreamError for any status but 200."""
+def _check_status(
+    status: int, headers: Mapping[str, str], request_id: str | None = None
+) -> None:
+    """Raises errors.UpstreamError for any status but 200.
+
+    A rejection shows that the request did not run if it echoes its id.
+    """
     if status == 200:
         return
-    if status in _REFUSAL_STATUSES and headers.get("x-run") == "not_run":
-        raise _upstream_error(
-            reasons.RetryReason.REFUSED,
-            f"refused with status {status}",
-            verdicts.RunVerdict.NOT_RUN,
-            _retry_after_s(headers),
-        )
-    raise _upstream_error(
-        reasons.RetryReason.SERVER_ERROR,
-        f"status {status}",
-        verdicts.RunVerdict.MAY_HAVE_RUN,
-        _retry_after_s(headers),
-    )
+    reason = reasons.RetryReason.SERVER_ERROR
+    verdict = verdicts.RunVerdict.MAY_HAVE_RUN
+    message = f"status {status}"
+    if status in _REJECTION_STATUSES and headers.get("x-run") == "not_run":
+        reason = reasons.RetryReason.REFUSED
+        echo = headers.get("x-request-id")
+        message = f"refused with status {status}, request {echo!r}"
+        if request_id is not None and echo == request_id:
+            verdict = verdicts.RunVerdict.NOT_RUN
+    raise _upstream_error(reason, message, verdict, _retry_after_s(headers))
 
 
 def _retry_after_s(headers: Mapping[str, str]) -> float | None:
@@ -275,7 +277,7 @@
             self._limits.connect_timeout_s,
         )
         try:
-            _check_status(stream.status, stream.header_by_name)
+            _check_status(stream.status, stream.header_by_name, call.request_id)
             _check_echo(stream.header_by_name, call.request_id)
             _check_version(
                 stream.header_by_name, f"{call.model}@{call.version}"
@@ -313,7 +315,7 @@
             headers,
             json.dumps(call.payload).encode(),
         )
-        _check_status(response.status, response.header_by_name)
+        _check_status(response.status, response.header_by_name, call.request_id)
         _check_echo(response.header_by_name, call.request_id)
         return _parse_result(response, call)
 
--- a/tests/test_rejections.py
+++ b/tests/test_rejections.py
@@ -10,14 +10,26 @@
 
 import pytest
 
+from lycheegw.coordination import interfaces
+from lycheegw.state import clocks
 from lycheegw.state import errors
+from lycheegw.state import limits
 from lycheegw.state import reasons
+from lycheegw.state import upstreams
 from lycheegw.state import verdicts
 from lycheegw.transport import http_client
+from lycheegw.transport import upstream_client
 
 _NOT_RUN = verdicts.RunVerdict.NOT_RUN
 _MAY_HAVE_RUN = verdicts.RunVerdict.MAY_HAVE_RUN
 
+_REJECTION = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"X-Run: not_run\r\n"
+    b"X-Request-Id: r1\r\n"
+    b"Retry-After: 3\r\n"
+    b"Content-Length: 2\r\n\r\n{}"
+)
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -40,6 +52,93 @@
         listener.close()
 
 
+def _respond_with(response: bytes) -> Script:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        await writer.drain()
+        writer.write_eof()
+        await reader.read()
+
+    return script
+
+
+def _client_of(
+    address: str,
+) -> tuple[upstream_client.HttpUpstreamClient, upstreams.HostEntry]:
+    client = upstream_client.HttpUpstreamClient(
+        limits.Limits(), clocks.system()
+    )
+    entry = upstreams.HostEntry(
+        "u", upstreams.HostRole.ENGINE, "m", address, "z", False, True
+    )
+    return client, entry
+
+
+async def _operate(address: str) -> object:
+    client, entry = _client_of(address)
+    call = interfaces.OperationCall("r1", "book", {}, "k", False, False)
+    return await client.operate(entry, call, 2.0)
+
+
+async def _generate(address: str) -> object:
+    client, entry = _client_of(address)
+    call = interfaces.GenerateCall("r1", "m", "v1", (), 8, 5, "", 0)
+    return await client.generate(entry, call, 2.0)
+
+
+async def _order(address: str) -> object:
+    client, entry = _client_of(address)
+    order = interfaces.UpstreamOrder(frozenset({"v1"}), 1)
+    return await client.order(entry, order, 2.0)
+
+
+_CALLS = {"operate": _operate, "generate": _generate}
+
+
+async def _failure(
+    response: bytes, call: Callable[[str], Awaitable[object]]
+) -> errors.UpstreamError:
+    """Returns the error of a call that gets a response."""
+    async with _server(_respond_with(response)) as address:
+        with pytest.raises(errors.UpstreamError) as caught:
+            await call(address)
+    return caught.value
+
+
+# Guards against the loss of the one rejection that is proof of "not run".
+@pytest.mark.parametrize("call", _CALLS)
+@pytest.mark.parametrize("status", [409, 429, 503])
+async def test_rejection_of_this_call_means_not_run(
+    status: int, call: str
+) -> None:
+    response = _REJECTION.replace(b"503", str(status).encode())
+    error = await _failure(response, _CALLS[call])
+    assert error.reason is reasons.RetryReason.REFUSED
+    assert error.verdict is _NOT_RUN
+    assert error.retry_after_s == 3
+
+
+# Issue 55: "not run" by a response to another request, or to none.
+@pytest.mark.parametrize("call", _CALLS)
+@pytest.mark.parametrize("echo", [b"X-Request-Id: r2\r\n", b""])
+async def test_rejection_of_another_call_does_not_mean_not_run(
+    echo: bytes, call: str
+) -> None:
+    response = _REJECTION.replace(b"X-Request-Id: r1\r\n", echo)
+    error = await _failure(response, _CALLS[call])
+    assert error.reason is reasons.RetryReason.REFUSED
+    assert error.verdict is _MAY_HAVE_RUN
+
+
+# An order names no request, so that no response can be shown to answer it.
+async def test_rejected_order_may_have_taken_effect() -> None:
+    error = await _failure(_REJECTION, _order)
+    assert error.verdict is _MAY_HAVE_RUN
+
+
 # Issue 55: a server that starts to work on a head that never ends.
 async def test_request_with_a_part_of_its_head_sent_may_have_run() -> None:
     async def run_early(
