HTTP client: different values of one header are joined

A response with x-run: ran and x-run: not_run, or with the ids of two requests, could make a refusal that says not run, depending on the order of the headers.

Cause: headers were kept by name, so that the last value hid the others.

Evidence: test_rejection_that_contradicts_itself_does_not_mean_not_run (both orders, service and model calls) failed for the order with not_run or the own id last, and passes in both since.

Why this works: a joined value equals none of the expected ones, so that each check of a header (mark, id, version, length, pause) sees the contradiction.

--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
 import http.client
@@ -249,9 +250,7 @@
                 f"malformed response head: {error!r}",
             ) from error
         self.status = response.status
-        self.header_by_name = {
-            name.lower(): value for name, value in response.getheaders()
-        }
+        self.header_by_name = _header_by_name(response.getheaders())
         if "transfer-encoding" in self.header_by_name:
             raise _upstream_error(
                 reasons.RetryReason.MALFORMED,
@@ -267,6 +266,20 @@
             self._transport.abort()
 
 
+def _header_by_name(headers: Iterable[tuple[str, str]]) -> Mapping[str, str]:
+    """Returns headers with names in lower case.
+
+    Different values of one name are joined, so that none hides another.
+    """
+    values_by_name: dict[str, list[str]] = {}
+    for name, value in headers:
+        values_by_name.setdefault(name.lower(), []).append(value)
+    return {
+        name: ", ".join(dict.fromkeys(values))
+        for name, values in values_by_name.items()
+    }
+
+
 class _HeadSocket:
     """Socket stand-in that gives a response head to http.client's parser."""
 
--- a/tests/test_rejections.py
+++ b/tests/test_rejections.py
@@ -133,6 +133,23 @@
     assert error.verdict is _MAY_HAVE_RUN
 
 
+# Issue 55: of two contradicting headers only the last one was looked at.
+@pytest.mark.parametrize("call", _CALLS)
+@pytest.mark.parametrize(
+    ("header", "other"),
+    [(b"X-Run: not_run", b"X-Run: ran"), (b"X-Request-Id: r1",) * 2],
+)
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_rejection_that_contradicts_itself_does_not_mean_not_run(
+    is_first: bool, header: bytes, other: bytes, call: str
+) -> None:
+    other = other.replace(b"r1", b"r2")
+    pair = [other, header] if is_first else [header, other]
+    response = _REJECTION.replace(header, b"\r\n".join(pair))
+    error = await _failure(response, _CALLS[call])
+    assert error.verdict is _MAY_HAVE_RUN
+
+
 # An order names no request, so that no response can be shown to answer it.
 async def test_rejected_order_may_have_taken_effect() -> None:
     error = await _failure(_REJECTION, _order)
