Upstreams: a rejection of a model call counts once it is whole

A model call was refused as not run by a rejection that broke off after its head, or that was followed by another response.

Cause: model calls are streamed, so that only the head was read before the status was judged. Service calls read the body first.

Evidence: test_rejection_that_breaks_off_does_not_mean_not_run (no body, half of it, more than announced) failed for model calls before and passes since; for service calls it passed before.

Why this works: what isn't a success is read to its end with the checks of any other response, within the time that the head has.

--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -22,7 +22,13 @@
 from lycheegw.state import reasons
 from lycheegw.state import verdicts
 
-__all__ = ["HttpResponse", "ResponseStream", "fetch", "open_stream"]
+__all__ = [
+    "HttpResponse",
+    "ResponseStream",
+    "fetch",
+    "open_stream",
+    "read_response",
+]
 
 _CONNECT_TIMEOUT_S = 1.0
 _HEAD_END = b"\r\n\r\n"
@@ -420,8 +426,19 @@
     stream = await open_stream(
         address, method, path, timeout_s, headers or {}, body
     )
+    return await read_response(stream, max(0.0, deadline_s - loop.time()))
+
+
+async def read_response(
+    stream: ResponseStream, timeout_s: float
+) -> HttpResponse:
+    """Reads the rest of a response and closes the connection.
+
+    Raises:
+        errors.UpstreamError: The response is not complete, or malformed.
+    """
     try:
-        received = await stream.read_all(max(0.0, deadline_s - loop.time()))
+        received = await stream.read_all(timeout_s)
     except TimeoutError as error:
         raise _upstream_error(
             reasons.RetryReason.HEAD_TIMEOUT,
--- a/src/lycheegw/transport/upstream_client.py
+++ b/src/lycheegw/transport/upstream_client.py
@@ -267,15 +267,23 @@
     ) -> EngineStream:
         """Sends a model call; raises errors.UpstreamError."""
         body = engine_api.encode_call(call)
+        timeout_s = min(timeout_s, self._head_timeout_s(body))
+        now_s = asyncio.get_running_loop().time
+        deadline_s = now_s() + timeout_s
         stream = await http_client.open_stream(
             target.address,
             "POST",
             _GENERATE_PATH,
-            min(timeout_s, self._head_timeout_s(body)),
+            timeout_s,
             {"x-request-id": call.request_id},
             body,
             self._limits.connect_timeout_s,
         )
+        if stream.status != 200:
+            # A rejection that breaks off may be that of a failed run.
+            await http_client.read_response(
+                stream, max(0.0, deadline_s - now_s())
+            )
         try:
             _check_status(stream.status, stream.header_by_name, call.request_id)
             _check_echo(stream.header_by_name, call.request_id)
--- a/tests/test_rejections.py
+++ b/tests/test_rejections.py
@@ -150,6 +150,17 @@
     assert error.verdict is _MAY_HAVE_RUN
 
 
+# Issue 55: the rejection of a model call counted before its body was there.
+@pytest.mark.parametrize("call", _CALLS)
+@pytest.mark.parametrize("body", [b"", b"{", b"{}HTTP/1.1 200 OK\r\n\r\n"])
+async def test_rejection_that_breaks_off_does_not_mean_not_run(
+    body: bytes, call: str
+) -> None:
+    head = _REJECTION.removesuffix(b"{}")
+    error = await _failure(head + body, _CALLS[call])
+    assert error.verdict is _MAY_HAVE_RUN
+
+
 # An order names no request, so that no response can be shown to answer it.
 async def test_rejected_order_may_have_taken_effect() -> None:
     error = await _failure(_REJECTION, _order)
