Keys: a released claim says nothing of the claims after it

A request whose key another node had claimed and released was refused with key_in_use, not_run, although a third node had run the key meanwhile.

Cause: the owner answers from its list of ended claims, which may be long past. The release of one claim was taken for the state of the key.

Evidence: test_released_claim_does_not_hide_a_later_run (release, claim and run by another node while the question is under way) failed with not_run before and passes since. The state machine of keys has no such interleaving.

Why this works: key_in_use always says may_have_run. The caller comes again in a second, as before, and then claims the key or gets its outcome.

--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -271,7 +271,8 @@
                 "the node that claimed the key knows no outcome"
             )
         if owner_reply.outcome.kind is key_messages.TransitionKind.RELEASE:
-            raise key_refusals.in_use(verdicts.RunVerdict.NOT_RUN)
+            # Another claim may hold the key since the log was read.
+            raise key_refusals.in_use()
         is_done = owner_reply.outcome.kind is key_messages.TransitionKind.DONE
         state = (
             key_messages.KeyState.DONE
--- a/src/lycheegw/coordination/key_refusals.py
+++ b/src/lycheegw/coordination/key_refusals.py
@@ -11,14 +11,12 @@
 _RETRY_AFTER_UNCERTAIN_S = 10.0
 
 
-def in_use(
-    verdict: verdicts.RunVerdict = verdicts.RunVerdict.MAY_HAVE_RUN,
-) -> errors.RefusalError:
+def in_use() -> errors.RefusalError:
     """Returns the refusal of a key whose first request is running."""
     return errors.RefusalError(
         reasons.RefusalReason.KEY_IN_USE,
         "a request with this idempotency key is running",
-        verdict,
+        verdicts.RunVerdict.MAY_HAVE_RUN,
         _RETRY_AFTER_S,
     )
 
--- /dev/null
+++ b/tests/test_key_verdicts.py
@@ -0,0 +1,52 @@
+"""Refusals of keyed requests say "not run" only if no send of the key ran."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from lycheegw.state import verdicts
+from tests import key_fakes
+from tests import test_keys_machine
+
+_OWNER_TOPIC = "keys.owner"
+
+
+@pytest.fixture
+def machine() -> Iterator[test_keys_machine.KeyMachine]:
+    """Three nodes with nothing but idempotency keys."""
+    each = test_keys_machine.KeyMachine()
+    yield each
+    each.teardown()
+
+
+def _bus_of(
+    machine: test_keys_machine.KeyMachine, node: test_keys_machine.Node
+) -> key_fakes.Bus:
+    return machine.network.bus_by_id[node.node_id]
+
+
+# Issue 55: a release that was known to the owner spoke for later claims, too.
+def test_released_claim_does_not_hide_a_later_run(
+    machine: test_keys_machine.KeyMachine,
+) -> None:
+    async def main() -> None:
+        owner = machine.nodes[0]
+        request = machine.request("a", True)
+        machine.sent_keys.add("a")
+        assert await owner.key_claims.begin(request) is None
+        answer = owner.key_claims._handle_owner_query
+
+        async def answer_late(sender: str, payload: bytes) -> bytes:
+            await owner.key_claims.complete(
+                request, verdicts.RunVerdict.NOT_RUN, None
+            )
+            await owner.key_claims.flush()
+            await machine.send(1, "a", "ran")
+            return await answer(sender, payload)
+
+        _bus_of(machine, owner).on_call(_OWNER_TOPIC, answer_late)
+        # Fails if the refusal says not run.
+        await machine.send(2, "a", "ran")
+        assert machine.runs["a"] == 1
+
+    machine.runner.run(main())
