Keys: a claim read from the log contradicts a first send

Of two sends of a new key to two nodes at once, both with x-first-send, the second could be refused with log_unavailable, not_run, while the first ran: its node waited for the owner of the first claim until its time was up.

Cause: one limit of time covered the claim and the question to the owner, and its refusal spoke as if the log had not been read.

Evidence: test_claim_in_the_log_contradicts_a_first_send got not_run before and may_have_run since.

Why this works: what the log said of the key is kept outside of the limit, and the caller's word counts only while nothing is known.

--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -94,22 +94,35 @@
                 a stored answer, belongs to a different request, or can't be
                 claimed in the log.
         """
+        claim = self._new_claim(request)
+        status: key_messages.KeyStatus | None = None
         now_s = self._state.environment.monotonic_s()
         remaining_s = request.deadline_s - now_s - _DEADLINE_MARGIN_S
         try:
             async with asyncio.timeout(min(_BEGIN_TIMEOUT_S, remaining_s)):
-                return await self._claim_or_resolve(
-                    request, self._new_claim(request)
-                )
+                status = await self._claim(request, claim)
+                if status is None:
+                    return None
+                return await self._resolve_lost_claim(claim, status)
         except TimeoutError:
+            if status is not None:
+                raise key_refusals.may_have_run(
+                    "the node that claimed the key did not answer in time"
+                ) from None
             raise key_refusals.log_unavailable(
                 "the log did not answer in time",
                 key_refusals.verdict_without_log(request),
             ) from None
 
-    async def _claim_or_resolve(
+    async def _claim(
         self, request: requests.Request, claim: key_messages.KeyTransition
-    ) -> StoredAnswer | None:
+    ) -> key_messages.KeyStatus | None:
+        """Claims a key; returns its status if another claim holds it.
+
+        Raises:
+            errors.RefusalError: A request with the key runs at this node, or
+                the claim is not in the log.
+        """
         running = self._running_claim_by_key.get(claim.key)
         if running is not None:
             self._check_fingerprint(claim, running.fingerprint)
@@ -129,7 +142,7 @@
             self._abandon(claim)
         if reply.status.state in key_messages.FREE_STATES:
             raise self._refusal_without_commit(request, reply)
-        return await self._resolve_lost_claim(claim, reply.status)
+        return reply.status
 
     def _new_claim(
         self, request: requests.Request
--- a/tests/test_key_verdicts.py
+++ b/tests/test_key_verdicts.py
@@ -1,9 +1,11 @@
 """Refusals of keyed requests say "not run" only if no send of the key ran."""
 
+import asyncio
 from collections.abc import Iterator
 
 import pytest
 
+from lycheegw.state import errors
 from lycheegw.state import verdicts
 from tests import key_fakes
 from tests import test_keys_machine
@@ -50,3 +52,25 @@
         assert machine.runs["a"] == 1
 
     machine.runner.run(main())
+
+
+# Issue 55: the word of the caller was preferred to a claim read from the log.
+def test_claim_in_the_log_contradicts_a_first_send(
+    machine: test_keys_machine.KeyMachine,
+) -> None:
+    async def main() -> None:
+        owner = machine.nodes[0]
+        request = machine.request("a", True)
+        assert await owner.key_claims.begin(request) is None
+
+        async def never_answer(sender: str, payload: bytes) -> bytes:
+            await asyncio.Event().wait()
+            return payload
+
+        _bus_of(machine, owner).on_call(_OWNER_TOPIC, never_answer)
+        hurried = request._replace(deadline_s=machine.clock.now_s + 0.3)
+        with pytest.raises(errors.RefusalError) as caught:
+            await machine.nodes[1].key_claims.begin(hurried)
+        assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+
+    machine.runner.run(main())
