Keys: an outcome that a node knows contradicts a first send

A caller that repeats a request with all its headers, x-first-send among them, was refused with log_unavailable, not_run, by the node that had just run it.

Cause: without the log the header alone decided, though the node holds the outcomes of its own requests until the log does, and some longer.

Why this works: the header is still believed where nothing speaks against it, as callers have no other way to a retry without the log.

--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 import contextlib
 import hashlib
+import itertools
 import json
 from typing import Any
 from typing import NamedTuple
@@ -111,7 +112,7 @@
                 ) from None
             raise key_refusals.log_unavailable(
                 "the log did not answer in time",
-                key_refusals.verdict_without_log(request),
+                self._verdict_without_log(request, claim.key),
             ) from None
 
     async def _claim(
@@ -141,7 +142,7 @@
         else:
             self._abandon(claim)
         if reply.status.state in key_messages.FREE_STATES:
-            raise self._refusal_without_commit(request, reply)
+            raise self._refusal_without_commit(request, claim.key, reply)
         return reply.status
 
     def _new_claim(
@@ -232,7 +233,10 @@
         return _stored_answer(status.result)
 
     def _refusal_without_commit(
-        self, request: requests.Request, reply: key_messages.CommitReply
+        self,
+        request: requests.Request,
+        key: bytes,
+        reply: key_messages.CommitReply,
     ) -> errors.RefusalError:
         """Returns the refusal of a claim that was not read back."""
         if reply.is_current:
@@ -242,8 +246,30 @@
             )
         return key_refusals.log_unavailable(
             "the log could neither be written nor read",
-            key_refusals.verdict_without_log(request),
+            self._verdict_without_log(request, key),
+        )
+
+    def _verdict_without_log(
+        self, request: requests.Request, key: bytes
+    ) -> verdicts.RunVerdict:
+        """Returns whether a key may have run while the log can't be read.
+
+        This request was not sent to an upstream, but an earlier one with the
+        same key may have been. The caller can rule that out, unless this node
+        sent one.
+        """
+        outcomes = itertools.chain(
+            self._unlogged_outcome_by_claim.values(),
+            self._logged_outcome_by_claim.values(),
+        )
+        was_sent = any(
+            outcome.key == key
+            and outcome.kind is not key_messages.TransitionKind.RELEASE
+            for outcome in outcomes
         )
+        if was_sent or not request.is_first_send:
+            return verdicts.RunVerdict.MAY_HAVE_RUN
+        return verdicts.RunVerdict.NOT_RUN
 
     def _check_fingerprint(
         self, claim: key_messages.KeyTransition, fingerprint: int
--- a/src/lycheegw/coordination/key_refusals.py
+++ b/src/lycheegw/coordination/key_refusals.py
@@ -2,10 +2,9 @@
 
 from lycheegw.state import errors
 from lycheegw.state import reasons
-from lycheegw.state import requests
 from lycheegw.state import verdicts
 
-__all__ = ["in_use", "log_unavailable", "may_have_run", "verdict_without_log"]
+__all__ = ["in_use", "log_unavailable", "may_have_run"]
 
 _RETRY_AFTER_S = 1.0
 _RETRY_AFTER_UNCERTAIN_S = 10.0
@@ -31,17 +30,6 @@
     )
 
 
-def verdict_without_log(request: requests.Request) -> verdicts.RunVerdict:
-    """Returns whether a key may have run while the log can't be read.
-
-    This request was not sent to an upstream, but a node that is gone may have
-    sent an earlier one with the same key. Only the caller can rule that out.
-    """
-    if request.is_first_send:
-        return verdicts.RunVerdict.NOT_RUN
-    return verdicts.RunVerdict.MAY_HAVE_RUN
-
-
 def log_unavailable(
     message: str, verdict: verdicts.RunVerdict
 ) -> errors.RefusalError:
--- a/tests/test_key_verdicts.py
+++ b/tests/test_key_verdicts.py
@@ -74,3 +74,27 @@
         assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
 
     machine.runner.run(main())
+
+
+# Issue 55: a repeated send with the header of the first one, without the log.
+@pytest.mark.parametrize("is_flushed", [False, True])
+@pytest.mark.parametrize("index", range(3))
+def test_outcome_of_this_node_contradicts_a_first_send(
+    index: int, is_flushed: bool, machine: test_keys_machine.KeyMachine
+) -> None:
+    async def main() -> None:
+        node = machine.nodes[index]
+        request = machine.request("a", True)
+        assert await node.key_claims.begin(request) is None
+        await node.key_claims.complete(
+            request, verdicts.RunVerdict.MAY_HAVE_RUN, None
+        )
+        if is_flushed:
+            await node.key_claims.flush()
+        machine.log.fault = "down"
+        machine.network.listed[:] = [node.node_id]
+        with pytest.raises(errors.RefusalError) as caught:
+            await node.key_claims.begin(request)
+        assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+
+    machine.runner.run(main())
