Keys: what a coordinator has read counts without its append

A keyed request with x-first-send was refused with log_unavailable, not_run, although the coordinator of its stream had told that another claim holds the key.

Cause: replies were dropped unless every transition was appended, and the node then asked its own copy of the stream, which it can't read without the log.

Evidence: test_reply_of_a_coordinator_contradicts_a_first_send got not_run before and may_have_run since.

Why this works: of the replies to a transition the one that says most of the key is kept: appended, then held by some claim, then read to the end.

--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -165,24 +165,30 @@
         """Commits transitions of one stream through a coordinator.
 
         If no other node commits them, this node does. Submitting a claim
-        twice does no harm: the first in the log counts.
+        twice does no harm: the first in the log counts. Of several replies to
+        a transition the one that says most of the key is returned.
         """
         index = key_coordinator.stream_index(transitions[0].key)
         now_s = self._state.environment.monotonic_s()
         coordinators = key_coordinator.rank_coordinators(index, self._peers)
         own_id = self._state.identity.node_id
+        received = []
         for node_id in self._unresponsive.responsive(coordinators, now_s)[
             :_MAX_COORDINATORS_TRIED
         ]:
             if node_id == own_id:
                 break
             replies = await self._call_coordinator(node_id, transitions)
-            if replies is not None and all(
-                reply.is_logged for reply in replies
-            ):
-                return replies
+            if replies is not None:
+                if all(reply.is_logged for reply in replies):
+                    return replies
+                received.append(replies)
             self._state.counters.add("keys.keeper_failed")
-        return await self._coordinator.submit(index, transitions)
+        received.append(await self._coordinator.submit(index, transitions))
+        return [
+            max(reversed(replies), key=_knowledge)
+            for replies in zip(*received, strict=True)
+        ]
 
     async def _call_coordinator(
         self, node_id: str, transitions: Sequence[key_messages.KeyTransition]
@@ -419,6 +425,12 @@
     return is_claimed and status.claim == transition.claim
 
 
+def _knowledge(reply: key_messages.CommitReply) -> tuple[bool, bool, bool]:
+    """Returns a sort key: replies that say more of a key come later."""
+    is_free = reply.status.state in key_messages.FREE_STATES
+    return reply.is_logged, not is_free, reply.is_current
+
+
 def _stored_answer(result: bytes) -> StoredAnswer:
     """Returns a stored answer; raises RefusalError if it was not stored."""
     if not result:
--- a/tests/test_key_verdicts.py
+++ b/tests/test_key_verdicts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lycheegw.coordination import key_coordinator
 from lycheegw.state import errors
 from lycheegw.state import verdicts
 from tests import key_fakes
@@ -98,3 +99,29 @@
         assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
 
     machine.runner.run(main())
+
+
+# Issue 55: what a coordinator had read was dropped as it couldn't append.
+def test_reply_of_a_coordinator_contradicts_a_first_send(
+    machine: test_keys_machine.KeyMachine,
+) -> None:
+    async def main() -> None:
+        stream = test_keys_machine.stream_index_of("a")
+        owner, asking = (
+            node
+            for node in machine.nodes
+            if node.node_id != _coordinator_id(machine, stream)
+        )
+        assert await owner.key_claims.begin(machine.request("a", True)) is None
+        machine.log.fault = "down"
+        machine.kill(owner)
+        with pytest.raises(errors.RefusalError) as caught:
+            await asking.key_claims.begin(machine.request("a", True))
+        assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+
+    machine.runner.run(main())
+
+
+def _coordinator_id(machine: test_keys_machine.KeyMachine, stream: int) -> str:
+    bus = next(iter(machine.network.bus_by_id.values()))
+    return key_coordinator.rank_coordinators(stream, bus)[0]
