Keys: a mismatch is "not run" only if the stream was read to its end

A caller that uses one key for two bodies could be told that a body has not run that had: refused with key_mismatch, not_run.

Cause: the fingerprint was compared with whatever claim was at hand, which may be one from a copy that lacks the newest entries, or one of this node that is about to be lost. The entries not yet read may hold a claim of this body.

Evidence: test_outdated_copy_does_not_show_that_another_body_has_not_run and test_undecided_claim_does_not_show_that_another_body_has_not_run got not_run before, may_have_run since. A mismatch with the log read still says not run.

Why this works: the verdict follows from what was read, not from the reason.

--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -96,17 +96,17 @@
                 claimed in the log.
         """
         claim = self._new_claim(request)
-        status: key_messages.KeyStatus | None = None
+        reply: key_messages.CommitReply | None = None
         now_s = self._state.environment.monotonic_s()
         remaining_s = request.deadline_s - now_s - _DEADLINE_MARGIN_S
         try:
             async with asyncio.timeout(min(_BEGIN_TIMEOUT_S, remaining_s)):
-                status = await self._claim(request, claim)
-                if status is None:
+                reply = await self._claim(request, claim)
+                if reply is None:
                     return None
-                return await self._resolve_lost_claim(claim, status)
+                return await self._resolve_lost_claim(claim, reply)
         except TimeoutError:
-            if status is not None:
+            if reply is not None:
                 raise key_refusals.may_have_run(
                     "the node that claimed the key did not answer in time"
                 ) from None
@@ -117,8 +117,8 @@
 
     async def _claim(
         self, request: requests.Request, claim: key_messages.KeyTransition
-    ) -> key_messages.KeyStatus | None:
-        """Claims a key; returns its status if another claim holds it.
+    ) -> key_messages.CommitReply | None:
+        """Claims a key; returns the reply if another claim holds it.
 
         Raises:
             errors.RefusalError: A request with the key runs at this node, or
@@ -126,7 +126,10 @@
         """
         running = self._running_claim_by_key.get(claim.key)
         if running is not None:
-            self._check_fingerprint(claim, running.fingerprint)
+            # The running claim may yet be lost to one of this request.
+            key_refusals.check_fingerprint(
+                claim, running.fingerprint, verdicts.RunVerdict.MAY_HAVE_RUN
+            )
             raise key_refusals.in_use()
         self._running_claim_by_key[claim.key] = claim
         try:
@@ -143,7 +146,7 @@
             self._abandon(claim)
         if reply.status.state in key_messages.FREE_STATES:
             raise self._refusal_without_commit(request, claim.key, reply)
-        return reply.status
+        return reply
 
     def _new_claim(
         self, request: requests.Request
@@ -225,10 +228,18 @@
             self._state.counters.add("keys.outcome_dropped")
 
     async def _resolve_lost_claim(
-        self, claim: key_messages.KeyTransition, status: key_messages.KeyStatus
+        self, claim: key_messages.KeyTransition, reply: key_messages.CommitReply
     ) -> StoredAnswer:
         """Returns the first claim's answer; raises RefusalError if none."""
-        self._check_fingerprint(claim, status.fingerprint)
+        status = reply.status
+        key_refusals.check_fingerprint(
+            claim,
+            status.fingerprint,
+            # Entries that were not read may hold a claim of this request.
+            verdicts.RunVerdict.NOT_RUN
+            if reply.is_logged or reply.is_current
+            else verdicts.RunVerdict.MAY_HAVE_RUN,
+        )
         if status.state is key_messages.KeyState.CLAIMED:
             status = await self._query_owner(claim, status)
         if status.state is key_messages.KeyState.MAY_HAVE_RUN:
@@ -277,15 +288,6 @@
             return verdicts.RunVerdict.MAY_HAVE_RUN
         return verdicts.RunVerdict.NOT_RUN
 
-    def _check_fingerprint(
-        self, claim: key_messages.KeyTransition, fingerprint: int
-    ) -> None:
-        if claim.fingerprint != fingerprint:
-            raise errors.RefusalError(
-                reasons.RefusalReason.KEY_MISMATCH,
-                "the idempotency key was used for a different request",
-            )
-
     async def _query_owner(
         self, claim: key_messages.KeyTransition, status: key_messages.KeyStatus
     ) -> key_messages.KeyStatus:
--- a/tests/test_key_verdicts.py
+++ b/tests/test_key_verdicts.py
@@ -7,6 +7,8 @@
 
 from lycheegw.coordination import key_coordinator
 from lycheegw.state import errors
+from lycheegw.state import reasons
+from lycheegw.state import requests
 from lycheegw.state import verdicts
 from tests import key_fakes
 from tests import test_keys_machine
@@ -125,3 +127,60 @@
 def _coordinator_id(machine: test_keys_machine.KeyMachine, stream: int) -> str:
     bus = next(iter(machine.network.bus_by_id.values()))
     return key_coordinator.rank_coordinators(stream, bus)[0]
+
+
+# Issue 55: another body was "not run" by a copy that lacked the run of it.
+def test_outdated_copy_does_not_show_that_another_body_has_not_run(
+    machine: test_keys_machine.KeyMachine,
+) -> None:
+    async def main() -> None:
+        owner, asking, _ = machine.nodes
+        released = machine.request("a", True)
+        request = released._replace(fingerprint="0e")
+        machine.network.listed[:] = [owner.node_id]
+        assert await owner.key_claims.begin(released) is None
+        machine.network.listed[:] = [asking.node_id]
+        with pytest.raises(errors.RefusalError):
+            await asking.key_claims.begin(released)
+        machine.network.listed[:] = [owner.node_id]
+        await owner.key_claims.complete(
+            released, verdicts.RunVerdict.NOT_RUN, None
+        )
+        await owner.key_claims.flush()
+        await _run(owner, request)
+        machine.log.fault = "down"
+        machine.network.listed[:] = [asking.node_id]
+        with pytest.raises(errors.RefusalError) as caught:
+            await asking.key_claims.begin(request)
+        assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+
+    machine.runner.run(main())
+
+
+# Issue 55: another body was "not run" by a claim that was about to be lost.
+def test_undecided_claim_does_not_show_that_another_body_has_not_run(
+    machine: test_keys_machine.KeyMachine,
+) -> None:
+    async def main() -> None:
+        owner, asking, _ = machine.nodes
+        request = machine.request("a", True)
+        await _run(owner, request)
+        other = request._replace(fingerprint="0e")
+        losing = asyncio.create_task(asking.key_claims.begin(other))
+        await asyncio.sleep(0)
+        with pytest.raises(errors.RefusalError) as caught:
+            await asking.key_claims.begin(request)
+        assert caught.value.verdict is verdicts.RunVerdict.MAY_HAVE_RUN
+        with pytest.raises(errors.RefusalError) as caught:
+            await losing
+        assert caught.value.reason is reasons.RefusalReason.KEY_MISMATCH
+        assert caught.value.verdict is verdicts.RunVerdict.NOT_RUN
+
+    machine.runner.run(main())
+
+
+async def _run(node: test_keys_machine.Node, request: requests.Request) -> None:
+    """Claims the key of a request and logs that it ran."""
+    assert await node.key_claims.begin(request) is None
+    await node.key_claims.complete(request, verdicts.RunVerdict.RAN, {})
+    await node.key_claims.flush()
