Keys: an answer that was dropped is not stored as null

A keyed call whose answer was malformed was refused as "ran"; the next send of the key got 200 with the result null, which no service had given.

Cause: the outcome of a claim took a verdict and a result, and a missing result looked like the result null.

Why this works: the answer is passed as such, or as None if there is no usable one. A key that ran without one is then key_completed, as for long answers.

--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -344,19 +344,24 @@
         self,
         request: requests.Request,
         verdict: verdicts.RunVerdict,
-        result: Any,
+        answer: StoredAnswer | None,
     ) -> None:
         """Records how a claimed request ended, for the next flush to the log.
 
         It never waits, so it delays no answer and can't be cancelled halfway.
+
+        Args:
+            request: The request.
+            verdict: Whether it may have run.
+            answer: Its answer, None if there is no usable one.
         """
         scope = f"{request.organisation}\n{request.idempotency_key}"
         claim = self._running_claim_by_key.pop(
             _digest(scope.encode(), _KEY_BYTES)
         )
         stored = b""
-        if verdict is verdicts.RunVerdict.RAN:
-            stored = json.dumps(result).encode()
+        if verdict is verdicts.RunVerdict.RAN and answer is not None:
+            stored = json.dumps(answer.result).encode()
         if len(stored) > _MAX_RESULT_BYTES:
             stored = b""
         kind = _KIND_BY_VERDICT[verdict]
--- a/src/lycheegw/coordination/service_runs.py
+++ b/src/lycheegw/coordination/service_runs.py
@@ -8,6 +8,7 @@
 
 from lycheegw.coordination import attempts
 from lycheegw.coordination import interfaces
+from lycheegw.coordination import key_claims
 from lycheegw.state import errors
 from lycheegw.state import node_state
 from lycheegw.state import reasons
@@ -74,17 +75,18 @@
         if stored is not None:
             self._state.trace(request.request_id, "answer_stored")
             return stored.result
-        result = None
+        answer = None
         verdict = verdicts.RunVerdict.MAY_HAVE_RUN
         try:
             result = await self._run_operation(request, work, progress)
+            answer = key_claims.StoredAnswer(result)
             verdict = verdicts.RunVerdict.RAN
         except errors.RefusalError as error:
             verdict = error.verdict
             raise
         finally:
             await self._dependencies.key_claims.complete(
-                request, verdict, result
+                request, verdict, answer
             )
         return result
 
--- a/src/lycheegw/measure/at_most_once.py
+++ b/src/lycheegw/measure/at_most_once.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import random
-from typing import Any
 
 from lycheegw import app
 from lycheegw.coordination import billing
@@ -143,22 +142,20 @@
 
 def _keep_keys_in_memory(node: app.Node) -> None:
     """Makes a node keep keys in its own memory only, as the baseline does."""
-    result_by_key: dict[str | None, Any] = {}
+    answer_by_key: dict[str | None, key_claims.StoredAnswer] = {}
 
     async def begin(
         request: requests.Request,
     ) -> key_claims.StoredAnswer | None:
-        if request.idempotency_key in result_by_key:
-            return key_claims.StoredAnswer(
-                result_by_key[request.idempotency_key]
-            )
-        return None
+        return answer_by_key.get(request.idempotency_key)
 
     async def complete(
-        request: requests.Request, verdict: verdicts.RunVerdict, result: Any
+        request: requests.Request,
+        verdict: verdicts.RunVerdict,
+        answer: key_claims.StoredAnswer | None,
     ) -> None:
-        if verdict is verdicts.RunVerdict.RAN:
-            result_by_key[request.idempotency_key] = result
+        if verdict is verdicts.RunVerdict.RAN and answer is not None:
+            answer_by_key[request.idempotency_key] = answer
 
     node.key_claims.begin = begin  # type: ignore[method-assign]
     node.key_claims.complete = complete  # type: ignore[method-assign]
--- a/tests/test_key_verdicts.py
+++ b/tests/test_key_verdicts.py
@@ -182,5 +182,5 @@
 async def _run(node: test_keys_machine.Node, request: requests.Request) -> None:
     """Claims the key of a request and logs that it ran."""
     assert await node.key_claims.begin(request) is None
-    await node.key_claims.complete(request, verdicts.RunVerdict.RAN, {})
+    await node.key_claims.complete(request, verdicts.RunVerdict.RAN, None)
     await node.key_claims.flush()
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -112,8 +112,8 @@
             self.kill(node)
         elif outcome == "ran":
             verdict = verdicts.RunVerdict.RAN
-            result = self.result_by_key[key]
-            await node.key_claims.complete(request, verdict, result)
+            answer = key_claims.StoredAnswer(self.result_by_key[key])
+            await node.key_claims.complete(request, verdict, answer)
         elif outcome == "ran_unseen":
             verdict = verdicts.RunVerdict.MAY_HAVE_RUN
             await node.key_claims.complete(request, verdict, None)
