Attempts: one ledger of runs for refusals, retries and keys

A keyed call whose deadline passed before it was sent was refused as not run, and each later send of its key got may_have_run and never ran.

Cause: three places kept the verdict of a request. Refusals took a field that each path had to raise, and a flag that failures and successes cleared and other ends didn't; retries looked at the last attempt alone; keys at the last exception, with "may have run" for a cancellation.

Why this works: the attempt itself begins and ends in the ledger, around the code that sends, so that no caller of it can forget an end: one that is dropped may have run. Whatever speaks of a run reads the ledger. A version is now checked before the attempt begins, so that a withdrawal in time is "not run" again. Attempts that were not granted a slot no longer exist since slots are held before; their branch goes.

--- a/src/lycheegw/coordination/attempts.py
+++ b/src/lycheegw/coordination/attempts.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
 from typing import Any
@@ -58,8 +59,7 @@
 
     Attributes:
         attempts: Number of attempts begun.
-        verdict: Whether any ended attempt may have run the request.
-        is_in_flight: Whether an attempt was sent and has not ended.
+        ledger: Whether the request may have run, over all attempts.
         attempt_start_s: Monotonic time at which the last attempt was sent.
         started_at_s: Wall time at which the last attempt's upstream started.
         tried: Ids of upstreams that failed the request in this round.
@@ -75,8 +75,7 @@
 
     def __init__(self) -> None:
         self.attempts = 0
-        self.verdict = verdicts.RunVerdict.NOT_RUN
-        self.is_in_flight = False
+        self.ledger = verdicts.RunLedger()
         self.attempt_start_s = 0.0
         self.started_at_s = 0.0
         self.tried: set[str] = set()
@@ -99,12 +98,6 @@
         self.start_step()
         self.cost = 0.0
 
-    def current_verdict(self) -> verdicts.RunVerdict:
-        """Returns the verdict, including an attempt in flight."""
-        if self.is_in_flight:
-            return self.verdict.max_with(verdicts.RunVerdict.MAY_HAVE_RUN)
-        return self.verdict
-
 
 class Attempts:
     """Makes the attempts of requests and decides on retries."""
@@ -153,18 +146,14 @@
             options = self._candidates(pool, version, progress)
             return upstream_selection.split_by_zone(self._state, options)
 
-        try:
-            upstream = await self._dependencies.slots.pick(
-                request, pool, find_candidates, self._dependencies.choose
-            )
-        except errors.RefusalError as error:
-            error.verdict = error.verdict.max_with(progress.verdict)
-            raise
+        upstream = await self._dependencies.slots.pick(
+            request, pool, find_candidates, self._dependencies.choose
+        )
         if upstream is None:
             raise errors.RefusalError(
                 reasons.RefusalReason.NO_UPSTREAM,
                 f"no upstream available for {pool}@{version or 'any'}",
-                progress.verdict,
+                progress.ledger.verdict,
                 self._retry_after_s(progress),
             )
         self._ejections.note_chosen(upstream)
@@ -220,11 +209,19 @@
         request: requests.Request,
         upstream: upstreams.Upstream,
         progress: Progress,
+        check_allowed: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[None]:
         """Counts an attempt and holds its slot until the block ends.
 
-        Raises:
-            errors.UpstreamError: The slot was not granted.
+        The request may have run from the start of the block on, unless the
+        block raises an error with another verdict.
+
+        Args:
+            request: The request.
+            upstream: The upstream of the attempt.
+            progress: State of the request.
+            check_allowed: Raises errors.RefusalError if the request may not be
+                sent now.
         """
         progress.attempts += 1
         self._state.trace(
@@ -235,11 +232,12 @@
         )
         try:
             async with self._dependencies.slots.hold(upstream, request):
+                check_allowed()
                 self._note_sent(upstream, progress)
                 yield
-                progress.is_in_flight = False
-                progress.verdict = verdicts.RunVerdict.RAN
-        except errors.UpstreamError:
+                progress.ledger.end(verdicts.RunVerdict.RAN)
+        except errors.UpstreamError as error:
+            progress.ledger.end(error.verdict)
             # `handle_failure` counts a crash before it releases a suspect.
             raise
         except BaseException:
@@ -251,7 +249,7 @@
     def _note_sent(
         self, upstream: upstreams.Upstream, progress: Progress
     ) -> None:
-        progress.is_in_flight = True
+        progress.ledger.begin()
         progress.attempt_start_s = self._state.environment.monotonic_s()
         report = upstream.report
         progress.started_at_s = report.started_at_s if report else 0.0
@@ -285,22 +283,15 @@
         Raises:
             errors.RefusalError: The request is not retried.
         """
-        was_sent, progress.is_in_flight = progress.is_in_flight, False
-        progress.verdict = progress.verdict.max_with(error.verdict)
         self._note_failure(request, upstream, error, progress)
-        if was_sent:
-            self._ejections.note_failure(
-                upstream, error, progress.attempt_start_s
-            )
-            await self._dependencies.suspects.note_failure(
-                request,
-                upstream,
-                error,
-                progress.started_at_s,
-                progress.attempt_start_s,
-            )
-        else:
-            self._dependencies.suspects.release(request, upstream)
+        self._ejections.note_failure(upstream, error, progress.attempt_start_s)
+        await self._dependencies.suspects.note_failure(
+            request,
+            upstream,
+            error,
+            progress.started_at_s,
+            progress.attempt_start_s,
+        )
         if error.reason is reasons.RetryReason.CONNECT_FAILED:
             upstream.note_unreachable(self._state.environment.monotonic_s())
         pause_s = retries.backoff_s(
@@ -308,9 +299,7 @@
         )
         pool = upstream.entry.pool
         needed_s = pause_s + self._min_times.min_s(pool)
-        reason = self._refusal_reason(
-            request, error, progress, needed_s, was_sent
-        )
+        reason = self._refusal_reason(request, progress, needed_s)
         if reason is not None:
             raise self._refusal(reason, error, progress)
         self._dependencies.suspects.refuse_blocked(request)
@@ -345,22 +334,17 @@
     def _refusal_reason(
         self,
         request: requests.Request,
-        error: errors.UpstreamError,
         progress: Progress,
         needed_s: float,
-        was_sent: bool,
     ) -> reasons.RefusalReason | None:
         """Returns why the request ends, None if a retry follows."""
-        if not retries.is_retry_safe(request, error):
+        if not retries.is_retry_safe(request, progress.ledger.verdict):
             return reasons.RefusalReason.MAY_HAVE_RUN
         if progress.attempts >= retries.MAX_ATTEMPTS:
             return reasons.RefusalReason.ATTEMPTS_EXHAUSTED
         if self.left_s(request) < needed_s:
             return reasons.RefusalReason.DEADLINE_TOO_SHORT
-        # An attempt that was never sent put no load on any upstream.
-        if was_sent and not self._dependencies.retry_budget.take(
-            progress.tokens > 0
-        ):
+        if not self._dependencies.retry_budget.take(progress.tokens > 0):
             return reasons.RefusalReason.RETRY_BUDGET
         return None
 
@@ -375,7 +359,10 @@
             message = f"{reason.value}: {message}"
             reason = reasons.RefusalReason.STREAM_BROKEN
         return errors.RefusalError(
-            reason, message, progress.verdict, self._retry_after_s(progress)
+            reason,
+            message,
+            progress.ledger.verdict,
+            self._retry_after_s(progress),
         )
 
     async def bill(
@@ -419,5 +406,5 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"deadline passed after {self._progress.attempts} attempts",
-                self._progress.current_verdict(),
+                self._progress.ledger.verdict,
             ) from None
--- a/src/lycheegw/coordination/model_runs.py
+++ b/src/lycheegw/coordination/model_runs.py
@@ -1,5 +1,6 @@
 """Runs the steps of a model call's plan; resumes streams after failures."""
 
+import functools
 from typing import NamedTuple
 
 from lycheegw.coordination import attempts
@@ -118,12 +119,18 @@
         """Runs one version, with retries; returns the response's confidence."""
         version = str(head.version)
         while True:
-            self._check_version(request, work, version, progress)
+            check_allowed = functools.partial(
+                self._check_version, request, work, version, progress
+            )
+            check_allowed()
             upstream = await self._attempts.choose(
                 request, work.model, version, progress
             )
             try:
-                async with self._attempts.attempt(request, upstream, progress):
+                # The version may be withdrawn during the wait for a slot.
+                async with self._attempts.attempt(
+                    request, upstream, progress, check_allowed
+                ):
                     return await self._stream(
                         request, work, head, upstream, sink, progress
                     )
@@ -148,7 +155,7 @@
             request.organisation,
             work.model,
             version,
-            progress.verdict,
+            progress.ledger.verdict,
         )
 
     async def _stream(
@@ -161,8 +168,6 @@
         progress: attempts.Progress,
     ) -> float:
         """Forwards one engine's response up to its end; returns confidence."""
-        # The version may have been withdrawn during the wait for a slot.
-        self._check_version(request, work, str(head.version), progress)
         call = interfaces.GenerateCall(
             request.request_id,
             work.model,
--- a/src/lycheegw/coordination/retries.py
+++ b/src/lycheegw/coordination/retries.py
@@ -3,7 +3,6 @@
 import collections
 import random
 
-from lycheegw.state import errors
 from lycheegw.state import requests
 from lycheegw.state import verdicts
 
@@ -88,12 +87,15 @@
 
 
 def is_retry_safe(
-    request: requests.Request, error: errors.UpstreamError
+    request: requests.Request, verdict: verdicts.RunVerdict
 ) -> bool:
-    """Returns whether a retry can't run a non-idempotent request twice."""
-    if error.verdict is verdicts.RunVerdict.NOT_RUN:
-        return True
-    return request.is_idempotent
+    """Returns whether a retry can't run a non-idempotent request twice.
+
+    Args:
+        request: The request.
+        verdict: Whether it may have run, over all attempts.
+    """
+    return request.is_idempotent or verdict is verdicts.RunVerdict.NOT_RUN
 
 
 def attempt_timeout_s(
--- a/src/lycheegw/coordination/service_runs.py
+++ b/src/lycheegw/coordination/service_runs.py
@@ -13,7 +13,6 @@
 from lycheegw.state import node_state
 from lycheegw.state import reasons
 from lycheegw.state import requests
-from lycheegw.state import verdicts
 
 __all__ = ["ServiceAnswer", "ServiceRuns"]
 
@@ -76,17 +75,12 @@
             self._state.trace(request.request_id, "answer_stored")
             return stored.result
         answer = None
-        verdict = verdicts.RunVerdict.MAY_HAVE_RUN
         try:
             result = await self._run_operation(request, work, progress)
             answer = key_claims.StoredAnswer(result)
-            verdict = verdicts.RunVerdict.RAN
-        except errors.RefusalError as error:
-            verdict = error.verdict
-            raise
         finally:
             await self._dependencies.key_claims.complete(
-                request, verdict, answer
+                request, progress.ledger.verdict, answer
             )
         return result
 
