HTTP interface: an unexpected exception is answered as "may have run"

A call whose handling failed by an unexpected exception got no answer, and a stream that had begun broke off without its error event.

Cause: the reason `internal`, with its status 500 and its row in METRICS, was never sent; the server closed the connection instead.

Evidence: test_unexpected_exception_is_answered_as_may_have_run, before and after the first byte of a stream: a closed connection before, the error since.

Why this works: whatever ends the handling of a client's request passes the one place that answers refusals, and what isn't known there counts as run.

--- a/src/lycheegw/transport/http_api.py
+++ b/src/lycheegw/transport/http_api.py
@@ -10,6 +10,8 @@
 import hmac
 from typing import Any
 
+from absl import logging
+
 from lycheegw.coordination import dispatcher
 from lycheegw.coordination import interfaces
 from lycheegw.protocol import caller_api
@@ -165,6 +167,20 @@
             await self._run_request(exchange, request_id)
         except errors.RefusalError as error:
             await self._refuse(exchange, request_id, error)
+        except OSError:
+            # The client disconnected, so no response can be sent.
+            raise
+        except Exception:
+            logging.exception("request %s: unexpected exception", request_id)
+            await self._refuse(
+                exchange,
+                request_id,
+                errors.RefusalError(
+                    reasons.RefusalReason.INTERNAL,
+                    "the router failed to handle the request",
+                    verdicts.RunVerdict.MAY_HAVE_RUN,
+                ),
+            )
         finally:
             self.running -= 1
 
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -11,6 +11,7 @@
 
 from lycheegw.measure import harness
 from lycheegw.standins import engine
+from lycheegw.state import requests
 from tests import test_path
 
 HEAD = (
@@ -204,3 +205,32 @@
             assert received.split(b" ", 2)[1] in {b"200", b"503"}
 
     asyncio.run(main())
+
+
+# Issue 55: a call that ended by an unexpected exception got no answer at all.
+@pytest.mark.parametrize("is_started", [False, True])
+def test_unexpected_exception_is_answered_as_may_have_run(
+    is_started: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def main() -> None:
+        async with test_path.small_fleet() as fleet:
+            node = fleet.nodes["n1"]
+
+            async def fail(
+                request: Any, work: Any, claim: Any, sink: Any
+            ) -> Any:
+                if is_started:
+                    await sink.start(
+                        requests.AnswerMetadata("m", "v", None, False, 1)
+                    )
+                raise ValueError("unexpected")
+
+            monkeypatch.setattr(node.api._dispatch, "run_model", fail)
+            body = test_path.BODY | {"stream": True}
+            reply = await fleet.call(node, test_path.CHAT, body, test_path.KEY)
+            error = json.loads(reply.body.split(b"data: ")[-1])["error"]
+            assert error["reason"] == "internal"
+            assert error["run"] == "may_have_run"
+            assert reply.status == (200 if is_started else 500)
+
+    asyncio.run(main())
