--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lycheegw.coordination import retries
+from lycheegw.coordination import version_plans
 from lycheegw.measure import harness
 from lycheegw.protocol import engine_api
 from lycheegw.state import errors
@@ -338,3 +339,30 @@
             assert (await _generate(fleet, False)).status == 200
 
     asyncio.run(main())
+
+
+# Issue 55: the answer of the first model is dropped, the second one refuses.
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_refusal_after_a_dropped_answer_says_ran(
+    is_listed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    steps = [
+        version_plans.Step("v1", 2.0),
+        version_plans.Step("v2", 0.0),
+    ]
+
+    async def main() -> None:
+        async with test_path.small_fleet() as fleet:
+            monkeypatch.setattr(version_plans.Planner, "plan", lambda *_: steps)
+            for standin in fleet.engines.values():
+                standin.versions = {"v1"}
+            if not is_listed:
+                for each in fleet.nodes["n1"].state.upstreams.by_id.values():
+                    each.report = each.report and each.report._replace(
+                        versions=frozenset({"v1"})
+                    )
+            refused = await _generate(fleet, False)
+            assert refused.status == 503, refused.body
+            assert refused.json()["error"]["run"] == "ran"
+
+    asyncio.run(main())
