Explain: lines that contradict a promise are pointed out

Cause: only the last refusal was looked at.

Evidence: test_promise_that_other_lines_contradict_is_pointed_out (a failed attempt, a refusal and an answer at another node) failed before and passes since.

Why this works: the explanation reads all lines of the request anyway, and names the nodes whose lines speak of a run.

--- a/src/lycheegw/request_explanation.py
+++ b/src/lycheegw/request_explanation.py
@@ -157,9 +157,10 @@
         )
     if final_line["event"] == "caller_gone":
         return f"the client disconnected after {final_line['taken_s']} s"
-    run_text = {"not_run": "it has not run", "ran": "it ran"}.get(
-        str(final_line.get("run")), "it may have run"
-    )
+    run_text = {
+        "not_run": _describe_promise(request_lines),
+        "ran": "it ran",
+    }.get(str(final_line.get("run")), "it may have run")
     hint = next(
         (
             text
@@ -169,3 +170,16 @@
         str(final_line.get("message", "")),
     )
     return f"refused ({final_line.get('reason')}), {run_text}: {hint}"
+
+
+def _describe_promise(request_lines: list[LogLine]) -> str:
+    """Returns that a request has not run, and which nodes contradict this."""
+    nodes = {
+        str(line["node"])
+        for line in request_lines
+        if line["event"] == "answered"
+        or line.get("run", "not_run") != "not_run"
+    }
+    if not nodes:
+        return "it has not run"
+    return f"it has not run, but {', '.join(sorted(nodes))} contradicts this"
--- a/tests/test_request_explanation.py
+++ b/tests/test_request_explanation.py
@@ -91,3 +91,26 @@
     assert "attempt_failed" in capsys.readouterr().out
     assert test_cli.run(monkeypatch, "explain", "r1") == 2
     assert "--log" in capsys.readouterr().err
+
+
+# Issue 55: an explanation that repeats a promise which other lines contradict.
+@pytest.mark.parametrize(
+    ("event", "fields"),
+    [
+        ("attempt_failed", {"run": "may_have_run"}),
+        ("refused", {"run": "ran", "reason": "shed", "taken_s": 0.1}),
+        ("answered", {"taken_s": 0.1, "attempts": 1}),
+    ],
+)
+def test_promise_that_other_lines_contradict_is_pointed_out(
+    event: str, fields: dict[str, object]
+) -> None:
+    refused = {"run": "not_run", "reason": "shed", "taken_s": 0.6}
+    lines = [
+        _line(100.0, "n2", event, request_id="r", **fields),
+        _line(100.5, "n1", "refused", request_id="r", **refused),
+    ]
+    outcome = list(request_explanation.explain_request(lines, "r"))[-1]
+    assert "it has not run, but n2 contradicts this" in outcome
+    alone = list(request_explanation.explain_request(lines[1:], "r"))[-1]
+    assert "contradicts" not in alone
