HTTP client: a missing descriptor is a failed attempt that was not sent

Where a node of the chat interface had no free descriptor, a call ended without an answer, as if its client had left, and counted as run for its key.

Cause: the socket was opened outside of the code that turns errors into verdicts, so that an OSError went up to the server.

Evidence: test_call_without_a_free_descriptor_has_not_run got the OSError before and a failed attempt that was not run since.

Why this works: the attempt fails for a reason that doesn't blame the upstream, and may be made again.

--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -298,10 +298,22 @@
         return io.BytesIO(self._head)
 
 
+def _open_socket() -> socket.socket:
+    """Returns a socket that is not connected."""
+    try:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise _upstream_error(
+            reasons.RetryReason.NO_FREE_CONNECTION,
+            f"opening a socket failed: {error!r}",
+            verdicts.RunVerdict.NOT_RUN,
+        ) from error
+
+
 async def _connect(address: tuple[str, int], timeout_s: float) -> socket.socket:
     """Returns a connected socket; on an error nothing was sent."""
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = _open_socket()
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
--- a/tests/test_rejections.py
+++ b/tests/test_rejections.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import errno
 import socket
 import struct
 
@@ -207,3 +208,17 @@
         with pytest.raises(errors.UpstreamError) as caught:
             await http_client.fetch(address, "POST", "/", 5.0)
     assert caught.value.verdict is _NOT_RUN
+
+
+# Guards against an OSError that passes for a client that has left.
+async def test_call_without_a_free_descriptor_has_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(*_: object) -> None:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(http_client.socket, "socket", fail)
+    with pytest.raises(errors.UpstreamError) as caught:
+        await http_client.fetch("127.0.0.1:1", "POST", "/", 5.0)
+    assert caught.value.reason is reasons.RetryReason.NO_FREE_CONNECTION
+    assert caught.value.verdict is _NOT_RUN
