--- a/src/lycheegw/coordination/key_refusals.py
+++ b/src/lycheegw/coordination/key_refusals.py
@@ -1,24 +1,22 @@
 """Builds the refusals of requests whose idempotency key can't be claimed."""
 
+from lycheegw.coordination import key_messages
 from lycheegw.state import errors
 from lycheegw.state import reasons
-from lycheegw.state import requests
 from lycheegw.state import verdicts
 
-__all__ = ["in_use", "log_unavailable", "may_have_run", "verdict_without_log"]
+__all__ = ["check_fingerprint", "in_use", "log_unavailable", "may_have_run"]
 
 _RETRY_AFTER_S = 1.0
 _RETRY_AFTER_UNCERTAIN_S = 10.0
 
 
-def in_use(
-    verdict: verdicts.RunVerdict = verdicts.RunVerdict.MAY_HAVE_RUN,
-) -> errors.RefusalError:
+def in_use() -> errors.RefusalError:
     """Returns the refusal of a key whose first request is running."""
     return errors.RefusalError(
         reasons.RefusalReason.KEY_IN_USE,
         "a request with this idempotency key is running",
-        verdict,
+        verdicts.RunVerdict.MAY_HAVE_RUN,
         _RETRY_AFTER_S,
     )
 
@@ -33,15 +31,24 @@
     )
 
 
-def verdict_without_log(request: requests.Request) -> verdicts.RunVerdict:
-    """Returns whether a key may have run while the log can't be read.
+def check_fingerprint(
+    claim: key_messages.KeyTransition,
+    fingerprint: int,
+    verdict: verdicts.RunVerdict,
+) -> None:
+    """Raises errors.RefusalError if a key belongs to a different request.
 
-    This request was not sent to an upstream, but a node that is gone may have
-    sent an earlier one with the same key. Only the caller can rule that out.
+    Args:
+        claim: Claim of the request.
+        fingerprint: Fingerprint of the request that the key belongs to.
+        verdict: Whether this request may have run with the key.
     """
-    if request.is_first_send:
-        return verdicts.RunVerdict.NOT_RUN
-    return verdicts.RunVerdict.MAY_HAVE_RUN
+    if claim.fingerprint != fingerprint:
+        raise errors.RefusalError(
+            reasons.RefusalReason.KEY_MISMATCH,
+            "the idempotency key was used for a different request",
+            verdict,
+        )
 
 
 def log_unavailable(
