--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -352,6 +352,42 @@
     _assert_no_promise(await _book_at_one_upstream(response))
 
 
+# Guards against a promise that answered another request: an upstream wrote it,
+# without an id, on a kept connection before it ran the next request there.
+@pytest.mark.parametrize("lines", ["", "Connection: close\r\n"])
+@pytest.mark.parametrize("status", sorted(PROMISES))
+async def test_promise_for_an_earlier_request_is_not_passed_on(
+    status: int, lines: str
+) -> None:
+    ran: list[str] = []
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        ran.append(request.header_by_name[ID.lower()])
+        parts: tuple[str | float, ...] = (_WHOLE_ANSWER,)
+        if request.number_on_connection:
+            parts = (_head(status, lines, _EMPTY), 0.1, _WHOLE_ANSWER)
+        await _write(writer, _Response(parts), ran[-1])
+
+    async with fleet_harness.fleet() as fleet:
+        await fleet.store.delete("keyed.servers", "d2")
+        async with raw_upstreams.raw_upstream(fleet, "d1", "desk", respond):
+            statuses = []
+            for number in range(2):
+                reply = await platform_standins.send_request(
+                    fleet.nodes[0].settings.listen,
+                    "/book/1",
+                    "POST",
+                    b"crew",
+                    {ID: f"b{number}"},
+                )
+                assert reply is not None
+                statuses.append(reply.status)
+            assert ran == ["b0", "b1"]
+            assert statuses[0] == 200 and statuses[1] not in PROMISES
+
+
 # Guards against a design that believes no rejection: these are the rejections
 # that upstreams send, and clients may send such requests again.
 @pytest.mark.parametrize("status", [503, 429, 421])
