Refusals: the verdict has no default

Cause: "not run" was the default of RefusalError and of the checks of versions, so that each path had to remember to raise it.

Why this works: a new refusal can't be written without a statement of what ran.

--- a/src/lycheegw/coordination/admission.py
+++ b/src/lycheegw/coordination/admission.py
@@ -14,6 +14,7 @@
 from lycheegw.state import node_state
 from lycheegw.state import reasons
 from lycheegw.state import requests
+from lycheegw.state import verdicts
 
 __all__ = ["Admission"]
 
@@ -201,6 +202,7 @@
                 errors.RefusalError(
                     reason,
                     f"{len(pool.queue)} requests queued, about {wait_s:.1f} s",
+                    verdicts.RunVerdict.NOT_RUN,
                     retry_after_s=delay_s,
                 )
             )
--- a/src/lycheegw/coordination/billing.py
+++ b/src/lycheegw/coordination/billing.py
@@ -18,6 +18,7 @@
 from lycheegw.state import errors
 from lycheegw.state import node_state
 from lycheegw.state import reasons
+from lycheegw.state import verdicts
 
 __all__ = ["FLUSH_S", "MAX_ROWS", "Billing"]
 
@@ -76,6 +77,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.BILLING_FULL,
                 "too many bills wait to be written to the log",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=_RETRY_AFTER_S,
             )
 
--- a/src/lycheegw/coordination/dispatcher.py
+++ b/src/lycheegw/coordination/dispatcher.py
@@ -16,6 +16,7 @@
 from lycheegw.state import node_state
 from lycheegw.state import requests
 from lycheegw.state import sessions
+from lycheegw.state import verdicts
 
 __all__ = ["Dependencies", "Dispatcher", "ModelAnswer", "ServiceAnswer"]
 
@@ -55,7 +56,9 @@
         claim = await self._dependencies.sessions.find_claim(
             request, work, claim
         )
-        version_selection.choose_versions(self._state, request, work, claim)
+        version_selection.choose_versions(
+            self._state, request, work, claim, verdicts.RunVerdict.NOT_RUN
+        )
         async with self._admit(request) as progress:
             return await self._model_runs.run(
                 request, work, claim, sink, progress
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -63,6 +63,7 @@
     return errors.RefusalError(
         reasons.RefusalReason.SHUTTING_DOWN,
         "the node is shutting down",
+        verdicts.RunVerdict.NOT_RUN,
         retry_after_s=forward_attempts.MIN_RETRY_AFTER_S,
     )
 
@@ -166,6 +167,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.NOT_READY,
                 f"the store could not be read within {left_s:.2f} s",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=_NOT_READY_RETRY_AFTER_S,
             ) from error
 
@@ -180,6 +182,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.NOT_READY,
                 "the node has not read its configuration yet",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=_NOT_READY_RETRY_AFTER_S,
             )
         route = manifest.find_route(traits.host, traits.path)
@@ -238,9 +241,10 @@
             return errors.RefusalError(
                 reasons.RefusalReason.NOT_READY,
                 f"{message} in a configuration that may be out of date",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=_NOT_READY_RETRY_AFTER_S,
             )
-        return errors.RefusalError(reason, message)
+        return errors.RefusalError(reason, message, verdicts.RunVerdict.NOT_RUN)
 
     def _pick_service(
         self, manifest: routing.Manifest, route: routing.Route
@@ -256,6 +260,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.UNKNOWN_SERVICE,
                 f"service {name!r} is not in the configuration",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=_NOT_READY_RETRY_AFTER_S,
             )
         return service
--- a/src/lycheegw/coordination/freshness.py
+++ b/src/lycheegw/coordination/freshness.py
@@ -15,6 +15,7 @@
 from lycheegw.state import node_state
 from lycheegw.state import reasons
 from lycheegw.state import topics
+from lycheegw.state import verdicts
 
 __all__ = ["Freshness"]
 
@@ -103,6 +104,7 @@
                 raise errors.RefusalError(
                     reasons.RefusalReason.NOT_READY,
                     f"peers have later {topic.value} than this node",
+                    verdicts.RunVerdict.NOT_RUN,
                     retry_after_s=_RETRY_ELSEWHERE_S,
                 )
 
--- a/src/lycheegw/coordination/model_runs.py
+++ b/src/lycheegw/coordination/model_runs.py
@@ -52,7 +52,7 @@
         """
         while True:
             choice = version_selection.choose_versions(
-                self._state, request, work, claim
+                self._state, request, work, claim, progress.ledger.verdict
             )
             try:
                 return await self._run_plan(
--- a/src/lycheegw/coordination/service_runs.py
+++ b/src/lycheegw/coordination/service_runs.py
@@ -96,6 +96,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.UNKNOWN_SERVICE,
                 f"no operation {work.service}/{work.operation} in the catalog",
+                progress.ledger.verdict,
             )
         call = interfaces.OperationCall(
             request.request_id,
--- a/src/lycheegw/coordination/slots.py
+++ b/src/lycheegw/coordination/slots.py
@@ -20,6 +20,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import upstreams
+from lycheegw.state import verdicts
 
 __all__ = ["RequestSlots", "SlotHolder", "Slots", "per_node_allowance"]
 
@@ -270,6 +271,7 @@
         raise errors.RefusalError(
             reasons.RefusalReason.COLD_LIMIT,
             f"all upstreams of {pool} are cold and at their limit",
+            verdicts.RunVerdict.NOT_RUN,
             retry_after_s=self._state.limits.warm_up_s,
         )
 
--- a/src/lycheegw/coordination/suspects.py
+++ b/src/lycheegw/coordination/suspects.py
@@ -29,6 +29,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import upstreams
+from lycheegw.state import verdicts
 
 __all__ = ["Codec", "SuspectUpdate", "Suspects"]
 
@@ -175,6 +176,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.POISON,
                 "upstreams crashed while they ran this request",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=left_s,
             )
         left_s = self._parts.blocked_s(request.prompt_parts)
@@ -183,6 +185,7 @@
                 reasons.RefusalReason.POISON,
                 "upstreams crashed while they answered prompts with a part of"
                 " this one",
+                verdicts.RunVerdict.NOT_RUN,
                 retry_after_s=left_s,
             )
 
@@ -263,6 +266,7 @@
                     raise errors.RefusalError(
                         reasons.RefusalReason.NO_UPSTREAM,
                         f"grantor of suspect runs unavailable: {error}",
+                        verdicts.RunVerdict.NOT_RUN,
                         retry_after_s=_RETRY_AFTER_S,
                     ) from error
             self._lease_by_run.pop(run, None)
@@ -271,6 +275,7 @@
                 raise errors.RefusalError(
                     reasons.RefusalReason.ISOLATED,
                     "another prompt with a suspect part of this one runs",
+                    verdicts.RunVerdict.NOT_RUN,
                     retry_after_s=_RETRY_AFTER_S,
                 )
             jitter = 0.5 + self._state.environment.random.random()
--- a/src/lycheegw/coordination/version_selection.py
+++ b/src/lycheegw/coordination/version_selection.py
@@ -44,7 +44,7 @@
     state: node_state.NodeState,
     kind: str,
     name: str,
-    verdict: verdicts.RunVerdict = verdicts.RunVerdict.NOT_RUN,
+    verdict: verdicts.RunVerdict,
 ) -> None:
     """Raises errors.RefusalError if this build can't read a record.
 
@@ -64,7 +64,7 @@
     organisation: str,
     model: str,
     version: str,
-    verdict: verdicts.RunVerdict = verdicts.RunVerdict.NOT_RUN,
+    verdict: verdicts.RunVerdict,
 ) -> None:
     """Raises errors.RefusalError unless a version may get requests now.
 
@@ -92,6 +92,7 @@
     request: requests.Request,
     work: requests.ModelWork,
     claim: sessions.SessionClaim | None,
+    verdict: verdicts.RunVerdict,
 ) -> VersionChoice:
     """Returns the versions that a request may be planned on.
 
@@ -100,25 +101,29 @@
         request: The request.
         work: Its model call.
         claim: Valid claim of its session, or None.
+        verdict: Whether the request may have run so far.
 
     Raises:
         errors.RefusalError: The organisation may use no version.
     """
     if work.version is not None:
-        check_allowed(state, request.organisation, work.model, work.version)
+        check_allowed(
+            state, request.organisation, work.model, work.version, verdict
+        )
         return VersionChoice((work.version,), True, False)
-    check_readable(state, "model", work.model)
-    check_readable(state, "organisation", request.organisation)
+    check_readable(state, "model", work.model, verdict)
+    check_readable(state, "organisation", request.organisation, verdict)
     allowed = state.catalog.allowed_versions(request.organisation, work.model)
     if not allowed:
         raise errors.RefusalError(
             reasons.RefusalReason.MODEL_NOT_ALLOWED,
             f"{request.organisation} may use no version of {work.model}",
+            verdict,
         )
     pinned = None if claim is None else claim.version
     if pinned in allowed:
         return VersionChoice((str(pinned),), True, False)
-    check_readable(state, "rollout", work.model)
+    check_readable(state, "rollout", work.model, verdict)
     return VersionChoice(
         _sort_by_preference(state, request, work.model, allowed),
         False,
--- a/src/lycheegw/measure/billing.py
+++ b/src/lycheegw/measure/billing.py
@@ -18,6 +18,7 @@
 from lycheegw.state import clocks
 from lycheegw.state import errors
 from lycheegw.state import reasons
+from lycheegw.state import verdicts
 
 __all__ = ["run"]
 
@@ -145,7 +146,9 @@
             if await _append(node.log, entry):
                 return
         raise errors.RefusalError(
-            reasons.RefusalReason.LOG_UNAVAILABLE, "not billed"
+            reasons.RefusalReason.LOG_UNAVAILABLE,
+            "not billed",
+            verdicts.RunVerdict.RAN,
         )
 
     node.billing.add = add  # type: ignore[method-assign]
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -96,6 +96,7 @@
         raise errors.RefusalError(
             reasons.RefusalReason.BAD_REQUEST,
             "the header X-Lycheegw-Attempt-Id is missing",
+            verdicts.RunVerdict.NOT_RUN,
         )
     prompt_tokens, max_tokens = _parse_token_counts(
         value_by_name.get(b"x-lycheegw-token-usage", "")
--- a/src/lycheegw/protocol/caller_api.py
+++ b/src/lycheegw/protocol/caller_api.py
@@ -11,6 +11,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import records
 from lycheegw.state import requests
+from lycheegw.state import verdicts
 
 __all__ = [
     "CHAT_PATH",
@@ -144,7 +145,9 @@
 
 
 def _bad_request(message: str) -> errors.RefusalError:
-    return errors.RefusalError(reasons.RefusalReason.BAD_REQUEST, message)
+    return errors.RefusalError(
+        reasons.RefusalReason.BAD_REQUEST, message, verdicts.RunVerdict.NOT_RUN
+    )
 
 
 def _may_be_unreadable(
@@ -168,18 +171,21 @@
             reasons.RefusalReason.CONFIGURATION_UNREADABLE,
             "the API key may belong to an organisation whose record this node"
             " can't read",
+            verdicts.RunVerdict.NOT_RUN,
             retry_after_s=_UNREADABLE_RETRY_AFTER_S,
         )
     if organisation is None or key == credentials:
         raise errors.RefusalError(
             reasons.RefusalReason.UNAUTHENTICATED,
             "authorization: a bearer API key of an organisation is required",
+            verdicts.RunVerdict.NOT_RUN,
         )
     claimed_name = headers.get("x-organisation", organisation.name)
     if claimed_name != organisation.name:
         raise errors.RefusalError(
             reasons.RefusalReason.UNAUTHENTICATED,
             f"x-organisation: the API key does not belong to {claimed_name!r}",
+            verdicts.RunVerdict.NOT_RUN,
         )
     return organisation
 
@@ -217,6 +223,7 @@
         raise errors.RefusalError(
             reasons.RefusalReason.DEADLINE_PASSED,
             f"x-deadline-ms: expected a number above 0, got {time_left_ms:g}",
+            verdicts.RunVerdict.NOT_RUN,
         )
     return now_s + min(time_left_ms / 1000, node_limits.max_deadline_s)
 
@@ -288,6 +295,7 @@
         raise errors.RefusalError(
             reasons.RefusalReason.CONFIGURATION_UNREADABLE,
             f"service {name!r} has a schema that this node does not support",
+            verdicts.RunVerdict.NOT_RUN,
             retry_after_s=_UNREADABLE_RETRY_AFTER_S,
         )
     service = config.service(name)
@@ -296,6 +304,7 @@
         raise errors.RefusalError(
             reasons.RefusalReason.UNKNOWN_SERVICE,
             f"there is no operation {operation_name!r} of a service {name!r}",
+            verdicts.RunVerdict.NOT_RUN,
         )
     payload = _json_object(body) if body else {}
     return requests.ServiceWork(name, operation_name, payload), operation
--- a/src/lycheegw/state/errors.py
+++ b/src/lycheegw/state/errors.py
@@ -98,7 +98,8 @@
 
     Attributes:
         reason: Reason, which is also the name of a counter.
-        verdict: Whether the request may have run.
+        verdict: Whether the request may have run. Code that made attempts
+            raises the verdict of code that knows of none.
         retry_after_s: Seconds after which the client may retry, or None.
     """
 
@@ -106,7 +107,7 @@
         self,
         reason: reasons.RefusalReason,
         message: str,
-        verdict: verdicts.RunVerdict = verdicts.RunVerdict.NOT_RUN,
+        verdict: verdicts.RunVerdict,
         retry_after_s: float | None = None,
     ):
         super().__init__(message)
--- a/src/lycheegw/transport/http_api.py
+++ b/src/lycheegw/transport/http_api.py
@@ -189,7 +189,12 @@
     ) -> None:
         reason = self.unready_reason()
         if reason is not None:
-            raise errors.RefusalError(reason, reason.value, retry_after_s=1.0)
+            raise errors.RefusalError(
+                reason,
+                reason.value,
+                verdicts.RunVerdict.NOT_RUN,
+                retry_after_s=1.0,
+            )
         request = caller_api.parse_request(
             exchange.request.path,
             exchange.request.header_by_name,
--- a/tests/test_version_reconciler.py
+++ b/tests/test_version_reconciler.py
@@ -15,6 +15,7 @@
 from lycheegw.state import record_validation
 from lycheegw.state import requests
 from lycheegw.state import upstreams
+from lycheegw.state import verdicts
 from tests import test_leases
 from tests import test_path
 
@@ -206,7 +207,11 @@
                 index
                 for index in range(1000)
                 if version_selection.choose_versions(
-                    state, _request(work, index), work, None
+                    state,
+                    _request(work, index),
+                    work,
+                    None,
+                    verdicts.RunVerdict.NOT_RUN,
                 ).versions[0]
                 == "v2"
             }
