Tests: the state machine of keys sends two bodies with one key

Also several sends at once to the same node. A refusal with key_mismatch, not_run must be true of the body, any other one of the key, as before.

--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -14,6 +14,7 @@
 from lycheegw.coordination import key_table
 from lycheegw.protocol import key_codec
 from lycheegw.state import errors
+from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import verdicts
 from tests import key_fakes
@@ -21,6 +22,8 @@
 KEYS = strategies.sampled_from(["a", "b"])
 INDEXES = strategies.integers(0, 2)
 OUTCOMES = strategies.sampled_from(["ran", "ran_unseen", "not_run", "killed"])
+# Fingerprints of the bodies that are sent with one key.
+BODIES = strategies.sampled_from(["0f", "0e"])
 
 
 class Node:
@@ -55,6 +58,7 @@
         self.started_count = 0
         self.nodes = [self.new_node() for _ in range(3)]
         self.runs: collections.Counter[str] = collections.Counter()
+        self.ran_bodies: set[tuple[str, str]] = set()
         self.result_by_key: dict[str, Any] = {}
         self.sent_keys: set[str] = set()
 
@@ -80,16 +84,25 @@
             is_first,
         )
 
-    async def send(self, index: int, key: str, outcome: str) -> None:
+    async def send(
+        self, index: int, key: str, outcome: str, body: str = "0f"
+    ) -> None:
         """Sends a key to a node, which runs it unless it is refused."""
         node = self.nodes[index]
         request = self.request(key, key not in self.sent_keys)
+        request = request._replace(fingerprint=body)
         self.sent_keys.add(key)
         try:
             stored = await node.key_claims.begin(request)
         except errors.RefusalError as error:
             if error.verdict is verdicts.RunVerdict.NOT_RUN:
-                assert not self.runs[key], (
+                # A mismatch speaks of the body, other refusals of the key.
+                has_run = (
+                    (key, body) in self.ran_bodies
+                    if error.reason is reasons.RefusalReason.KEY_MISMATCH
+                    else self.runs[key] > 0
+                )
+                assert not has_run, (
                     f"ran, but the refusal says not_run: {error}"
                 )
             return
@@ -105,6 +118,7 @@
     ) -> None:
         if outcome != "not_run":
             self.runs[key] += 1
+            self.ran_bodies.add((key, request.fingerprint))
             self.result_by_key[key] = {"number": self.runs[key]}
         assert self.runs[key] <= 1, "the key ran more than once"
         await asyncio.sleep(0)
@@ -126,9 +140,9 @@
             del self.network.bus_by_id[node.node_id]
             self.nodes[self.nodes.index(node)] = self.new_node()
 
-    @stateful.rule(index=INDEXES, key=KEYS, outcome=OUTCOMES)
-    def send_one(self, index: int, key: str, outcome: str) -> None:
-        self.runner.run(self.send(index, key, outcome))
+    @stateful.rule(index=INDEXES, key=KEYS, outcome=OUTCOMES, body=BODIES)
+    def send_one(self, index: int, key: str, outcome: str, body: str) -> None:
+        self.runner.run(self.send(index, key, outcome, body))
 
     @stateful.rule(key=KEYS, outcome=OUTCOMES)
     def send_to_all_at_once(self, key: str, outcome: str) -> None:
@@ -139,6 +153,23 @@
 
         self.runner.run(main())
 
+    @stateful.rule(
+        key=KEYS,
+        outcome=OUTCOMES,
+        sends=strategies.lists(
+            strategies.tuples(INDEXES, BODIES), min_size=2, max_size=4
+        ),
+    )
+    def send_at_once(
+        self, key: str, outcome: str, sends: list[tuple[int, str]]
+    ) -> None:
+        async def main() -> None:
+            await asyncio.gather(
+                *(self.send(index, key, outcome, body) for index, body in sends)
+            )
+
+        self.runner.run(main())
+
     @stateful.rule(fault=strategies.sampled_from(["", "lost", "late", "down"]))
     def set_log_fault(self, fault: str) -> None:
         self.log.fault = fault
