Streams: events that are read together cost time in proportion to their bytes

Cause: each event was cut off the rest of what was read, which copied it, and was written to the caller by itself. Why the fix works: the parser goes through a read once, its events are written together, and after 1,000 events in turn without id and data the stream is malformed. Events before the fault are forwarded, so that a resumed stream lacks none (test_events_before_a_fault_in_the_same_read_are_forwarded).

--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -171,17 +171,21 @@
         data = await _read_before(call, due_s, gap_s, may_try_elsewhere)
         if data is None:
             break
+        events_before = events
+        parts = []
         for event in parser.feed(data):
-            await _forward_event(accepted, event, head, version)
-            due_s = loop.time() + gap_s
             events += 1
             if events == PACE_EVENTS:
                 note_pace()
-        if parser.is_oversized:
+            if _note_event(event, accepted.progress):
+                parts.append(event.data)
+        if parts:
+            await _forward_events(accepted, b"".join(parts), head, version)
+        if events > events_before:
+            due_s = loop.time() + gap_s
+        if parser.fault:
             raise errors.UpstreamError(
-                reasons.RetryReason.MALFORMED,
-                "event exceeds the size limit",
-                _MAY_HAVE_RUN,
+                reasons.RetryReason.MALFORMED, parser.fault, _MAY_HAVE_RUN
             )
     if parser.incomplete:
         raise errors.UpstreamError(
@@ -236,23 +240,29 @@
             due_s = loop.time() + gap_s
 
 
-async def _forward_event(
+def _note_event(
+    event: event_streams.Event, progress: accepted_requests.Progress
+) -> bool:
+    """Records an event; returns False if it was forwarded before."""
+    if _is_repeated(event, progress):
+        return False
+    progress.event_count += 1
+    if event.event_id is not None:
+        progress.last_event = event.event_id
+    return True
+
+
+async def _forward_events(
     accepted: accepted_requests.AcceptedRequest,
-    event: event_streams.Event,
+    data: bytes,
     head: forwarded_requests.ResponseHead,
     version: str,
 ) -> None:
-    """Forwards an event unless it was forwarded before."""
-    progress = accepted.progress
-    if _is_repeated(event, progress):
-        return
+    """Forwards the events that were read together."""
     if not accepted.sink.is_started:
-        progress.version = version
+        accepted.progress.version = version
         await accepted.sink.start(head.status, head.headers, None)
-    progress.event_count += 1
-    if event.event_id is not None:
-        progress.last_event = event.event_id
-    await accepted.sink.write(event.data)
+    await accepted.sink.write(data)
 
 
 def _is_repeated(
--- a/src/lycheegw/coordination/event_streams.py
+++ b/src/lycheegw/coordination/event_streams.py
@@ -4,11 +4,15 @@
 forwarded, so that another upstream can resume the stream after the last one.
 """
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 __all__ = ["Event", "EventParser"]
 
 _MAX_EVENT_BYTES = 1024 * 1024
+# Events in turn without id and data, such as comments that keep a connection
+# open, after which a stream is malformed: each takes as long as a sound one.
+_MAX_EMPTY_EVENTS = 1000
 
 
 class Event(NamedTuple):
@@ -23,42 +27,54 @@
 
     Attributes:
         incomplete: Bytes of an incomplete event.
+        fault: Why no more events are parsed, empty if the stream is sound.
     """
 
     def __init__(self) -> None:
         self.incomplete = b""
+        self.fault = ""
+        self._empty_events = 0
 
-    def feed(self, data: bytes) -> list[Event]:
-        """Returns the events that these bytes complete."""
+    def feed(self, data: bytes) -> Iterator[Event]:
+        """Yields the events that these bytes complete.
+
+        The attributes are valid after the last of them.
+        """
         buffer = self.incomplete + data
-        events = []
-        while True:
-            end = _end_of_event(buffer)
-            if end < 0:
-                break
-            events.append(Event(buffer[:end], _event_id(buffer[:end])))
-            buffer = buffer[end:]
-        self.incomplete = buffer
-        return events
-
-    @property
-    def is_oversized(self) -> bool:
-        """Whether the incomplete event exceeds the size limit."""
-        return len(self.incomplete) > _MAX_EVENT_BYTES
-
-
-def _end_of_event(buffer: bytes) -> int:
-    """Returns the position after the first blank line, -1 for none."""
-    ends = [
-        position + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := buffer.find(separator)) >= 0
-    ]
-    return min(ends, default=-1)
+        begin = 0
+        while (end := _end_of_event(buffer, begin)) >= 0:
+            event = buffer[begin:end]
+            begin = end
+            event_id = _event_id(event)
+            is_empty = event_id is None and b"data" not in event
+            self._empty_events = self._empty_events + 1 if is_empty else 0
+            if self._empty_events > _MAX_EMPTY_EVENTS:
+                self.fault = "too many events without id and data"
+                return
+            yield Event(event, event_id)
+        self.incomplete = buffer[begin:]
+        if len(self.incomplete) > _MAX_EVENT_BYTES:
+            self.fault = "event exceeds the size limit"
+
+
+def _end_of_event(buffer: bytes, begin: int) -> int:
+    """Returns the position after the next blank line, -1 for none."""
+    position = buffer.find(b"\n\n", begin)
+    end = position + 2 if position >= 0 else len(buffer)
+    # The other line end is sought only up to there: each byte is looked at
+    # once, however many events there are.
+    other = buffer.find(b"\r\n\r\n", begin, end)
+    if other >= 0:
+        return other + 4
+    return end if position >= 0 else -1
 
 
 def _event_id(data: bytes) -> str | None:
     """Returns the value of an event's first id field, None without one."""
+    first, _, _ = data.partition(b"\n")
+    if first.startswith(b"id:") and b"\r" not in first[:-1]:
+        # Nearly all events begin so.
+        return first[3:].strip().decode("latin-1")
     for line in data.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id":
--- a/tests/test_stream_stalls.py
+++ b/tests/test_stream_stalls.py
@@ -107,6 +107,17 @@
     assert asyncio.get_running_loop().time() - begun_s < 4 * _GAP_S
 
 
+# Guards against events that are recorded as forwarded, and were not, as a fault
+# came in the same read: a resumed stream would go on behind them.
+async def test_events_before_a_fault_in_the_same_read_are_forwarded() -> None:
+    sink = _Sink()
+    sound = b"".join(_events(2))
+    with pytest.raises(errors.UpstreamError) as raised:
+        await _forward(_Call([sound + b"\n\n" * 2000], 0.0), sink)
+    assert raised.value.reason is reasons.RetryReason.MALFORMED
+    assert sink.written.startswith(sound)
+
+
 async def test_stalled_engine_stream_ends_although_bytes_come() -> None:
     """The same at the chat interface's engines."""
     call = _Call([b"d"] * 100, 0.4 * _GAP_S)
