Memory: a node's bytes from others are bounded in sum

Callers of all services lost their requests when a faulty upstream, or a caller, sent without end: the process exceeded limits.memory_mb, above which it is killed. Cause: each attempt read up to 8 MiB, and a retry again; bodies that nobody gets were kept; bytes behind a request were read without a bound. Nothing bounded sums. Answers above 1 MiB, or without memory, are forwarded at the caller's pace; a break resets the caller's connection. Bodies of rejections and status checks are skipped, errors kept up to 64 KiB. A body that can't be held is refused with 503 before it is read: memory_full, not run. A caller isn't read while more than 16 KiB wait behind its request. A rejection whose body doesn't end promises nothing, as before.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -5,6 +5,7 @@
 
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import routing
@@ -20,10 +21,17 @@
 
 
 class ResponseSink(Protocol):
-    """Where the response to one request is written."""
+    """Where the response to one request is written.
+
+    Attributes:
+        incoming: The request.
+        is_started: Whether the response head was sent.
+        held: Memory that the request and its response take.
+    """
 
     incoming: forwarded_requests.IncomingRequest
     is_started: bool
+    held: memory_budget.Reservation
 
     async def send(self, refusal: forwarded_requests.LocalResponse) -> None:
         """Sends a refusal by the router as the whole response."""
--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -1,6 +1,7 @@
 """Validates responses of upstreams and forwards them to the client.
 
-Streams are forwarded event by event; other responses are buffered first.
+Streams are forwarded event by event; other responses are collected first, so
+that a broken one can be retried, unless they are long or memory is short.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from lycheegw.coordination import interfaces
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.state import routing
 from lycheegw.state import verdicts
@@ -30,9 +32,17 @@
 PACE_EVENTS = 4
 # Ids of events that are compared as numbers; 64 bits hold them.
 _EVENT_NUMBER = re.compile(r"[0-9]{1,18}")
-# Limit for bodies of responses that are not streams. They are buffered before
-# anything is forwarded, so that a broken response can be retried.
+# Limit for bodies of responses that are not streams.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+# Bodies up to this length are collected before anything is forwarded, so that a
+# broken response can be retried. Longer ones are forwarded as they arrive.
+_MAX_COLLECTED_BYTES = 1024 * 1024
+# Limit for bodies of which the client gets nothing unless no retry follows, and
+# of rejections, which are read only so that the connection can be reused.
+_MAX_ERROR_BYTES = 64 * 1024
+# A collected body is written in parts of this length, as the connection to the
+# client copies what it can't send at once.
+_PART_BYTES = 16 * 1024
 
 
 def is_stream(work: forwarded_requests.ForwardedWork) -> bool:
@@ -44,6 +54,7 @@
     head: forwarded_requests.ResponseHead,
     call: interfaces.ForwardCall,
     has_begun: bool,
+    held: memory_budget.Reservation,
 ) -> None:
     """Checks the response head before anything of the response is forwarded.
 
@@ -51,6 +62,7 @@
         head: The response head.
         call: Call from which the body is read.
         has_begun: Whether the client has received a part of the stream.
+        held: Memory that the request takes.
 
     Raises:
         errors.UpstreamError: The response may be for another request, or is a
@@ -65,7 +77,7 @@
         )
     if head.is_not_run:
         # A connection can be reused only once its response was read.
-        await _read_body(call)
+        await _skip_body(call)
         call.finish()
         is_misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
         raise errors.UpstreamError(
@@ -97,7 +109,7 @@
             _MAY_HAVE_RUN,
         )
     if head.status >= 500:
-        body = await _read_body(call)
+        body = await _read_error_body(call, held)
         call.finish()
         raise accepted_requests.HttpStatusError(
             accepted_requests.WholeAnswer(head, body)
@@ -131,27 +143,80 @@
             accepted, call, head, version, note_pace, may_try_elsewhere
         )
         return
-    body = await _read_body(call)
-    accepted.progress.is_in_flight = False
-    accepted.progress.verdict = verdicts.RunVerdict.RAN
-    await accepted.sink.start(head.status, head.headers, len(body))
-    await accepted.sink.write(body)
-    await accepted.sink.finish()
+    await _forward_body(accepted, call, head)
 
 
-async def _read_body(call: interfaces.ForwardCall) -> bytes:
+async def _forward_body(
+    accepted: accepted_requests.AcceptedRequest,
+    call: interfaces.ForwardCall,
+    head: forwarded_requests.ResponseHead,
+) -> None:
+    """Forwards a body; raises errors.UpstreamError if it breaks off."""
+    if accepted.work.incoming.method != b"HEAD":
+        _check_length(head.content_length or 0, _MAX_BODY_BYTES)
+    sink, held = accepted.sink, accepted.sink.held
+    held_before = held.size
     body = bytearray()
+    received = 0
     while (data := await call.read()) is not None:
+        received += len(data)
         body += data
-        if len(body) > _MAX_BODY_BYTES:
-            raise errors.UpstreamError(
-                reasons.RetryReason.MALFORMED,
-                f"response body exceeds {_MAX_BODY_BYTES} bytes",
-                _MAY_HAVE_RUN,
-            )
+        if received > _MAX_COLLECTED_BYTES or not held.grow(len(data)):
+            break
+    is_whole = data is None
+    if is_whole:
+        _note_whole(accepted.progress)
+    length = len(body) if is_whole else head.content_length
+    await sink.start(head.status, head.headers, length)
+    while body:
+        await sink.write(bytes(body[:_PART_BYTES]))
+        del body[:_PART_BYTES]
+    if not is_whole:
+        held.resize(held_before)
+        while (data := await call.read()) is not None:
+            received += len(data)
+            _check_length(received, _MAX_BODY_BYTES)
+            await sink.write(data)
+        _note_whole(accepted.progress)
+    await sink.finish()
+
+
+def _note_whole(progress: accepted_requests.Progress) -> None:
+    progress.is_in_flight = False
+    progress.verdict = verdicts.RunVerdict.RAN
+
+
+async def _read_error_body(
+    call: interfaces.ForwardCall, held: memory_budget.Reservation
+) -> bytes:
+    """Returns the body of an error response; raises errors.UpstreamError."""
+    body = bytearray()
+    while (data := await call.read()) is not None:
+        body += data
+        _check_length(len(body), _MAX_ERROR_BYTES)
+        if not held.grow(len(data)):
+            raise memory_budget.full_error("the body of an error")
     return bytes(body)
 
 
+async def _skip_body(call: interfaces.ForwardCall) -> None:
+    """Reads a body that nobody gets; raises errors.UpstreamError."""
+    received = 0
+    while (data := await call.read()) is not None:
+        received += len(data)
+        _check_length(received, _MAX_ERROR_BYTES)
+
+
+def _check_length(length: int, limit: int) -> None:
+    """Raises errors.UpstreamError if a body is longer than its limit."""
+    if length > limit:
+        raise errors.UpstreamError(
+            reasons.RetryReason.MALFORMED,
+            f"response body of {length} bytes or more, the limit is {limit}",
+            _MAY_HAVE_RUN,
+        )
+
+
 async def _forward_stream(
     accepted: accepted_requests.AcceptedRequest,
     call: interfaces.ForwardCall,
@@ -161,6 +226,8 @@
     may_try_elsewhere: Callable[[], bool],
 ) -> None:
     parser = event_streams.EventParser()
+    held = accepted.sink.held
+    held_before = held.size
     events = 0
     gap_s = max(_MIN_GAP_S, _GAP_FACTOR * accepted.work.route.target_gap_s)
     loop = asyncio.get_running_loop()
@@ -183,6 +250,8 @@
             await _forward_events(accepted, b"".join(parts), head, version)
         if events > events_before:
             due_s = loop.time() + gap_s
+        if not held.resize(held_before + len(parser.incomplete)):
+            raise memory_budget.full_error("an incomplete event")
         if parser.fault:
             raise errors.UpstreamError(
                 reasons.RetryReason.MALFORMED, parser.fault, _MAY_HAVE_RUN
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -203,7 +203,10 @@
         """Makes attempts at upstreams as long as these are within reach."""
         progress = accepted.progress
         progress.model = model_cascade.first_model(accepted.work)
+        held_by_request = accepted.sink.held.size
         while True:
+            # What the attempt before held is dropped.
+            accepted.sink.held.resize(held_by_request)
             self._dependencies.suspects.refuse_blocked(accepted.request)
             if (
                 self._dependencies.reach.is_cut_off
@@ -404,7 +407,7 @@
                 choice.upstream, head, progress.attempt_start_s
             )
             await answer_delivery.check_head(
-                head, call, accepted.sink.is_started
+                head, call, accepted.sink.is_started, accepted.sink.held
             )
             larger = self._larger_model(accepted)
             self._note_answer(accepted, version, larger)
@@ -883,7 +886,9 @@
     ) -> reasons.RefusalReason | None:
         """Returns why the request ends, None if a retry follows."""
         route, progress = accepted.work.route, accepted.progress
-        if progress.event_count and not route.is_resumable:
+        if accepted.sink.is_started and not (
+            progress.event_count and route.is_resumable
+        ):
             return reasons.RefusalReason.STREAM_BROKEN
         if error.verdict is not _NOT_RUN and not accepted.request.is_idempotent:
             return reasons.RefusalReason.MAY_HAVE_RUN
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -47,8 +47,10 @@
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
 from lycheegw.state import limits
+from lycheegw.state import memory_budget
 from lycheegw.state import node_state
 from lycheegw.state import orders
+from lycheegw.state import reasons
 from lycheegw.state import routing
 from lycheegw.state import topics
 from lycheegw.state import upstreams
@@ -74,6 +76,9 @@
 _EXIT_TIME_S = 0.15
 _DRAIN_POLL_INTERVAL_S = 0.05
 _HOUSEKEEPING_INTERVAL_S = 0.5
+# Retry-after time of a request whose body can't be held. Long bodies are held
+# for as long as their requests run, which is mostly less than a second.
+_MEMORY_RETRY_AFTER_S = 0.5
 # Lag of the event loop above which a line is logged.
 _MIN_LOGGED_LAG_S = 0.2
 _SETTINGS_POLL_INTERVAL_S = 1.0
@@ -153,8 +158,13 @@
         )
         self.state = node_state.create(identity, limits.Limits(), environment)
         self.histograms = metrics_page.Histograms()
-        self.upstream_pool = connection_pool.ConnectionPool(environment)
-        self._store_pool = connection_pool.ConnectionPool(environment)
+        self.budgets = memory_budget.of_memory(settings.memory_mb)
+        self.upstream_pool = connection_pool.ConnectionPool(
+            environment, self.budgets.requests
+        )
+        self._store_pool = connection_pool.ConnectionPool(
+            environment, self.budgets.control
+        )
         rate_limiter = store_rate_limiter.StoreRateLimiter(
             self.state,
             settings.store_reads_per_s,
@@ -371,7 +381,9 @@
         self.peers.on_connect(self.reach_reports.forget_neighbour)
         self.reach.on_change = self.reach_reports.set_cut_off
         self.relay_client = peer_relay.RelayClient(
-            self.peers, self.state.environment.monotonic_s
+            self.peers,
+            self.state.environment.monotonic_s,
+            self.budgets.requests,
         )
         timings = response_times.ResponseTimes()
         self._build_backlogs()
@@ -430,6 +442,7 @@
             self.forwarder.handle,
             lambda: self.is_draining or self.reach.is_cut_off,
             self.state.environment.monotonic_s,
+            self.budgets.requests,
         )
         self.peers.serve_relayed = self.relay_server.serve
         self.application.add_task(self._run_rollouts)
@@ -497,18 +510,22 @@
             self._handle_request,
             self._caller_limits,
             self._log_rejected,
+            self.budgets.requests,
+            self._refuse_for_memory,
         )
         self.readiness_server = ingress.IngressServer(
             self.settings.readiness_listen,
             self._handle_readiness_check,
             routing.CallerLimits,
             self._log_rejected,
+            self.budgets.control,
         )
         self.metrics_server = ingress.IngressServer(
             self.settings.metrics_listen,
             self._handle_metrics,
             routing.CallerLimits,
             self._log_rejected,
+            self.budgets.control,
         )
         for server in (self.server, self.readiness_server, self.metrics_server):
             self.application.add_hooks(server.start, server.stop)
@@ -521,6 +538,19 @@
         self.state.counters.add(f"rejected.{status}")
         self._log.note("request_rejected", status=status, reason=reason)
 
+    def _refuse_for_memory(self) -> forwarded_requests.LocalResponse:
+        """Returns the refusal of a request whose body can't be held."""
+        reason = reasons.RefusalReason.MEMORY_FULL
+        self.state.counters.add(f"refusal.{reason.value}")
+        jitter = 0.75 + self.state.environment.random.random() / 2
+        return self._adapter.caller_codec.encode_refusal(
+            errors.RefusalError(
+                reason,
+                "no memory left for the body",
+                retry_after_s=_MEMORY_RETRY_AFTER_S * jitter,
+            )
+        )
+
     async def _handle_request(self, exchange: ingress.Exchange) -> None:
         await self.forwarder.handle(exchange)
 
@@ -573,6 +603,9 @@
             "process_cpu_s": time.process_time(),
             "longest_backlog_s": self.backlogs.longest_s(),
         }
+        for name, budget in self.budgets._asdict().items():
+            gauges[f"memory_held_bytes_{name}"] = float(budget.held)
+            gauges[f"memory_limit_bytes_{name}"] = float(budget.limit)
         for topic in topics.Topic:
             gauges[f"topic_{topic.value}_age_s"] = self.topic_readers.age_s(
                 topic
@@ -591,8 +624,26 @@
             self.reach.tick()
             self.relay_client.close_idle()
             self._update_reachability()
+            self._note_refused_memory()
             self._log.flush()
 
+    def _note_refused_memory(self) -> None:
+        """Records the reservations that were refused since the last call."""
+        for name, budget in self.budgets._asdict().items():
+            if not budget.refused_count:
+                continue
+            self.state.counters.add(
+                f"memory.refused.{name}", budget.refused_count
+            )
+            self._log.note(
+                "memory_full",
+                of=name,
+                refused=budget.refused_count,
+                held=budget.held,
+                limit=budget.limit,
+            )
+            budget.refused_count = 0
+
     def _note_loop_lag(self, lag_s: float) -> None:
         """Records by how much the event loop ran a timer too late."""
         self.histograms.observe("loop_lag", "housekeeping", max(0.0, lag_s))
--- a/src/lycheegw/platform/settings_file.py
+++ b/src/lycheegw/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import math
 import pathlib
 from typing import Any
 from typing import TypeVar
@@ -50,6 +51,7 @@
         store_reads_per_s=fields.get("platform.reads_per_s", float, "2000"),
         store_writes_per_s=fields.get("platform.writes_per_s", float, "400"),
         heartbeat_s=fields.get("heartbeat_ms", _parse_milliseconds, "1200"),
+        memory_mb=fields.get("limits.memory_mb", _parse_memory, "300"),
         service_levels=_parse_bounds(fields),
     )
     if high < low:
@@ -129,6 +131,13 @@
     return "" if convert in {str, _parse_address} else 0.0
 
 
+def _parse_memory(text: str) -> float:
+    megabytes = float(text)
+    if not 0 < megabytes < math.inf:
+        raise ValueError(f"{text!r} is not a number of megabytes above 0")
+    return megabytes
+
+
 def _parse_milliseconds(text: str) -> float:
     return float(text) / 1000
 
--- a/src/lycheegw/platform/store_client.py
+++ b/src/lycheegw/platform/store_client.py
@@ -9,6 +9,7 @@
 
 from lycheegw.state import errors
 from lycheegw.state import json_fields
+from lycheegw.state import memory_budget
 from lycheegw.state import topics
 from lycheegw.state import verdicts
 from lycheegw.transport import connection_pool
@@ -28,8 +29,9 @@
 # Reading all keys of a deployment with hundreds of routes takes longer.
 _NEWEST_TIMEOUT_S = 2.0
 _MAX_READ_KB = 1024
-# Longest reply that is read: a page of 1 MB, or one longer record.
-_MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Longest reply that is read: a page of 1 MB, or one longer record, such as a
+# manifest of 20,000 routes in base64. Less is read if memory is short.
+_MAX_REPLY_BYTES = 8 * 1024 * 1024
 # Rate at which a long reply must arrive, in bytes a second; a fifth of what a
 # link of 5 Mbit/s passes.
 _MIN_REPLY_RATE = 128 * 1024
@@ -58,6 +60,16 @@
 
     async def newest(self, topic: topics.Topic) -> topics.TopicPage:
         """Returns the newest record of every key; raises errors.StoreError."""
+        held = self._pool.budget.open()
+        try:
+            return await self._newest(topic, held)
+        finally:
+            held.release()
+
+    async def _newest(
+        self, topic: topics.Topic, held: memory_budget.Reservation
+    ) -> topics.TopicPage:
+        """Returns the records of all pages, for which it reserves memory."""
         records: list[topics.TopicRecord] = []
         after = None
         end_offset = None
@@ -75,6 +87,10 @@
                 raise errors.StoreError(
                     f"{topic.value}: pages of the eras {first_era} and {era}"
                 )
+            if not held.grow(len(body)):
+                raise errors.StoreError(
+                    f"{topic.value}: no memory left for all pages"
+                )
             page = _decode_page(body)
             records += page.records
             if end_offset is None:
--- a/src/lycheegw/state/edge_settings.py
+++ b/src/lycheegw/state/edge_settings.py
@@ -59,6 +59,7 @@
         store_reads_per_s: Read calls that all nodes together may make.
         store_writes_per_s: Write calls that all nodes together may make.
         heartbeat_s: Interval at which an upstream renews its entry.
+        memory_mb: Megabytes that the process may use.
         service_levels: Service levels of the deployment.
     """
 
@@ -73,4 +74,5 @@
     store_reads_per_s: float
     store_writes_per_s: float
     heartbeat_s: float
+    memory_mb: float
     service_levels: ServiceLevels
--- a/src/lycheegw/state/reasons.py
+++ b/src/lycheegw/state/reasons.py
@@ -38,6 +38,7 @@
     STREAM_BROKEN = "stream_broken"
     CALLER_GONE = "caller_gone"
     CONFIGURATION_UNREADABLE = "configuration_unreadable"
+    MEMORY_FULL = "memory_full"
     INTERNAL = "internal"
 
 
@@ -61,3 +62,4 @@
     NO_FREE_CONNECTION = "no_free_connection"
     LOW_CONFIDENCE = "low_confidence"
     OUTDATED_CHOICE = "outdated_choice"
+    MEMORY_FULL = "memory_full"
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -19,6 +19,7 @@
 from lycheegw.state import addresses
 from lycheegw.state import clocks
 from lycheegw.state import errors
+from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.state import silence_timeouts
 from lycheegw.state import verdicts
@@ -29,6 +30,7 @@
     "ConnectionPool",
     "RawResponseHead",
     "fetch",
+    "fetch_head",
 ]
 
 # A packet between zones takes a few ms, and an address without a server either
@@ -47,8 +49,17 @@
 # A connection is no longer reused this long before the stated idle timeout:
 # if the server closes while a request is sent, its outcome is unknown.
 _IDLE_MARGIN_S = 0.5
-_MAX_HEAD_BYTES = 64 * 1024
-_READ_BUFFER_BYTES = 256 * 1024
+# Bound of a response head. Longer ones are mostly rejected unparsed, as parsing
+# thousands of lines holds the event loop.
+_MAX_HEAD_BYTES = 16 * 1024
+# Header lines of a response head; each takes some 500 bytes once parsed.
+_MAX_HEADER_LINES = 128
+# Bytes that are read from a socket at once, and unparsed bytes above which a
+# connection isn't read until they are parsed.
+_READ_BYTES = 16 * 1024
+_MAX_UNPARSED_BYTES = 32 * 1024
+# All connections read into this buffer, as each copies what it read at once.
+_READ_BUFFER = memoryview(bytearray(_READ_BYTES))
 # Informational responses before the final one, and responses to other requests
 # and their bytes, after which the connection is given up.
 _MAX_INFORMATIONAL = 16
@@ -56,6 +67,8 @@
 _MAX_SKIPPED_BYTES = 256 * 1024
 # Longest body that `fetch` returns if its caller names no other bound.
 _MAX_FETCHED_BYTES = 1024 * 1024
+# Longest body that `fetch_head` reads, so that the connection can be reused.
+_MAX_DROPPED_BYTES = 64 * 1024
 # SO_LINGER with a timeout of 0 s: closing sends a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -110,10 +123,10 @@
     )
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One connection to a server."""
 
-    def __init__(self) -> None:
+    def __init__(self, held: memory_budget.Reservation) -> None:
         self.transport: Any = None
         self.is_unused = True
         self.idle_until_s = 0.0
@@ -126,6 +139,9 @@
         self._is_eof = False
         self._is_lost = False
         self._skipped_responses = 0
+        # Upper bound of the bytes that the parser holds.
+        self._unparsed = 0
+        self._held = held
         self._readable = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -137,13 +153,19 @@
         if sock is not None:
             _set_tcp_timeouts(sock)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        del sizehint
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         if not self.is_busy:
             # These bytes belong to no request.
             self.abort()
             return
-        self._parser.receive_data(data)
-        if len(self._parser.trailing_data[0]) > _READ_BUFFER_BYTES:
+        self._parser.receive_data(bytes(_READ_BUFFER[:nbytes]))
+        self._unparsed += nbytes
+        is_granted = self._held.resize(self._unparsed)
+        if not is_granted or self._unparsed > _MAX_UNPARSED_BYTES:
             self.transport.pause_reading()
         self._readable.set()
 
@@ -160,6 +182,8 @@
         if exc is None and not self._is_eof:
             # Only an abort by this process ends a connection like this.
             self._error = ConnectionAbortedError("aborted by this process")
+        if not self.is_busy:
+            self._held.release()
         self._readable.set()
         self._writable.set()
         self.on_close(self)
@@ -213,6 +237,11 @@
         for _ in range(_MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if len(event.headers) > _MAX_HEADER_LINES:
+                    self.is_unusable = True
+                    raise _malformed_error(
+                        f"more than {_MAX_HEADER_LINES} header lines"
+                    )
                 return RawResponseHead(
                     event.status_code,
                     tuple((bytes(n), bytes(v)) for n, v in event.headers),
@@ -251,8 +280,21 @@
                 raise _malformed_error(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
+            if self._unparsed:
+                self._count_unparsed()
             await self._wait_readable()
 
+    def _count_unparsed(self) -> None:
+        """Reserves only what an incomplete event takes.
+
+        Raises:
+            errors.UpstreamError: There is no memory for that.
+        """
+        self._unparsed = len(self._parser.trailing_data[0])
+        if not self._held.resize(self._unparsed):
+            self.is_unusable = True
+            raise memory_budget.full_error("the head of a response")
+
     async def _wait_readable(self) -> None:
         """Waits for data or for the end of the connection."""
         if self._is_lost and self._error is not None:
@@ -293,6 +335,7 @@
         self._serialize(self._request)
         if rest:
             self._parser.receive_data(rest)
+        self._unparsed = len(rest)
 
     def finish(self) -> bool:
         """Ends a request; returns whether the connection can be reused."""
@@ -307,6 +350,8 @@
             self.abort()
             return False
         self._parser.start_next_cycle()
+        self._unparsed = 0
+        self._held.release()
         self.is_busy = False
         self.is_unused = False
         self._request = None
@@ -315,6 +360,7 @@
     def abort(self) -> None:
         """Resets the connection, so that the server stops working at once."""
         self.is_unusable = True
+        self._held.release()
         if self.transport is None or self.transport.is_closing():
             return
         sock = self.transport.get_extra_info("socket")
@@ -396,10 +442,16 @@
     """Reusable connections by key; a key identifies one server process.
 
     Attributes:
+        budget: Bounds the bytes that were received and not yet used.
         opened_count: Number of connections opened since the start.
     """
 
-    def __init__(self, environment: clocks.Environment):
+    def __init__(
+        self,
+        environment: clocks.Environment,
+        budget: memory_budget.MemoryBudget | None = None,
+    ):
+        self.budget = budget or memory_budget.MemoryBudget()
         self._environment = environment
         self._connections_by_key: dict[str, _ServerConnections] = {}
         self._key_by_connection: dict[_Connection, str] = {}
@@ -493,7 +545,7 @@
     async def _connect(self, key: str, address: str) -> _Connection:
         server = self._connections_by_key.setdefault(key, _ServerConnections())
         server.connection_count += 1
-        connection = _Connection()
+        connection = _Connection(self.budget.open())
         try:
             host, port = addresses.parse(address)
             async with silence_timeouts.silence_timeout(_CONNECT_TIMEOUT_S):
@@ -600,21 +652,75 @@
         errors.UpstreamError: No complete response in time, or one that is too
             long.
     """
+    body = bytearray()
+    held = pool.budget.open()
+
+    def keep(data: bytes) -> None:
+        if not held.grow(len(data)):
+            raise memory_budget.full_error(f"the response of {address}")
+        body.extend(data)
+
+    try:
+        head = await _fetch(
+            pool, key, address, request, timeout_s, max_bytes, min_rate, keep
+        )
+        return head, bytes(body)
+    finally:
+        held.release()
+
+
+async def fetch_head(
+    pool: ConnectionPool,
+    key: str,
+    address: str,
+    request: ClientRequest,
+    timeout_s: float,
+) -> RawResponseHead:
+    """Sends a request; returns the head of the response and drops its body.
+
+    Raises:
+        errors.UpstreamError: No complete response in time, or one that is too
+            long.
+    """
+    return await _fetch(
+        pool,
+        key,
+        address,
+        request,
+        timeout_s,
+        _MAX_DROPPED_BYTES,
+        math.inf,
+        lambda _: None,
+    )
+
+
+async def _fetch(
+    pool: ConnectionPool,
+    key: str,
+    address: str,
+    request: ClientRequest,
+    timeout_s: float,
+    max_bytes: int,
+    min_rate: float,
+    keep: Callable[[bytes], None],
+) -> RawResponseHead:
+    """Sends a request, passes its body on to `keep` and returns the head."""
     is_sent = False
     call = None
+    received = 0
     try:
         async with silence_timeouts.silence_timeout(timeout_s) as limit:
             call = await pool.send(key, address, request)
             is_sent = True
             head = await call.head()
-            body = bytearray()
             while (data := await call.read()) is not None:
-                body += data
-                limit.set_limit(timeout_s + len(body) / min_rate)
-                if len(body) > max_bytes:
+                received += len(data)
+                limit.set_limit(timeout_s + received / min_rate)
+                if received > max_bytes:
                     raise _malformed_error(
                         f"the response of {address} exceeds {max_bytes} bytes"
                     )
+                keep(data)
     except TimeoutError as error:
         raise errors.UpstreamError(
             reasons.RetryReason.HEAD_TIMEOUT,
@@ -624,4 +730,4 @@
     finally:
         if call is not None:
             call.finish()
-    return head, bytes(body)
+    return head
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -167,7 +167,7 @@
         Raises:
             errors.UpstreamError: No response was received in time.
         """
-        head, _ = await connection_pool.fetch(
+        head = await connection_pool.fetch_head(
             self._pool,
             connection_key(entry),
             entry.address,
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -16,12 +16,23 @@
 import h11
 
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import routing
 
 __all__ = ["CallerGoneError", "Exchange", "IngressServer"]
 
 # Response bytes buffered for a slow client before its upstream is paused.
-_WRITE_BUFFER_BYTES = 64 * 1024
+_WRITE_BUFFER_BYTES = 16 * 1024
+# Bytes that are read from a socket at once, and bytes behind a request above
+# which a connection isn't read until the request is answered.
+_READ_BYTES = 16 * 1024
+_MAX_PIPELINED_BYTES = 16 * 1024
+# All connections read into this buffer, as each copies what it read at once.
+_READ_BUFFER = memoryview(bytearray(_READ_BYTES))
+# Header lines of a request; each takes some 500 bytes once parsed.
+_MAX_HEADER_LINES = 256
+# Copies of a body while it is received, or while it is sent to an upstream.
+_BODY_COPIES = 2
 # Reading continues this long after a response that was sent before the whole
 # request arrived: closing with unread bytes resets the connection, and the
 # client could lose the response.
@@ -54,6 +65,7 @@
         incoming: The request.
         is_started: Whether the response head was sent.
         is_finished: Whether the response was sent completely.
+        held: Memory that the request and its response take.
     """
 
     def __init__(
@@ -62,6 +74,7 @@
         incoming: forwarded_requests.IncomingRequest,
     ):
         self.incoming = incoming
+        self.held = connection.held
         self.is_started = False
         self.is_finished = False
         self._connection = connection
@@ -97,10 +110,11 @@
         self._connection.abort()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.BufferedProtocol):
     """One client connection, which handles one request at a time.
 
     Attributes:
+        held: Memory that the current request and its response take.
         is_lingering: Whether a response has ended the connection, and what the
             client still sends is read and dropped.
     """
@@ -118,6 +132,10 @@
         self._request: h11.Request | None = None
         self._received_s = 0.0
         self._body = bytearray()
+        self.held = server.budget.open()
+        # Bytes behind the request that is being handled.
+        self._pipelined = server.budget.open()
+        self._is_paused = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._is_reading_head = False
@@ -154,8 +172,11 @@
         self._server.connections.discard(self)
         self._cancel_timer()
         self._writable.set()
+        self._pipelined.release()
         if self._task is not None:
             self._task.cancel()
+        else:
+            self.held.release()
 
     def eof_received(self) -> bool:
         # A half-closed connection counts as a disconnect of the client.
@@ -167,12 +188,30 @@
     def resume_writing(self) -> None:
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        del sizehint
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.is_lingering:
             return
-        self._parser.receive_data(data)
+        self._parser.receive_data(bytes(_READ_BUFFER[:nbytes]))
         if self._task is None:
             self._process_events()
+        else:
+            self._count_pipelined(nbytes)
+
+    def _count_pipelined(self, size: int) -> None:
+        """Stops reading if too much came behind a request."""
+        is_granted = self._pipelined.grow(size)
+        if not is_granted or self._pipelined.size > _MAX_PIPELINED_BYTES:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
 
     def _process_events(self) -> None:
         """Handles parser events until a request is complete or input ends."""
@@ -202,6 +241,11 @@
         if buffered > self._limits.header_bytes:
             self._reject(431, "head too large")
             return
+        if buffered and not self.held.resize(
+            _BODY_COPIES * len(self._body) + buffered
+        ):
+            self._refuse_for_memory()
+            return
         if self._parser.they_are_waiting_for_100_continue:
             self._send(
                 h11.InformationalResponse(
@@ -216,6 +260,8 @@
             self._body += event.data
             if len(self._body) > self._limits.body_bytes:
                 self._reject(413, "body too large")
+            elif not self.held.resize(_BODY_COPIES * len(self._body)):
+                self._refuse_for_memory()
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
 
@@ -228,6 +274,9 @@
         if _head_bytes(request) > self._limits.header_bytes:
             self._reject(431, "head too large")
             return
+        if len(request.headers) > _MAX_HEADER_LINES:
+            self._reject(431, "too many header lines")
+            return
         self._start_timer(
             min(_BODY_TIMEOUT_S, self._limits.idle_timeout_s),
             self._on_body_timeout,
@@ -240,6 +289,20 @@
             self._reject(400, "more than one host")
         elif request.http_version == b"1.0" and b"transfer-encoding" in names:
             self._reject(400, "transfer encoding in HTTP/1.0")
+        else:
+            self._check_declared_length(request)
+
+    def _check_declared_length(self, request: h11.Request) -> None:
+        """Refuses a body that is too long before any of it is read."""
+        length = 0
+        for name, value in request.headers:
+            if name == b"content-length":
+                # h11 has checked that it is a number.
+                length = int(value)
+        if length > self._limits.body_bytes:
+            self._reject(413, "body too large")
+        elif not self.held.fits(_BODY_COPIES * length):
+            self._refuse_for_memory()
 
     def _start_handler(self) -> None:
         self._cancel_timer()
@@ -263,6 +326,9 @@
             self._request_count == 1,
         )
         self._body = bytearray()
+        pipelined, _ = self._parser.trailing_data
+        if pipelined:
+            self._count_pipelined(len(pipelined))
         exchange = Exchange(self, incoming)
         self._task = self._loop.create_task(self._run_handler(exchange))
         self._server.note_running(1)
@@ -282,6 +348,8 @@
             self._server.note_running(-1)
             self._task = None
             self._request = None
+            self.held.release()
+            self._pipelined.release()
         self._finish_request()
 
     def _finish_request(self) -> None:
@@ -297,6 +365,8 @@
         self._parser.start_next_cycle()
         self._start_idle_timer()
         self._process_events()
+        if self._task is None:
+            self._resume_reading()
 
     def _start_idle_timer(self) -> None:
         """Closes the connection if it stays idle for the current limit."""
@@ -362,6 +432,9 @@
             )
         )
 
+    def _refuse_for_memory(self) -> None:
+        self.refuse(self._server.refuse_for_memory())
+
     def refuse(self, response: forwarded_requests.LocalResponse) -> None:
         """Responds before a request was read whole; closes the connection."""
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -377,6 +450,10 @@
     def _close_after_linger(self) -> None:
         """Closes after the client has had time to read the response."""
         self.is_lingering = True
+        self._body = bytearray()
+        self.held.release()
+        self._pipelined.release()
+        self._resume_reading()
         if self._parser.their_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}:
             self.close()
         else:
@@ -432,6 +509,9 @@
         connections: Open connections.
         handle: Handles one exchange.
         limits: Returns the current limits.
+        budget: Bounds the memory that requests and responses take.
+        refuse_for_memory: Returns the response to a request that can't be
+            received, as memory is short.
         running: Number of requests being handled.
         is_closing: Whether responses contain `Connection: close`.
         is_stopped: Whether no more requests are handled.
@@ -443,6 +523,10 @@
         handle: Handler,
         limits: LimitsSource,
         note_rejected: Callable[[int, str], None],
+        budget: memory_budget.MemoryBudget | None = None,
+        refuse_for_memory: Callable[
+            [], forwarded_requests.LocalResponse
+        ] = lambda: forwarded_requests.LocalResponse(503, (), b""),
     ):
         host, _, port = address.rpartition(":")
         self._listen = (host, int(port))
@@ -451,6 +535,8 @@
         self.handle = handle
         self.limits = limits
         self.note_rejected = note_rejected
+        self.budget = budget or memory_budget.MemoryBudget()
+        self.refuse_for_memory = refuse_for_memory
         self.running = 0
         self.is_closing = False
         self.is_stopped = False
--- a/src/lycheegw/transport/peer_relay.py
+++ b/src/lycheegw/transport/peer_relay.py
@@ -12,6 +12,7 @@
 
 from absl import logging
 from grpclib import client
+from grpclib import config
 
 from lycheegw.coordination import accepted_requests
 from lycheegw.coordination import interfaces
@@ -20,6 +21,7 @@
 from lycheegw.protocol.pb import peer_grpc
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import silence_timeouts
 from lycheegw.transport import ingress
 from lycheegw.transport import peer_bus
@@ -31,6 +33,11 @@
 _ACCEPT_TIMEOUT_S = 0.6
 # Largest body that is relayed; a message holds the whole request.
 _MAX_BODY_BYTES = 512 * 1024
+# Bytes of a response that a peer may send before its caller reads them; with
+# 64 KiB each, 64 slow callers don't keep others on the connection waiting.
+_CONFIGURATION = config.Configuration(http2_stream_window_size=2**16 - 1)
+# Copies of a body in a message and in its bytes.
+_BODY_COPIES = 2
 # Time after its last use at which a connection to a peer is closed.
 _IDLE_S = 5.0
 
@@ -53,9 +60,15 @@
 class RelayClient:
     """Sends requests to peers that serve them in this node's place."""
 
-    def __init__(self, bus: peer_bus.GrpcPeerBus, now_s: Callable[[], float]):
+    def __init__(
+        self,
+        bus: peer_bus.GrpcPeerBus,
+        now_s: Callable[[], float],
+        budget: memory_budget.MemoryBudget,
+    ):
         self._bus = bus
         self._now_s = now_s
+        self._budget = budget
         self._connection_by_address: dict[str, _PeerConnection] = {}
 
     async def relay(
@@ -73,6 +86,10 @@
         peer = self._bus.liveness.peer(node_id)
         if peer is None or len(incoming.body) > _MAX_BODY_BYTES:
             raise errors.PeerUnavailableError(f"can't relay to {node_id}")
+        held = self._budget.open()
+        request_size = _BODY_COPIES * len(incoming.body)
+        if not held.resize(request_size):
+            raise errors.PeerUnavailableError("no memory left to relay")
         connection = self._connection(peer.address)
         connection.running += 1
         is_sent = False
@@ -94,6 +111,10 @@
                     relay_codec.encode_request(incoming, time_left_s), end=True
                 )
                 while (message := await stream.recv_message()) is not None:
+                    if not held.resize(request_size + len(message.data)):
+                        raise errors.PeerLostError(
+                            f"no memory left for the response of {node_id}"
+                        )
                     yield relay_codec.decode_part(message)
         except peer_link.LINK_ERRORS as error:
             if not connection.running > 1:
@@ -104,6 +125,7 @@
                 f"{node_id}: {error!r}"
             ) from error
         finally:
+            held.release()
             connection.running -= 1
             connection.used_s = self._now_s()
 
@@ -111,7 +133,9 @@
         connection = self._connection_by_address.get(address)
         if connection is None:
             host, _, port = address.rpartition(":")
-            connection = _PeerConnection(client.Channel(host, int(port)))
+            connection = _PeerConnection(
+                client.Channel(host, int(port), config=_CONFIGURATION)
+            )
             self._connection_by_address[address] = connection
         return connection
 
@@ -140,12 +164,17 @@
         incoming: The request.
         is_started: Whether the response head was sent.
         is_finished: Whether the response was sent completely.
+        held: Memory that the request and its response take.
     """
 
     def __init__(
-        self, stream: Any, incoming: forwarded_requests.IncomingRequest
+        self,
+        stream: Any,
+        incoming: forwarded_requests.IncomingRequest,
+        held: memory_budget.Reservation,
     ):
         self.incoming = incoming
+        self.held = held
         self.is_started = False
         self.is_finished = False
         self._stream = stream
@@ -204,6 +233,7 @@
         handle: RelayHandler,
         declines: Callable[[], bool],
         now_s: Callable[[], float],
+        budget: memory_budget.MemoryBudget,
     ):
         """Creates a server.
 
@@ -211,8 +241,10 @@
             handle: Serves a request; its second argument declines it.
             declines: Returns whether this node takes no relayed requests.
             now_s: Returns the monotonic time.
+            budget: Bounds the memory that requests and responses take.
         """
         self._handle = handle
+        self._budget = budget
         self._declines = declines
         self._now_s = now_s
         self._limit = relays.RelayLimit()
@@ -232,10 +264,18 @@
         except errors.PeerMessageError as error:
             logging.warning("relayed request: %s", error)
             return
-        exchange = _RelayedExchange(stream, incoming)
-        with contextlib.suppress(ingress.CallerGoneError):
-            if self._declines() or self._limit.is_reached:
-                await exchange.decline()
-                return
-            with self._limit.hold():
-                await self._handle(exchange, exchange.decline)
+        held = self._budget.open()
+        exchange = _RelayedExchange(stream, incoming, held)
+        try:
+            with contextlib.suppress(ingress.CallerGoneError):
+                if (
+                    self._declines()
+                    or self._limit.is_reached
+                    or not held.resize(_BODY_COPIES * len(incoming.body))
+                ):
+                    await exchange.decline()
+                    return
+                with self._limit.hold():
+                    await self._handle(exchange, exchange.decline)
+        finally:
+            held.release()
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -125,6 +125,17 @@
     assert settings.heartbeat_s == 1.2
 
 
+# Guards against a node that takes more memory than its settings allow.
+def test_settings_name_the_memory_limit() -> None:
+    text = fleet_harness.settings_text("10.0.0.9:70")
+    assert settings_file.parse(text).memory_mb == 300
+    smaller = f"{text}\nlimits.memory_mb=128"
+    assert settings_file.parse(smaller).memory_mb == 128
+    for wrong in ("0", "-1", "nan", "much"):
+        with pytest.raises(errors.SettingsError, match="memory_mb"):
+            settings_file.parse(f"{text}\nlimits.memory_mb={wrong}")
+
+
 def test_settings_errors_list_every_fault() -> None:
     text = fleet_harness.settings_text("10.0.0.9")
     text = text.replace("bounds.grace_s=8", "bounds.grace_s=soon")
--- a/tests/platform/test_memory_bounds.py
+++ b/tests/platform/test_memory_bounds.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from lycheegw.transport import ingress
 from tests.platform import fleet_harness
 from tests.platform import node_processes
 from tests.platform import platform_standins
@@ -24,6 +25,8 @@
 LONG = b"Content-Length: 99999999999\r\n\r\n"
 CHUNK = b"10000\r\n" + bytes(65536) + b"\r\n"
 BLOCK = b"x" * 65536
+EVENTS = b"id: 1\ndata: token\n\n" * 3000
+SHORT_EVENTS = b"\n\n" * 32768
 # As the node closes an upstream's connection once its caller is gone, this
 # also bounds how long an upstream sends.
 CALLER_TIMEOUT_S = 3.0
@@ -67,6 +70,24 @@
     ),
     pytest.param(Case("/look/1", ERROR, CHUNK), id="error"),
     pytest.param(Case("/look/1", REJECTION, CHUNK), id="rejection"),
+    pytest.param(
+        Case("/look/1", b"", BLOCK, is_identified=False, rest=b""), id="no head"
+    ),
+    pytest.param(
+        Case("/look/1", HEAD, b"X: y\r\n" * 9000, rest=b""), id="header lines"
+    ),
+    pytest.param(
+        Case("/look/1", SIGNED + b"X: y\r\n" * 9000, b"", rest=LONG),
+        id="many headers",
+    ),
+    pytest.param(Case("/ask/1", SIGNED, CHUNK), id="stream without events"),
+    pytest.param(
+        Case("/ask/1", SIGNED, EVENTS, rest=b"\r\n"), id="stream of events"
+    ),
+    pytest.param(
+        Case("/ask/1", SIGNED, SHORT_EVENTS, rest=b"\r\n"),
+        id="stream of empty events",
+    ),
     pytest.param(Case("/ask/1", ERROR, CHUNK), id="stream error"),
     pytest.param(Case("/ask/1", REJECTION, CHUNK), id="stream rejection"),
 ]
@@ -189,9 +210,6 @@
 
 # Guards against upstreams that end a node, and the requests of others, by
 # bytes without end: nothing bounded their sum over the requests.
-@pytest.mark.xfail(
-    strict=True, reason="nothing bounds the sum (KNOWN-RED.txt, issue 55)"
-)
 @pytest.mark.parametrize(("count", "memory_mb"), [(40, 300), (200, 128)])
 @pytest.mark.parametrize("case", CASES)
 async def test_memory_is_bounded_if_upstreams_send_without_end(
@@ -223,11 +241,8 @@
 
 # Guards against callers that end a node by bodies, or by requests behind an
 # unanswered one, without end.
-@pytest.mark.xfail(
-    strict=True, reason="nothing bounds the sum (KNOWN-RED.txt, issue 55)"
-)
 @pytest.mark.parametrize(("count", "memory_mb"), [(40, 150), (200, 128)])
-@pytest.mark.parametrize("is_pipelined", [False])
+@pytest.mark.parametrize("is_pipelined", [False, True])
 async def test_memory_is_bounded_if_callers_send_without_end(
     is_pipelined: bool, count: int, memory_mb: int, tmp_path: pathlib.Path
 ) -> None:
@@ -260,3 +275,72 @@
                 )
             ),
         )
+
+
+# Guards against replies to status checks, which are made after a connection
+# broke, that end a node.
+async def test_memory_is_bounded_if_status_checks_get_bytes_without_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    memory_mb = 128
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if "x-lycheegw-attempt-id" in request.header_by_name:
+            writer.transport.abort()
+            return
+        writer.write(HEAD + CHUNKED)
+        await raw_upstreams.write_until_closed(writer, CHUNK)
+
+    async with contextlib.AsyncExitStack() as stack:
+        fleet = await stack.enter_async_context(fleet_harness.fleet(nodes=0))
+        for number in range(30):
+            name = f"d{number + 3}"
+            await fleet.add_upstream(name, "desk")
+            await stack.enter_async_context(
+                raw_upstreams.raw_upstream(fleet, name, "desk", respond)
+            )
+        node = await stack.enter_async_context(
+            node_processes.node_process(
+                fleet.store.address, memory_mb, tmp_path
+            )
+        )
+        await _check_beside(
+            node,
+            "/ask/2",
+            memory_mb,
+            asyncio.gather(*(_call(node.front, "/look/1") for _ in range(200))),
+        )
+
+
+class _EndlessStore(platform_standins.Store):
+    """A store whose replies may be without end."""
+
+    is_endless = False
+
+    async def _handle_call(
+        self, exchange: ingress.Exchange, path: str, query: dict[str, str]
+    ) -> None:
+        if not self.is_endless:
+            await super()._handle_call(exchange, path, query)
+            return
+        await exchange.start(200, self._headers(), None)
+        while True:
+            await exchange.write(BLOCK)
+
+
+# Guards against replies of the store that end a node.
+async def test_memory_is_bounded_if_the_store_sends_without_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    memory_mb = 128
+    store = _EndlessStore()
+    async with (
+        fleet_harness.fleet(nodes=0, store=store) as fleet,
+        node_processes.node_process(
+            fleet.store.address, memory_mb, tmp_path
+        ) as node,
+    ):
+        store.is_endless = True
+        await _check_beside(node, "/ask/2", memory_mb, asyncio.sleep(4.0))
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,6 +1,7 @@
 """The store's client replaces connections that went silent."""
 
 import asyncio
+import json
 import struct
 
 import pytest
@@ -8,6 +9,7 @@
 from lycheegw.platform import store_client
 from lycheegw.state import clocks
 from lycheegw.state import errors
+from lycheegw.state import memory_budget
 from lycheegw.state import topics
 from lycheegw.transport import connection_pool
 
@@ -208,3 +210,32 @@
             await read
     pool.close()
     listener.close()
+
+
+# Guards against pages without end, each short enough, that fill the memory.
+async def test_pages_that_exceed_the_memory_in_sum_are_an_error() -> None:
+    entry = {"key": "k", "value": "", "offset": 0, "filler": "x" * 100_000}
+    body = json.dumps(
+        {"entries": [entry], "has_more": True, "end_offset": 1}
+    ).encode()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            )
+            writer.write(body)
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    budget = memory_budget.MemoryBudget(1_000_000)
+    pool = connection_pool.ConnectionPool(clocks.system(), budget)
+    client = store_client.StoreClient(pool, f"{host}:{port}", _no_wait)
+    with pytest.raises(errors.StoreError, match="no memory left"):
+        await client.newest(topics.Topic.ORDERS)
+    assert budget.held == 0
+    pool.close()
+    listener.close()
--- a/tests/test_stream_stalls.py
+++ b/tests/test_stream_stalls.py
@@ -13,6 +13,7 @@
 from lycheegw.coordination import answer_delivery
 from lycheegw.protocol import engine_api
 from lycheegw.state import errors
+from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.transport import upstream_client
 from tests import fakes
@@ -41,6 +42,7 @@
 
     def __init__(self, write_s: float = 0.0):
         self.is_started = False
+        self.held = memory_budget.MemoryBudget().open()
         self.written = b""
         self._write_s = write_s
 
