--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -6,6 +6,7 @@
 from lycheegw.coordination import held_answers
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import routing
@@ -21,10 +22,17 @@
 
 
 class ResponseSink(Protocol):
-    """Where the response to one request is written."""
+    """Where the response to one request is written.
+
+    Attributes:
+        incoming: The request.
+        is_started: Whether the response head was sent.
+        held: Memory that the request and its response take.
+    """
 
     incoming: forwarded_requests.IncomingRequest
     is_started: bool
+    held: memory_budget.Reservation
 
     async def send(self, refusal: forwarded_requests.LocalResponse) -> None:
         """Sends a refusal by the router as the whole response."""
@@ -93,7 +101,7 @@
         unreached: Ids of upstreams that could not be reached.
         head_s: Seconds from `attempt_start_s` to the response head.
         confidence: Confidence that the last model reported.
-        held: Answer of the model before, until it is given up; else None.
+        held_answer: Answer of the model before, None without one.
     """
 
     def __init__(self, work: forwarded_requests.ForwardedWork) -> None:
@@ -118,7 +126,7 @@
         self.unreached: set[str] = set()
         self.head_s = 0.0
         self.confidence: float | None = None
-        self.held: held_answers.HeldAnswer | None = None
+        self.held_answer: held_answers.HeldAnswer | None = None
 
 
 class AcceptedRequest(NamedTuple):
--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -1,6 +1,7 @@
 """Validates responses of upstreams and forwards them to the client.
 
-Streams are forwarded event by event; other responses are buffered first.
+Streams are forwarded event by event; other responses are collected first, so
+that a broken one can be retried, unless they are long or memory is short.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from lycheegw.coordination import interfaces
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.state import routing
 from lycheegw.state import run_evidence
@@ -31,9 +33,17 @@
 PACE_EVENTS = 4
 # Ids of events that are compared as numbers; 64 bits hold them.
 _EVENT_NUMBER = re.compile(r"[0-9]{1,18}")
-# Limit for bodies of responses that are not streams. They are buffered before
-# anything is forwarded, so that a broken response can be retried.
+# Limit for bodies of responses that are not streams.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+# Bodies up to this length are collected before anything is forwarded, so that a
+# broken response can be retried. Longer ones are forwarded as they arrive.
+_MAX_COLLECTED_BYTES = 1024 * 1024
+# Limit for bodies of which the client gets nothing unless no retry follows, and
+# of rejections, which are read only so that the connection can be reused.
+_MAX_ERROR_BYTES = 64 * 1024
+# A collected body is written in parts of this length, as the connection to the
+# client copies what it can't send at once.
+_PART_BYTES = 16 * 1024
 
 
 def is_stream(work: forwarded_requests.ForwardedWork) -> bool:
@@ -46,6 +56,7 @@
     evidence: run_evidence.RunEvidence,
     call: interfaces.ForwardCall,
     has_begun: bool,
+    held: memory_budget.Reservation,
 ) -> None:
     """Checks the response head before anything of the response is forwarded.
 
@@ -54,6 +65,7 @@
         evidence: What it says about a run.
         call: Call from which the body is read.
         has_begun: Whether the client has received a part of the stream.
+        held: Memory that the request takes.
 
     Raises:
         errors.UpstreamError: The response may be for another request, or is a
@@ -71,7 +83,7 @@
     if judgement.verdict is verdicts.RunVerdict.NOT_RUN:
         # A connection can be reused only once its response was read. One that
         # breaks off is no evidence.
-        await _read_body(call)
+        await _skip_body(call)
         is_followed = call.has_trailing_data
         call.finish()
         if is_followed:
@@ -117,7 +129,7 @@
             _MAY_HAVE_RUN,
         )
     if head.status >= 500:
-        body = await _read_body(call)
+        body = await _read_error_body(call, held)
         call.finish()
         raise accepted_requests.HttpStatusError(
             accepted_requests.WholeAnswer(head, body)
@@ -151,26 +163,75 @@
             accepted, call, head, version, note_pace, may_try_elsewhere
         )
         return
-    body = await _read_body(call)
-    accepted.progress.runs.end(verdicts.RunVerdict.RAN)
-    await accepted.sink.start(head.status, head.headers, len(body))
-    await accepted.sink.write(body)
-    await accepted.sink.finish()
+    await _forward_body(accepted, call, head)
 
 
-async def _read_body(call: interfaces.ForwardCall) -> bytes:
+async def _forward_body(
+    accepted: accepted_requests.AcceptedRequest,
+    call: interfaces.ForwardCall,
+    head: forwarded_requests.ResponseHead,
+) -> None:
+    """Forwards a body; raises errors.UpstreamError if it breaks off."""
+    if accepted.work.incoming.method != b"HEAD":
+        _check_length(head.content_length or 0, _MAX_BODY_BYTES)
+    sink, held = accepted.sink, accepted.sink.held
+    held_before = held.size
     body = bytearray()
+    received = 0
     while (data := await call.read()) is not None:
+        received += len(data)
         body += data
-        if len(body) > _MAX_BODY_BYTES:
-            raise errors.UpstreamError(
-                reasons.RetryReason.MALFORMED,
-                f"response body exceeds {_MAX_BODY_BYTES} bytes",
-                _MAY_HAVE_RUN,
-            )
+        if received > _MAX_COLLECTED_BYTES or not held.grow(len(data)):
+            break
+    is_whole = data is None
+    if is_whole:
+        accepted.progress.runs.end(verdicts.RunVerdict.RAN)
+    length = len(body) if is_whole else head.content_length
+    await sink.start(head.status, head.headers, length)
+    while body:
+        await sink.write(bytes(body[:_PART_BYTES]))
+        del body[:_PART_BYTES]
+    if not is_whole:
+        held.resize(held_before)
+        while (data := await call.read()) is not None:
+            received += len(data)
+            _check_length(received, _MAX_BODY_BYTES)
+            await sink.write(data)
+        accepted.progress.runs.end(verdicts.RunVerdict.RAN)
+    await sink.finish()
+
+
+async def _read_error_body(
+    call: interfaces.ForwardCall, held: memory_budget.Reservation
+) -> bytes:
+    """Returns the body of an error response; raises errors.UpstreamError."""
+    body = bytearray()
+    while (data := await call.read()) is not None:
+        body += data
+        _check_length(len(body), _MAX_ERROR_BYTES)
+        if not held.grow(len(data)):
+            raise memory_budget.full_error("the body of an error")
     return bytes(body)
 
 
+async def _skip_body(call: interfaces.ForwardCall) -> None:
+    """Reads a body that nobody gets; raises errors.UpstreamError."""
+    received = 0
+    while (data := await call.read()) is not None:
+        received += len(data)
+        _check_length(received, _MAX_ERROR_BYTES)
+
+
+def _check_length(length: int, limit: int) -> None:
+    """Raises errors.UpstreamError if a body is longer than its limit."""
+    if length > limit:
+        raise errors.UpstreamError(
+            reasons.RetryReason.MALFORMED,
+            f"response body of {length} bytes or more, the limit is {limit}",
+            _MAY_HAVE_RUN,
+        )
+
+
 async def _forward_stream(
     accepted: accepted_requests.AcceptedRequest,
     call: interfaces.ForwardCall,
@@ -180,6 +241,8 @@
     may_try_elsewhere: Callable[[], bool],
 ) -> None:
     parser = event_streams.EventParser()
+    held = accepted.sink.held
+    held_before = held.size
     events = 0
     gap_s = max(_MIN_GAP_S, _GAP_FACTOR * accepted.work.route.target_gap_s)
     loop = asyncio.get_running_loop()
@@ -190,17 +253,23 @@
         data = await _read_before(call, due_s, gap_s, may_try_elsewhere)
         if data is None:
             break
+        events_before = events
+        parts = []
         for event in parser.feed(data):
-            await _forward_event(accepted, event, head, version)
-            due_s = loop.time() + gap_s
             events += 1
             if events == PACE_EVENTS:
                 note_pace()
-        if parser.is_oversized:
+            if _note_event(event, accepted.progress):
+                parts.append(event.data)
+        if parts:
+            await _forward_events(accepted, b"".join(parts), head, version)
+        if events > events_before:
+            due_s = loop.time() + gap_s
+        if not held.resize(held_before + len(parser.incomplete)):
+            raise memory_budget.full_error("an incomplete event")
+        if parser.fault:
             raise errors.UpstreamError(
-                reasons.RetryReason.MALFORMED,
-                "event exceeds the size limit",
-                _MAY_HAVE_RUN,
+                reasons.RetryReason.MALFORMED, parser.fault, _MAY_HAVE_RUN
             )
     if parser.incomplete:
         raise errors.UpstreamError(
@@ -255,23 +324,29 @@
             due_s = loop.time() + gap_s
 
 
-async def _forward_event(
+def _note_event(
+    event: event_streams.Event, progress: accepted_requests.Progress
+) -> bool:
+    """Records an event; returns False if it was forwarded before."""
+    if _is_repeated(event, progress):
+        return False
+    progress.event_count += 1
+    if event.event_id is not None:
+        progress.last_event = event.event_id
+    return True
+
+
+async def _forward_events(
     accepted: accepted_requests.AcceptedRequest,
-    event: event_streams.Event,
+    data: bytes,
     head: forwarded_requests.ResponseHead,
     version: str,
 ) -> None:
-    """Forwards an event unless it was forwarded before."""
-    progress = accepted.progress
-    if _is_repeated(event, progress):
-        return
+    """Forwards the events that were read together."""
     if not accepted.sink.is_started:
-        progress.version = version
+        accepted.progress.version = version
         await accepted.sink.start(head.status, head.headers, None)
-    progress.event_count += 1
-    if event.event_id is not None:
-        progress.last_event = event.event_id
-    await accepted.sink.write(event.data)
+    await accepted.sink.write(data)
 
 
 def _is_repeated(
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -213,8 +213,8 @@
             if not await self._deliver_held(accepted):
                 raise
         finally:
-            if progress.held is not None:
-                progress.held.drop()
+            if progress.held_answer is not None:
+                progress.held_answer.drop()
 
     async def _make_attempts(
         self, accepted: accepted_requests.AcceptedRequest
@@ -225,7 +225,10 @@
             errors.RefusalError: The request failed.
         """
         progress = accepted.progress
+        held_by_request = accepted.sink.held.size
         while True:
+            # What the attempt before held is dropped.
+            accepted.sink.held.resize(held_by_request)
             self._dependencies.suspects.refuse_blocked(accepted.request)
             if (
                 self._dependencies.reach.is_cut_off
@@ -247,8 +250,8 @@
                 if progress.is_error_forwarded:
                     return
                 if (
-                    progress.held is not None
-                    and progress.held.model == progress.model
+                    progress.held_answer is not None
+                    and progress.held_answer.model == progress.model
                     and await self._deliver_held(accepted)
                 ):
                     return
@@ -430,10 +433,14 @@
                 choice.upstream, head, progress.attempt_start_s
             )
             await answer_delivery.check_head(
-                head, evidence, call, accepted.sink.is_started
+                head,
+                evidence,
+                call,
+                accepted.sink.is_started,
+                accepted.sink.held,
             )
-            if progress.held is not None:
-                progress.held.drop()
+            if progress.held_answer is not None:
+                progress.held_answer.drop()
             larger = self._larger_model(accepted)
             self._note_answer(accepted, version, larger)
             answer = held_answers.Answer(
@@ -446,7 +453,7 @@
             )
             if larger is not None:
                 progress.runs.end(_RAN)
-                progress.held = held_answers.HeldAnswer(
+                progress.held_answer = held_answers.HeldAnswer(
                     answer, lambda: self._note_call_ended(accepted, choice)
                 )
                 return larger
@@ -465,6 +472,7 @@
     ) -> None:
         """Forwards the body of a response; raises errors.UpstreamError."""
         version = answer.choice.upstream.entry.version
+        held_before = accepted.sink.held.size
         try:
             await answer_delivery.deliver(
                 accepted,
@@ -480,6 +488,7 @@
             answer.call.abort()
             raise
         finally:
+            accepted.sink.held.resize(held_before)
             self._note_call_ended(accepted, answer.choice)
 
     def _note_call_ended(
@@ -504,7 +513,11 @@
             errors.RefusalError: It broke off, and the request failed.
         """
         progress = accepted.progress
-        answer = None if progress.held is None else progress.held.take()
+        answer = (
+            None
+            if progress.held_answer is None
+            else progress.held_answer.take()
+        )
         if answer is None:
             return False
         progress.model = answer.model
@@ -587,8 +600,8 @@
     def _note_sent(self, accepted: accepted_requests.AcceptedRequest) -> None:
         """Records how late, and by how old a list, an attempt was sent."""
         progress, route = accepted.progress, accepted.work.route.name
-        if progress.held is not None:
-            progress.held.note_sent()
+        if progress.held_answer is not None:
+            progress.held_answer.note_sent()
         progress.send_delay_s = self._now_s() - progress.attempt_start_s
         progress.list_age_s = self._dependencies.list_age_s()
         self._dependencies.observe("send_delay", route, progress.send_delay_s)
@@ -901,8 +914,8 @@
             errors.RefusalError: The request failed.
         """
         progress = accepted.progress
-        if progress.held is not None:
-            progress.held.note_failed()
+        if progress.held_answer is not None:
+            progress.held_answer.note_failed()
         progress.runs.end(error.verdict)
         progress.rejection_count += error.verdict is _NOT_RUN
         progress.tried.add(choice.upstream.entry.host_id)
@@ -914,7 +927,10 @@
         elif (
             isinstance(error, accepted_requests.HttpStatusError)
             and not progress.event_count
-            and (progress.held is None or progress.held.model is None)
+            and (
+                progress.held_answer is None
+                or progress.held_answer.model is None
+            )
         ):
             await _forward_error_response(accepted, error.answer)
         else:
@@ -1008,7 +1024,9 @@
     ) -> reasons.RefusalReason | None:
         """Returns why the request ends, None if a retry follows."""
         route, progress = accepted.work.route, accepted.progress
-        if progress.event_count and not route.is_resumable:
+        if accepted.sink.is_started and not (
+            progress.event_count and route.is_resumable
+        ):
             return reasons.RefusalReason.STREAM_BROKEN
         may_have_run = progress.runs.verdict is not _NOT_RUN
         if may_have_run and not accepted.request.is_idempotent:
