Soak: faulty responses of upstreams, promises after a run, memory, exits

Upstreams answer part of their requests wrongly, drawn by seed: 503, 429, 408, 500 and 504 without the mark after a run; rejections that contradict themselves (mark and signature, the value 0, two ids, the mark beside 500 and 200, a rejection without an id before the whole response); true rejections; and responses without end, while 80 requests at once reach one node. What counts as run is recorded where the stand-in accepts it.

New rules: PROMISE, a request that may run twice ran and was refused with 408, 421, 429 or 503, before or after (REFUSED stays for unsafe ones); REJECTED, a truly rejected request that no other upstream got; LOST also for a process that ends and wasn't told to; MEMORY, a process above limits.memory_mb (300 or 150 in the settings, by seed), by VmHWM. A planted violation of each is found. The proxies of the soak wait for a side that doesn't read, as they would collect a response without end themselves.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import itertools
@@ -256,6 +257,23 @@
     received_s: float
 
 
+class FaultyResponse(NamedTuple):
+    """A response that an upstream sends in the place of its own.
+
+    Attributes:
+        name: Name in records.
+        has_run: Whether the upstream runs the request before.
+        send: Sends it; called with the exchange, the name of the upstream and
+            the id of the attempt.
+        is_answer: Whether it is the whole answer of a request that ran.
+    """
+
+    name: str
+    has_run: bool
+    send: Callable[[ingress.Exchange, str, str], Awaitable[None]]
+    is_answer: bool = False
+
+
 class Upstream:
     """Upstream of a service with or without models.
 
@@ -274,6 +292,9 @@
         extra_answer: Bytes that it writes before its response to each request
             but the first on a connection.
         announced: Headers that it adds to all its responses.
+        choose_fault: Returns the response to send in the place of its own to an
+            attempt with an id, or None.
+        answered_ids: Ids of the requests that it answered whole with 200.
         received_s: Monotonic seconds at which requests reached it, including
             those that it rejected.
         received_ids: Ids of these requests.
@@ -301,6 +322,10 @@
         self.confidence: dict[str, int] = {}
         self.cancelled_count = 0
         self.announced: forwarded_requests.Headers = ()
+        self.choose_fault: Callable[[str], FaultyResponse | None] = lambda _: (
+            None
+        )
+        self.answered_ids: set[str] = set()
         self.received_s: list[float] = []
         self.received_ids: list[str] = []
         self.rejected_ids: set[str] = set()
@@ -361,7 +386,22 @@
             )
             await _respond(exchange, 503, b"", rejection)
             return
+        faulty = self.choose_fault(self.received_ids[-1])
+        if faulty is not None and not faulty.has_run:
+            await faulty.send(exchange, self.name, self.received_ids[-1])
+            return
+        await self._accept(exchange, headers, faulty)
+
+    async def _accept(
+        self,
+        exchange: ingress.Exchange,
+        headers: dict[str, str],
+        faulty: FaultyResponse | None,
+    ) -> None:
+        """Runs a request and responds, by a fault if there is one."""
+        incoming = exchange.incoming
         target = incoming.target.decode()
+        attempt_id = headers.get("x-lycheegw-attempt-id", "")
         self.seen.append(
             ReceivedRequest(
                 self.name, target, headers, incoming.body, self.received_s[-1]
@@ -372,7 +412,14 @@
         self._running += 1
         try:
             await asyncio.sleep(self.delay_s)
-            await self._run(exchange, headers)
+            if faulty is None:
+                await self._run(exchange, headers)
+                is_answer = self.status == 200
+            else:
+                await faulty.send(exchange, self.name, attempt_id)
+                is_answer = faulty.is_answer
+            if is_answer and exchange.is_finished:
+                self.answered_ids.add(attempt_id)
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -13,6 +13,9 @@
     "Bounds",
     "Disturbance",
     "Ended",
+    "Exit",
+    "FaultyResponse",
+    "MemoryPeak",
     "Record",
     "Sent",
     "Violation",
@@ -23,6 +26,8 @@
 
 # Lag of the recording process above which its own times are not relied on.
 _MAX_OWN_LAG_S = 0.1
+# Statuses that promise that a request has not run and never will.
+_PROMISES = frozenset({408, 421, 429, 503})
 # Proper requests that may be denied.
 _MAX_DENIED = 5
 
@@ -55,6 +60,9 @@
     # Crashes by a prompt part after which few requests with it may arrive.
     part_crashes: int = 5
     part_requests: int = 3
+    # Rejected requests that may end without an attempt elsewhere.
+    rejected_share: float = 0.1
+    rejected_slack: int = 5
 
 
 class Sent(NamedTuple):
@@ -134,6 +142,40 @@
     until_s: float
 
 
+class FaultyResponse(NamedTuple):
+    """A wrong or unusual response of an upstream to an attempt.
+
+    Attributes:
+        kind: Fault of the schedule.
+        name: What was sent.
+        has_run: Whether the upstream ran the request.
+    """
+
+    attempt_id: str
+    upstream: str
+    kind: str
+    name: str
+    has_run: bool
+    at_s: float
+
+
+class Exit(NamedTuple):
+    """A node process that ended and hadn't been told to."""
+
+    node: str
+    status: int
+    at_s: float
+
+
+class MemoryPeak(NamedTuple):
+    """The most memory that a node process had, and when it reached it."""
+
+    node: str
+    pid: int
+    peak_mb: float
+    at_s: float
+
+
 class Violation(NamedTuple):
     """A broken rule, with the lines that show it."""
 
@@ -160,6 +202,12 @@
             or "leaving"), by node, upstream and announcement.
         crashed_s: When upstreams crashed on a part of a prompt.
         crashing_ids: Requests whose prompts have that part.
+        faulty_responses: Wrong and unusual responses of upstreams.
+        answered: Attempts that upstreams answered whole with 200, as pairs of
+            id and upstream.
+        exits: Node processes that ended by themselves.
+        memory_mb: Memory that the settings allow a node.
+        peak_by_pid: Memory of the node processes.
         own_lags: Times from and until which the recording process lagged.
     """
 
@@ -181,6 +229,11 @@
         self.told_s: dict[tuple[str, str, str], float] = {}
         self.crashed_s: list[float] = []
         self.crashing_ids: set[str] = set()
+        self.faulty_responses: list[FaultyResponse] = []
+        self.answered: set[tuple[str, str]] = set()
+        self.exits: list[Exit] = []
+        self.memory_mb = math.inf
+        self.peak_by_pid: dict[int, MemoryPeak] = {}
         self.own_lags: list[tuple[float, float]] = []
 
     def is_in_touch(self, names: set[str], since_s: float, at_s: float) -> bool:
@@ -238,6 +291,9 @@
         *_repeated_runs(record),
         *_false_promises(record),
         *_mixed_answers(record),
+        *_exits(record),
+        *_memory(record),
+        *_rejections(record, bounds),
         *_denied(record, bounds),
         *_older_manifests(record, bounds),
         *_closed_zones(record, bounds),
@@ -428,24 +484,113 @@
     """Unsafe requests that reached more than one upstream."""
     counts = collections.Counter(each.attempt_id for each in record.arrivals)
     return [
-        Violation("TWICE", attempt_id, f"an unsafe request ran {count} times")
+        Violation(
+            "TWICE",
+            attempt_id,
+            f"an unsafe request ran {count} times:"
+            f" {_describe_runs(record, attempt_id)}",
+        )
         for attempt_id, count in counts.items()
         if count > 1 and record.sent_by_id[attempt_id].is_unsafe
     ]
 
 
 def _false_promises(record: Record) -> list[Violation]:
-    """Unsafe requests that ran although the caller was told otherwise."""
+    """Requests that ran, before or after the caller was told otherwise."""
     ran = {each.attempt_id for each in record.arrivals}
     return [
-        Violation("REFUSED", attempt_id, f"it ran, the answer is {each.status}")
-        for attempt_id, each in record.ended_by_id.items()
-        if each.status in {408, 421, 429, 503}
-        and attempt_id in ran
-        and record.sent_by_id[attempt_id].is_unsafe
+        Violation(
+            "REFUSED" if record.sent_by_id[attempt_id].is_unsafe else "PROMISE",
+            attempt_id,
+            f"{ended.at_s:8.3f} {record.sent_by_id[attempt_id].node} answers"
+            f" {ended.status}; it ran: {_describe_runs(record, attempt_id)}",
+        )
+        for attempt_id, ended in record.ended_by_id.items()
+        if ended.status in _PROMISES and attempt_id in ran
     ]
 
 
+def _describe_runs(record: Record, attempt_id: str) -> str:
+    """Returns where a request ran, and what was wrong with the responses."""
+    ended = record.ended_by_id.get(attempt_id)
+    runs = []
+    for run in record.arrivals:
+        if run.attempt_id == attempt_id:
+            text = f"{run.at_s:8.3f} {run.upstream}"
+            if (attempt_id, run.upstream) in record.answered:
+                text += " answers whole"
+            if ended is not None and run.at_s > ended.at_s:
+                text += " after the end"
+            runs.append(text)
+    names = [
+        each.name
+        for each in record.faulty_responses
+        if each.attempt_id == attempt_id
+    ]
+    return f"{', '.join(runs)} ({'; '.join(names) or 'no faulty response'})"
+
+
+def _exits(record: Record) -> list[Violation]:
+    """Node processes that ended by themselves."""
+    return [
+        Violation(
+            "LOST",
+            "",
+            f"{each.at_s:8.3f} {each.node} ends by itself, status"
+            f" {each.status}",
+        )
+        for each in record.exits
+    ]
+
+
+def _memory(record: Record) -> list[Violation]:
+    """Node processes that had more memory than their settings allow."""
+    return [
+        Violation(
+            "MEMORY",
+            "",
+            f"{each.at_s:8.3f} {each.node} has {each.peak_mb:.0f} MB of"
+            f" {record.memory_mb:.0f}",
+        )
+        for each in record.peak_by_pid.values()
+        if each.peak_mb > record.memory_mb
+    ]
+
+
+def _rejections(record: Record, bounds: Bounds) -> list[Violation]:
+    """Requests that one upstream rejected and no other one got."""
+    upstreams_by_id = collections.defaultdict(list)
+    for offer in record.offers:
+        upstreams_by_id[offer.attempt_id].append(offer.upstream)
+    rejected = [
+        each
+        for each in record.faulty_responses
+        if each.kind == "true_rejections"
+        and each.attempt_id in record.ended_by_id
+    ]
+    found = []
+    for each in rejected:
+        sent = record.sent_by_id[each.attempt_id]
+        ended = record.ended_by_id[each.attempt_id]
+        if (
+            ended.status != 200
+            and set(upstreams_by_id[each.attempt_id]) <= {each.upstream}
+            and record.is_in_touch(
+                {sent.node}, sent.at_s - bounds.contact_s, ended.at_s
+            )
+        ):
+            found.append(
+                Violation(
+                    "REJECTED",
+                    each.attempt_id,
+                    f"{each.at_s:8.3f} {each.upstream} rejects it, no other"
+                    f" upstream gets it, {sent.node} answers {ended.status}",
+                )
+            )
+    allowed = bounds.rejected_share * len(rejected) + bounds.rejected_slack
+    return found if len(found) > allowed else []
+
+
 def _mixed_answers(record: Record) -> list[Violation]:
     """Successes that are not the whole answer of an upstream that ran it."""
     upstreams_by_id = collections.defaultdict(set)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -3,7 +3,15 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["ORDERS", "RESPONSE_FAULTS", "Fault", "draw", "draw_restores"]
+__all__ = [
+    "FAULTY_RESPONSES",
+    "ORDERS",
+    "RESPONSE_FAULTS",
+    "Fault",
+    "draw",
+    "draw_memory_mb",
+    "draw_restores",
+]
 
 # What an operator does.
 ORDERS = frozenset(
@@ -67,6 +75,18 @@
 # Bounds of the time between two of these, and of how long one lasts.
 _RESPONSE_FAULT_GAP_S = (1.0, 5.0)
 _RESPONSE_FAULT_S = (3.0, 12.0)
+# Faults by which upstreams answer a part of their requests wrongly.
+FAULTY_RESPONSES = (
+    "grey_failures",
+    "contradictory_rejections",
+    "true_rejections",
+    "endless_responses",
+)
+# Bounds of the time between two of these, and of how long one lasts.
+_FAULTY_RESPONSES_GAP_S = (1.0, 4.0)
+_FAULTY_RESPONSES_S = (1.0, 4.0)
+# Memory that the settings allow a node.
+_MEMORY_MB = (300, 150)
 # Share of soaks in which another writer leaves entries that can't be used, and
 # bounds of the time between two of them.
 _MALFORMED_ENTRIES_SHARE = 0.5
@@ -117,6 +137,7 @@
     faults += _draw_rollout(seed, seconds)
     faults += _draw_crashing_part(seed, seconds)
     faults += _draw_response_faults(seed, seconds)
+    faults += _draw_faulty_responses(seed, seconds)
     faults += _draw_manifests(seed, seconds)
     faults += _draw_malformed_entries(seed, seconds)
     faults += _draw_slow_processes(seed, seconds)
@@ -135,6 +156,29 @@
     return faults
 
 
+def draw_memory_mb(seed: int) -> int:
+    """Returns the memory that the settings allow each node of a soak."""
+    return random.Random(f"memory of {seed}").choice(_MEMORY_MB)
+
+
+def _draw_faulty_responses(seed: int, seconds: float) -> list[Fault]:
+    """Returns when upstreams answer wrongly."""
+    generator = random.Random(f"faulty responses of {seed}")
+    faults = []
+    at_s = _QUIET_START_S
+    while at_s < seconds:
+        faults.append(
+            Fault(
+                round(at_s, 2),
+                generator.choice(FAULTY_RESPONSES),
+                generator.randrange(1000),
+                round(generator.uniform(*_FAULTY_RESPONSES_S), 2),
+            )
+        )
+        at_s += generator.uniform(*_FAULTY_RESPONSES_GAP_S)
+    return faults
+
+
 def _draw_response_faults(seed: int, seconds: float) -> list[Fault]:
     """Returns the faults in the responses of upstreams."""
     generator = random.Random(f"announcements of {seed}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,6 +26,7 @@
 from tests.platform import long_manifests
 from tests.platform import platform_standins
 from tests.soak import checker
+from tests.soak import faulty_responses
 from tests.soak import processes
 from tests.soak import schedule
 
@@ -65,6 +66,14 @@
 _ROLLOUT_S = 20.0
 # Time for which a new upstream of the service with engines is cold.
 _COLD_S = 3.0
+# Interval at which the node processes are looked at.
+_WATCH_S = 0.2
+# Share of its requests that a faulty upstream answers wrongly.
+_FAULTY_SHARE = (0.2, 0.8)
+# Requests that reach one node at once while upstreams send without end, and the
+# interval at which they do.
+_BURST_REQUESTS = 80
+_BURST_INTERVAL_S = 1.0
 # Interval at which this process checks its own lag.
 _TICK_S = 0.02
 # Time for which an upstream serves after the store has confirmed that it
@@ -109,6 +118,15 @@
 _REPLACE_S = 2.0
 
 
+_FaultyResponse = platform_standins.FaultyResponse
+_ChooseFault = Callable[[str], _FaultyResponse | None]
+
+
+def _choose_none(attempt_id: str) -> _FaultyResponse | None:
+    del attempt_id
+    return None
+
+
 class _Upstream(NamedTuple):
     """An upstream and the proxy at the address in its entry."""
 
@@ -145,6 +163,7 @@
         folder: pathlib.Path,
         *,
         restores: bool = False,
+        source: str = "",
     ):
         """Creates a soak.
 
@@ -154,8 +173,10 @@
             nodes: Number of node processes.
             folder: Folder of the nodes' settings and logs.
             restores: Whether the store is restored from backups, besides.
+            source: Folder of the code that nodes run, if not this tree's.
         """
         self.record = checker.Record()
+        self.record.memory_mb = schedule.draw_memory_mb(seed)
         self._random = random.Random(seed)
         self._seconds = seconds
         faults = schedule.draw(seed, seconds)
@@ -180,13 +201,15 @@
         network = f"127.{1 + pid % 250}.{pid // 250 % 250}"
         folder.mkdir(parents=True, exist_ok=True)
         self._nodes = [
-            processes.Node(each, network, folder) for each in range(nodes)
+            processes.Node(each, network, folder, source)
+            for each in range(nodes)
         ]
         self._proxies: list[processes.Proxy] = []
         self._arrivals = _Arrivals(self._note_arrival)
         self._upstreams: dict[str, _Upstream] = {}
         self._is_zone_closed = False
         self._numbers = itertools.count()
+        self._watched_pids: set[int] = set()
         self._state_by_name: dict[str, str] = {}
         self._keys: list[str] = []
         self._version = 0
@@ -243,11 +266,40 @@
             await proxy.start()
             self._proxies.append(proxy)
             node.write_settings(
-                self._store.address, proxy.address, _ZONES[number % 2]
+                self._store.address,
+                proxy.address,
+                _ZONES[number % 2],
+                int(self.record.memory_mb),
             )
-            await node.start()
+            await self._start_node(node)
         await asyncio.gather(*(self._wait_ready(each) for each in self._nodes))
 
+    async def _start_node(self, node: processes.Node) -> None:
+        """Starts a node's process, unless another task is starting it."""
+        await node.start()
+        process = node.process
+        if process is not None and process.pid not in self._watched_pids:
+            self._watched_pids.add(process.pid)
+            self._spawn(self._watch_process(node, process))
+
+    async def _watch_process(
+        self, node: processes.Node, process: asyncio.subprocess.Process
+    ) -> None:
+        """Records a process's memory, and its end if nobody asked for it."""
+        peak_mb = 0.0
+        while process.returncode is None:
+            present_mb = processes.peak_memory_mb(process.pid)
+            if present_mb > peak_mb:
+                peak_mb = present_mb
+                self.record.peak_by_pid[process.pid] = checker.MemoryPeak(
+                    node.name, process.pid, peak_mb, self._now_s()
+                )
+            await asyncio.sleep(_WATCH_S)
+        if not node.was_stopped(process.pid, process.returncode):
+            self.record.exits.append(
+                checker.Exit(node.name, process.returncode, self._now_s())
+            )
+
     async def _wait_ready(self, node: processes.Node) -> None:
         """Waits until a node is ready; the soak may end it before."""
         async with asyncio.timeout(_START_TIMEOUT_S):
@@ -435,15 +487,36 @@
         pool = connection_pool.ConnectionPool(clocks.system())
         try:
             while True:
-                await self._call_once(pool)
+                await self._call_once(
+                    pool,
+                    self._random.choice(self._nodes),
+                    self._random.choice(("look", "look", "book", "ask")),
+                )
                 await asyncio.sleep(self._random.uniform(*_CALLER_PAUSE_S))
         finally:
             pool.close()
 
-    async def _call_once(self, pool: connection_pool.ConnectionPool) -> None:
-        node = self._random.choice(self._nodes)
+    async def _call_at_once(self, node: processes.Node, service: str) -> None:
+        """Sends many requests to one node at the same time."""
+        kinds = ("look", "book") if service == "desk" else ("ask",)
+        pool = connection_pool.ConnectionPool(clocks.system())
+        try:
+            await asyncio.gather(
+                *(
+                    self._call_once(pool, node, kinds[number % len(kinds)])
+                    for number in range(_BURST_REQUESTS)
+                )
+            )
+        finally:
+            pool.close()
+
+    async def _call_once(
+        self,
+        pool: connection_pool.ConnectionPool,
+        node: processes.Node,
+        kind: str,
+    ) -> None:
         attempt_id = f"{self._token}-{next(self._numbers)}"
-        kind = self._random.choice(("look", "look", "book", "ask"))
         sent = checker.Sent(
             node.name, kind == "book", self._pick_key(), self._now_s()
         )
@@ -555,21 +628,31 @@
             name = names[fault.target % len(names)]
             await self._disturb(fault, name, self._harm_upstream(fault, name))
         elif fault.kind in schedule.RESPONSE_FAULTS:
-            names = [
-                name
-                for name, state in sorted(self._state_by_name.items())
-                if state == "ready"
-            ]
+            names = self._ready_names()
             name = names[fault.target % len(names)]
             await self._change_responses(fault, name)
-        elif fault.kind == "malformed_entry":
-            await self._write_malformed_entry(fault.target)
-        elif fault.kind == "store_forgets":
-            for topic in _TOPICS:
-                self._store.first_offset[topic] = self._store.end_offset(topic)
+        elif fault.kind in schedule.FAULTY_RESPONSES:
+            await self._respond_wrongly(fault)
+        elif fault.kind in {"malformed_entry", "store_forgets"}:
+            await self._change_topics(fault)
         else:
             await self._disturb(fault, "", self._harm_store(fault))
 
+    def _ready_names(self) -> list[str]:
+        return [
+            name
+            for name, state in sorted(self._state_by_name.items())
+            if state == "ready"
+        ]
+
+    async def _change_topics(self, fault: schedule.Fault) -> None:
+        """Changes what the store holds, without a disturbance."""
+        if fault.kind == "malformed_entry":
+            await self._write_malformed_entry(fault.target)
+            return
+        for topic in _TOPICS:
+            self._store.first_offset[topic] = self._store.end_offset(topic)
+
     async def _write_malformed_entry(self, number: int) -> None:
         """Leaves an entry that can't be used, as another writer would."""
         topic = _MALFORMED_TOPICS[number % len(_MALFORMED_TOPICS)]
@@ -636,7 +719,7 @@
             await node.wait()
         await asyncio.sleep(_RESTART_S)
         if node.process is process:
-            await node.start()
+            await self._start_node(node)
             await self._wait_ready(node)
 
     async def _harm_link(self, fault: schedule.Fault, number: int) -> None:
@@ -751,10 +834,63 @@
             each for each in standin.announced if each != announced
         )
 
+    async def _respond_wrongly(self, fault: schedule.Fault) -> None:
+        """Lets an upstream, or all of its service, answer some wrongly."""
+        ready = [
+            name
+            for name in self._ready_names()
+            if self._upstreams[name].standin.version != _BAD_VERSION
+        ]
+        generator = random.Random(fault.target)
+        service = self._upstreams[generator.choice(ready)].service
+        faulty = [n for n in ready if self._upstreams[n].service == service]
+        if generator.random() < 0.5:
+            faulty = [generator.choice(faulty)]
+        kinds = faulty_responses.BY_KIND[fault.kind]
+        kinds = generator.sample(kinds, generator.randint(1, len(kinds)))
+        share = generator.uniform(*_FAULTY_SHARE)
+
+        def choose_for(name: str) -> _ChooseFault:
+            def choose(attempt_id: str) -> _FaultyResponse | None:
+                if generator.random() > share:
+                    return None
+                chosen = generator.choice(kinds)
+                self.record.faulty_responses.append(
+                    checker.FaultyResponse(
+                        attempt_id,
+                        name,
+                        fault.kind,
+                        chosen.name,
+                        chosen.has_run,
+                        self._now_s(),
+                    )
+                )
+                return chosen
+
+            return choose
+
+        choose_by_name = {name: choose_for(name) for name in faulty}
+        for name, choose in choose_by_name.items():
+            self._upstreams[name].standin.choose_fault = choose
+        if fault.kind == "endless_responses":
+            node = self._nodes[generator.randrange(len(self._nodes))]
+            for _ in range(math.ceil(fault.for_s / _BURST_INTERVAL_S)):
+                self._spawn(self._call_at_once(node, service))
+                await asyncio.sleep(_BURST_INTERVAL_S)
+        else:
+            await asyncio.sleep(fault.for_s)
+        for name, choose in choose_by_name.items():
+            # A later fault may have taken its place.
+            if self._upstreams[name].standin.choose_fault is choose:
+                self._upstreams[name].standin.choose_fault = _choose_none
+
     def _record_offers(self) -> None:
         """Records the requests and rejections that the stand-ins counted."""
         for name, upstream in self._upstreams.items():
             standin = upstream.standin
+            self.record.answered.update(
+                (attempt_id, name) for attempt_id in standin.answered_ids
+            )
             for attempt_id, received_s in zip(
                 standin.received_ids, standin.received_s, strict=True
             ):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,17 @@
 """The soak's checker finds each kind of violation; a short soak finds none."""
 
 import asyncio
+import os
 import pathlib
+import resource
+import signal
 
 import pytest
 
+from tests.platform import fleet_harness
+from tests.platform import platform_standins
 from tests.soak import checker
+from tests.soak import faulty_responses
 from tests.soak import processes
 from tests.soak import schedule
 from tests.soak import world
@@ -83,6 +89,158 @@
     assert not _broken_rules(_record(status=503, arrivals=0))
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize(
+    ("is_unsafe", "rule"), [(True, "REFUSED"), (False, "PROMISE")]
+)
+@pytest.mark.parametrize("run_s", [10.1, 10.3])
+def test_promise_before_or_after_a_run_is_found(
+    status: int, is_unsafe: bool, rule: str, run_s: float
+) -> None:
+    record = _record(status=status, is_unsafe=is_unsafe)
+    record.arrivals[0] = checker.Arrival("a1", "desk-0", run_s)
+    record.answered.add(("a1", "desk-0"))
+    record.faulty_responses.append(
+        checker.FaultyResponse(
+            "a1", "desk-0", "grey_failures", "503 without the mark", True, run_s
+        )
+    )
+    (violation,) = checker.check(record, BOUNDS)
+    assert violation.rule == rule
+    assert "answers whole" in violation.text
+    assert "503 without the mark" in violation.text
+    assert ("after the end" in violation.text) == (run_s > 10.2)
+
+
+@pytest.mark.parametrize("status", [500, 502, 504, None])
+def test_failure_of_a_request_that_ran_is_no_promise(
+    status: int | None,
+) -> None:
+    assert not _broken_rules(_record(status=status))
+
+
+def test_process_that_ends_by_itself_is_found() -> None:
+    record = _record()
+    record.exits.append(checker.Exit(NODE, -9, 10.0))
+    assert _broken_rules(record) == ["LOST"]
+
+
+@pytest.mark.parametrize(
+    ("number", "status", "was_stopped"),
+    [
+        (None, -signal.SIGKILL, False),
+        (None, 0, False),
+        (signal.SIGCONT, 1, False),
+        (signal.SIGTERM, 0, True),
+        (signal.SIGTERM, 1, False),
+        (signal.SIGTERM, -signal.SIGKILL, False),
+        (signal.SIGKILL, -signal.SIGKILL, True),
+    ],
+)
+async def test_only_an_end_by_a_signal_of_the_soak_was_asked_for(
+    number: int | None, status: int, was_stopped: bool, tmp_path: pathlib.Path
+) -> None:
+    node = processes.Node(1, "127.1.1", tmp_path)
+    node.process = await asyncio.create_subprocess_exec("sleep", "9")
+    if number is not None:
+        node.send_signal(number)
+    assert node.was_stopped(node.process.pid, status) == was_stopped
+    node.send_signal(signal.SIGKILL)
+    await node.wait()
+
+
+def test_process_with_more_memory_than_its_settings_allow_is_found() -> None:
+    record = _record()
+    record.memory_mb = 150
+    peak = checker.MemoryPeak(NODE, 7, 149.9, 10.0)
+    record.peak_by_pid[7] = peak
+    assert not _broken_rules(record)
+    record.peak_by_pid[7] = peak._replace(peak_mb=150.1)
+    assert _broken_rules(record) == ["MEMORY"]
+
+
+def test_peak_of_memory_is_that_of_the_process() -> None:
+    peak_mb = processes.peak_memory_mb(os.getpid())
+    rusage = resource.getrusage(resource.RUSAGE_SELF)
+    assert peak_mb == pytest.approx(rusage.ru_maxrss * 1024 / 1e6, rel=0.1)
+    data = bytearray(200_000_000)
+    assert processes.peak_memory_mb(os.getpid()) > len(data) / 1e6
+
+
+@pytest.mark.parametrize(("count", "is_broken"), [(5, False), (6, True)])
+def test_rejected_requests_that_no_other_upstream_gets_are_found(
+    count: int, is_broken: bool
+) -> None:
+    record = _offers(count, 0.1)
+    for number in range(count):
+        attempt_id = f"e{number}"
+        record.faulty_responses.append(
+            checker.FaultyResponse(
+                attempt_id, "desk-0", "true_rejections", "503", False, 20.0
+            )
+        )
+        record.ended_by_id[attempt_id] = checker.Ended(503, b"", "", 21.0)
+    assert ("REJECTED" in _broken_rules(record)) == is_broken
+    record.offers.append(checker.Arrival("e0", "desk-1", 20.5))
+    assert "REJECTED" not in _broken_rules(record)
+
+
+def _faulty_responses() -> list[tuple[str, platform_standins.FaultyResponse]]:
+    return [
+        (kind, response)
+        for kind, responses in faulty_responses.BY_KIND.items()
+        for response in responses
+    ]
+
+
+@pytest.mark.parametrize("target", ["/book/1", "/ask/1"])
+@pytest.mark.parametrize(
+    ("kind", "response"),
+    [
+        pytest.param(kind, response, id=response.name)
+        for kind, response in _faulty_responses()
+    ],
+)
+async def test_faulty_response_is_sent_and_its_run_recorded(
+    kind: str, response: platform_standins.FaultyResponse, target: str
+) -> None:
+    seen: list[platform_standins.ReceivedRequest] = []
+    upstream = platform_standins.Upstream("desk-0", seen)
+    upstream.choose_fault = lambda _: response
+    await upstream.start()
+    reader, writer = await asyncio.open_connection(
+        *upstream.address.rsplit(":", 1)
+    )
+    writer.write(
+        f"POST {target} HTTP/1.1\r\nHost: {platform_standins.HOST}\r\n"
+        "X-Lycheegw-Attempt-Id: a1\r\nContent-Length: 0\r\n"
+        "X-Lycheegw-Expected-Instance: desk-0\r\n\r\n".encode()
+    )
+    try:
+        async with asyncio.timeout(5.0):
+            if kind == "endless_responses":
+                received = await reader.readexactly(4 * 1024 * 1024)
+            else:
+                received = await reader.readuntil(b"\r\n\r\n")
+                received += await reader.read(65536)
+            await fleet_harness.wait_until(
+                lambda: (
+                    not response.is_answer or upstream.answered_ids == {"a1"}
+                )
+            )
+    finally:
+        writer.close()
+        await upstream.stop()
+    assert len(seen) == response.has_run
+    assert bool(upstream.answered_ids) == response.is_answer
+    is_marked = "mark" in response.name and not any(
+        each in response.name for each in ("without the mark", "mark 0")
+    )
+    assert (b"Not-Executed: 1" in received) == (
+        is_marked or "rejection" in response.name
+    )
+
+
 def test_answer_of_another_upstream_is_found() -> None:
     assert _broken_rules(_record(signature="sig-desk-9")) == ["MIXED"]
 
