Tests: in the state machine of keys single nodes are cut off from the log

Before, the log failed for all nodes or for none, so that no copy of a stream was older than another.

--- a/tests/key_fakes.py
+++ b/tests/key_fakes.py
@@ -90,6 +90,34 @@
         )
 
 
+class LogLink:
+    """The connection of one node to the log.
+
+    Attributes:
+        is_cut: Whether all calls fail without effect.
+    """
+
+    def __init__(self, log: Log):
+        self.is_cut = False
+        self._log = log
+
+    async def append(
+        self, stream: str, entries: Sequence[interfaces.NewEntry]
+    ) -> int:
+        self._check()
+        return await self._log.append(stream, entries)
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait_s: float
+    ) -> interfaces.LogPage:
+        self._check()
+        return await self._log.read(stream, start, limit, wait_s)
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise errors.LogUnavailableError("cut off", False)
+
+
 class Network:
     """The live nodes by id, and the listed ones, which may be dead."""
 
--- a/tests/test_keys_machine.py
+++ b/tests/test_keys_machine.py
@@ -34,8 +34,9 @@
         bus = key_fakes.Bus(machine.network, node_id)
         codec = key_codec.CODEC
         self.node_id = node_id
+        self.log_link = key_fakes.LogLink(machine.log)
         self.coordinator = key_coordinator.KeyCoordinator(
-            state, machine.log, bus, codec
+            state, self.log_link, bus, codec
         )
         self.key_claims = key_claims.KeyClaims(
             state, bus, self.coordinator, codec
@@ -174,6 +175,10 @@
     def set_log_fault(self, fault: str) -> None:
         self.log.fault = fault
 
+    @stateful.rule(index=INDEXES, is_cut=strategies.booleans())
+    def cut_off_from_log(self, index: int, is_cut: bool) -> None:
+        self.nodes[index].log_link.is_cut = is_cut
+
     @stateful.rule()
     def apply_late(self) -> None:
         self.log.apply_late()
