--- a/src/lycheegw/coordination/attempts.py
+++ b/src/lycheegw/coordination/attempts.py
@@ -59,7 +59,7 @@
 
     Attributes:
         attempts: Number of attempts begun.
-        ledger: Whether the request may have run, over all attempts.
+        runs: Verdict over all attempts.
         attempt_start_s: Monotonic time at which the last attempt was sent.
         started_at_s: Wall time at which the last attempt's upstream started.
         tried: Ids of upstreams that failed the request in this round.
@@ -75,7 +75,7 @@
 
     def __init__(self) -> None:
         self.attempts = 0
-        self.ledger = verdicts.RunLedger()
+        self.runs = verdicts.RunLedger()
         self.attempt_start_s = 0.0
         self.started_at_s = 0.0
         self.tried: set[str] = set()
@@ -153,7 +153,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.NO_UPSTREAM,
                 f"no upstream available for {pool}@{version or 'any'}",
-                progress.ledger.verdict,
+                progress.runs.verdict,
                 self._retry_after_s(progress),
             )
         self._ejections.note_chosen(upstream)
@@ -235,9 +235,9 @@
                 check_allowed()
                 self._note_sent(upstream, progress)
                 yield
-                progress.ledger.end(verdicts.RunVerdict.RAN)
+                progress.runs.end(verdicts.RunVerdict.RAN)
         except errors.UpstreamError as error:
-            progress.ledger.end(error.verdict)
+            progress.runs.end(error.verdict)
             # `handle_failure` counts a crash before it releases a suspect.
             raise
         except BaseException:
@@ -249,7 +249,7 @@
     def _note_sent(
         self, upstream: upstreams.Upstream, progress: Progress
     ) -> None:
-        progress.ledger.begin()
+        progress.runs.begin()
         progress.attempt_start_s = self._state.environment.monotonic_s()
         report = upstream.report
         progress.started_at_s = report.started_at_s if report else 0.0
@@ -338,7 +338,7 @@
         needed_s: float,
     ) -> reasons.RefusalReason | None:
         """Returns why the request ends, None if a retry follows."""
-        if not retries.is_retry_safe(request, progress.ledger.verdict):
+        if not retries.is_retry_safe(request, progress.runs.verdict):
             return reasons.RefusalReason.MAY_HAVE_RUN
         if progress.attempts >= retries.MAX_ATTEMPTS:
             return reasons.RefusalReason.ATTEMPTS_EXHAUSTED
@@ -361,7 +361,7 @@
         return errors.RefusalError(
             reason,
             message,
-            progress.ledger.verdict,
+            progress.runs.verdict,
             self._retry_after_s(progress),
         )
 
@@ -406,5 +406,5 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"deadline passed after {self._progress.attempts} attempts",
-                self._progress.ledger.verdict,
+                self._progress.runs.verdict,
             ) from None
--- a/src/lycheegw/coordination/dispatcher.py
+++ b/src/lycheegw/coordination/dispatcher.py
@@ -93,5 +93,5 @@
                 yield progress
         except errors.RefusalError as error:
             # The code that refused may not know of earlier attempts.
-            error.verdict = error.verdict.max_with(progress.ledger.verdict)
+            error.verdict = error.verdict.max_with(progress.runs.verdict)
             raise
--- a/src/lycheegw/coordination/model_runs.py
+++ b/src/lycheegw/coordination/model_runs.py
@@ -52,7 +52,7 @@
         """
         while True:
             choice = version_selection.choose_versions(
-                self._state, request, work, claim, progress.ledger.verdict
+                self._state, request, work, claim, progress.runs.verdict
             )
             try:
                 return await self._run_plan(
@@ -155,7 +155,7 @@
             request.organisation,
             work.model,
             version,
-            progress.ledger.verdict,
+            progress.runs.verdict,
         )
 
     async def _stream(
--- a/src/lycheegw/coordination/service_runs.py
+++ b/src/lycheegw/coordination/service_runs.py
@@ -80,7 +80,7 @@
             answer = key_claims.StoredAnswer(result)
         finally:
             await self._dependencies.key_claims.complete(
-                request, progress.ledger.verdict, answer
+                request, progress.runs.verdict, answer
             )
         return result
 
@@ -96,7 +96,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.UNKNOWN_SERVICE,
                 f"no operation {work.service}/{work.operation} in the catalog",
-                progress.ledger.verdict,
+                progress.runs.verdict,
             )
         call = interfaces.OperationCall(
             request.request_id,
