Memory: refusals by a declared length are logged, too

Operators saw refusal.memory_full without the line memory_full, if a body was refused at its head: the check of its length didn't count as a refused reservation. It reserves for a moment now. The refusal's test looks at the counter and the gauge as well.

--- a/src/lycheegw/state/memory_budget.py
+++ b/src/lycheegw/state/memory_budget.py
@@ -66,21 +66,18 @@
         self._budget = budget
         self.size = 0
 
-    def fits(self, size: int) -> bool:
-        """Returns whether `size` bytes in all would be granted now."""
-        budget = self._budget
-        limit = budget.limit if size <= _SMALL_BYTES else budget.large_limit
-        return budget.held + size - self.size <= limit
-
     def resize(self, size: int) -> bool:
         """Reserves `size` bytes in all; returns whether they were granted.
 
         Fewer bytes than before are always granted.
         """
-        if size > self.size and not self.fits(size):
-            self._budget.refused_count += 1
+        budget = self._budget
+        held = budget.held + size - self.size
+        limit = budget.limit if size <= _SMALL_BYTES else budget.large_limit
+        if size > self.size and held > limit:
+            budget.refused_count += 1
             return False
-        self._budget.held += size - self.size
+        budget.held = held
         self.size = size
         return True
 
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -299,10 +299,15 @@
             if name == b"content-length":
                 # h11 has checked that it is a number.
                 length = int(value)
+        held_before = self.held.size
         if length > self._limits.body_bytes:
             self._reject(413, "body too large")
-        elif not self.held.fits(_BODY_COPIES * length):
+        elif not self.held.resize(_BODY_COPIES * length):
             self._refuse_for_memory()
+        else:
+            # Bytes count once they arrive: a slow caller must not keep others
+            # out.
+            self.held.resize(held_before)
 
     def _start_handler(self) -> None:
         self._cancel_timer()
--- a/tests/platform/test_long_bodies.py
+++ b/tests/platform/test_long_bodies.py
@@ -204,6 +204,10 @@
         retry_after = head.lower().partition("retry-after: ")[2].split()[0]
         assert 0 < float(retry_after) <= 1.0
         assert node.state.counters.by_name["refusal.memory_full"] == 1
+        await fleet_harness.wait_until(
+            lambda: node.state.counters.by_name["memory.refused.requests"] > 0
+        )
+        assert node._gauges()["memory_limit_bytes_requests"] == budget.limit
         reply = await _send(fleet, "/book/1", b"short")
         assert reply.status == 200
         await _wait_until_released(fleet)
