--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from lycheegw.coordination import held_answers
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
 from lycheegw.state import memory_budget
@@ -26,12 +27,12 @@
     Attributes:
         incoming: The request.
         is_started: Whether the response head was sent.
-        held: Memory that the request and its response take.
+        memory: What the request and its response take.
     """
 
     incoming: forwarded_requests.IncomingRequest
     is_started: bool
-    held: memory_budget.Reservation
+    memory: memory_budget.Reservation
 
     async def send(self, refusal: forwarded_requests.LocalResponse) -> None:
         """Sends a refusal by the router as the whole response."""
@@ -77,12 +78,10 @@
     """The state of a request over all its attempts.
 
     Attributes:
-        run_count: Attempts that may have run.
+        runs: Verdict over all attempts, by upstreams or peers.
         rejection_count: Attempts that upstreams rejected without running them.
         attempt_count: Attempts of any kind.
         sent_count: Attempts that may have reached an upstream.
-        is_in_flight: Whether an attempt was sent and has not ended.
-        verdict: Whether any ended attempt may have run.
         tried: Ids of upstreams that failed the request.
         answered: Keys of the upstream processes that responded on a connection
             that was kept.
@@ -96,19 +95,20 @@
         send_delay_s: Seconds from `attempt_start_s` to the first byte sent.
         list_age_s: Age of the list of upstreams when that byte was sent.
         status: HTTP status of the last response, 0 before the first one.
+        evidence: What the last attempt's response says about a run, for the
+            log; empty before it.
         is_relay_declined: Whether no peer took the request.
         unreached: Ids of upstreams that could not be reached.
         head_s: Seconds from `attempt_start_s` to the response head.
         confidence: Confidence that the last model reported.
+        held: Answer of the model before, until it is given up; else None.
     """
 
     def __init__(self, work: forwarded_requests.ForwardedWork) -> None:
-        self.run_count = 0
+        self.runs = verdicts.RunLedger()
         self.rejection_count = 0
         self.attempt_count = 0
         self.sent_count = 0
-        self.is_in_flight = False
-        self.verdict = verdicts.RunVerdict.NOT_RUN
         self.tried: set[str] = set()
         self.answered: set[str] = set()
         self.last_event = work.traits.last_event
@@ -121,16 +121,12 @@
         self.send_delay_s = 0.0
         self.list_age_s = 0.0
         self.status = 0
+        self.evidence = ""
         self.is_relay_declined = False
         self.unreached: set[str] = set()
         self.head_s = 0.0
         self.confidence: float | None = None
-
-    def current_verdict(self) -> verdicts.RunVerdict:
-        """Returns the verdict, including an attempt in flight."""
-        if self.is_in_flight:
-            return self.verdict.max_with(verdicts.RunVerdict.MAY_HAVE_RUN)
-        return self.verdict
+        self.held: held_answers.HeldAnswer | None = None
 
 
 class AcceptedRequest(NamedTuple):
--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -17,6 +17,7 @@
 from lycheegw.state import memory_budget
 from lycheegw.state import reasons
 from lycheegw.state import routing
+from lycheegw.state import run_evidence
 from lycheegw.state import verdicts
 
 __all__ = ["PACE_EVENTS", "check_head", "deliver", "is_stream"]
@@ -52,34 +53,47 @@
 
 async def check_head(
     head: forwarded_requests.ResponseHead,
+    evidence: run_evidence.RunEvidence,
     call: interfaces.ForwardCall,
     has_begun: bool,
-    held: memory_budget.Reservation,
+    memory: memory_budget.Reservation,
 ) -> None:
     """Checks the response head before anything of the response is forwarded.
 
     Args:
         head: The response head.
+        evidence: What it says about a run.
         call: Call from which the body is read.
         has_begun: Whether the client has received a part of the stream.
-        held: Memory that the request takes.
+        memory: What the request takes.
 
     Raises:
         errors.UpstreamError: The response may be for another request, or is a
-            rejection, a success without a signature, a server error
-            (accepted_requests.HttpStatusError), or does not continue a stream.
+            rejection, contradicts itself, is a success without a signature, a
+            server error (accepted_requests.HttpStatusError), or does not
+            continue a stream.
     """
     if not head.is_attributed:
         raise errors.UpstreamError(
             reasons.RetryReason.ECHO_MISMATCH,
-            f"status {head.status} without an id on a used connection",
+            f"response that may be for another request: {evidence}",
             _MAY_HAVE_RUN,
         )
-    if head.is_not_run:
-        # A connection can be reused only once its response was read.
+    judgement = run_evidence.judge(evidence)
+    if judgement.verdict is verdicts.RunVerdict.NOT_RUN:
+        # A connection can be reused only once its response was read. One that
+        # breaks off is no evidence.
         await _skip_body(call)
+        is_followed = call.has_trailing_data
         call.finish()
-        is_misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        if is_followed:
+            # It may be the answer.
+            raise errors.UpstreamError(
+                reasons.RetryReason.UNCLEAR_REJECTION,
+                f"bytes after a rejection with status {head.status}",
+                _MAY_HAVE_RUN,
+            )
+        is_misdirected = judgement.basis is run_evidence.Basis.MISDIRECTED
         raise errors.UpstreamError(
             reasons.RetryReason.MISDIRECTED
             if is_misdirected
@@ -88,13 +102,19 @@
             verdicts.RunVerdict.NOT_RUN,
             head.retry_after_s,
         )
-    if head.claims_not_run:
+    if judgement.basis is run_evidence.Basis.UNMARKED_PROMISE:
         # Clients would take the status for a promise and send it again.
         raise errors.UpstreamError(
             reasons.RetryReason.SERVER_ERROR,
             f"status {head.status} of a request that may have run",
             _MAY_HAVE_RUN,
         )
+    if run_evidence.is_contradictory(evidence):
+        raise errors.UpstreamError(
+            reasons.RetryReason.UNCLEAR_REJECTION,
+            f"rejection of a request that may have run: {evidence}",
+            _MAY_HAVE_RUN,
+        )
     is_success = 200 <= head.status < 300
     if is_success and (not head.is_signed or head.is_encoded):
         raise errors.UpstreamError(
@@ -109,7 +129,7 @@
             _MAY_HAVE_RUN,
         )
     if head.status >= 500:
-        body = await _read_error_body(call, held)
+        body = await _read_error_body(call, memory)
         call.finish()
         raise accepted_requests.HttpStatusError(
             accepted_requests.WholeAnswer(head, body)
@@ -154,47 +174,42 @@
     """Forwards a body; raises errors.UpstreamError if it breaks off."""
     if accepted.work.incoming.method != b"HEAD":
         _check_length(head.content_length or 0, _MAX_BODY_BYTES)
-    sink, held = accepted.sink, accepted.sink.held
-    held_before = held.size
+    sink, memory = accepted.sink, accepted.sink.memory
+    memory_before = memory.size
     body = bytearray()
     received = 0
     while (data := await call.read()) is not None:
         received += len(data)
         body += data
-        if received > _MAX_COLLECTED_BYTES or not held.grow(len(data)):
+        if received > _MAX_COLLECTED_BYTES or not memory.grow(len(data)):
             break
     is_whole = data is None
     if is_whole:
-        _note_whole(accepted.progress)
+        accepted.progress.runs.end(verdicts.RunVerdict.RAN)
     length = len(body) if is_whole else head.content_length
     await sink.start(head.status, head.headers, length)
     while body:
         await sink.write(bytes(body[:_PART_BYTES]))
         del body[:_PART_BYTES]
     if not is_whole:
-        held.resize(held_before)
+        memory.resize(memory_before)
         while (data := await call.read()) is not None:
             received += len(data)
             _check_length(received, _MAX_BODY_BYTES)
             await sink.write(data)
-        _note_whole(accepted.progress)
+        accepted.progress.runs.end(verdicts.RunVerdict.RAN)
     await sink.finish()
 
 
-def _note_whole(progress: accepted_requests.Progress) -> None:
-    progress.is_in_flight = False
-    progress.verdict = verdicts.RunVerdict.RAN
-
-
 async def _read_error_body(
-    call: interfaces.ForwardCall, held: memory_budget.Reservation
+    call: interfaces.ForwardCall, memory: memory_budget.Reservation
 ) -> bytes:
     """Returns the body of an error response; raises errors.UpstreamError."""
     body = bytearray()
     while (data := await call.read()) is not None:
         body += data
         _check_length(len(body), _MAX_ERROR_BYTES)
-        if not held.grow(len(data)):
+        if not memory.grow(len(data)):
             raise memory_budget.full_error("the body of an error")
     return bytes(body)
 
@@ -226,8 +241,8 @@
     may_try_elsewhere: Callable[[], bool],
 ) -> None:
     parser = event_streams.EventParser()
-    held = accepted.sink.held
-    held_before = held.size
+    memory = accepted.sink.memory
+    memory_before = memory.size
     events = 0
     gap_s = max(_MIN_GAP_S, _GAP_FACTOR * accepted.work.route.target_gap_s)
     loop = asyncio.get_running_loop()
@@ -250,7 +265,7 @@
             await _forward_events(accepted, b"".join(parts), head, version)
         if events > events_before:
             due_s = loop.time() + gap_s
-        if not held.resize(held_before + len(parser.incomplete)):
+        if not memory.resize(memory_before + len(parser.incomplete)):
             raise memory_budget.full_error("an incomplete event")
         if parser.fault:
             raise errors.UpstreamError(
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -14,6 +14,7 @@
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
 from lycheegw.coordination import freshness
+from lycheegw.coordination import held_answers
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
 from lycheegw.coordination import relays
@@ -31,6 +32,7 @@
 from lycheegw.state import reasons
 from lycheegw.state import requests
 from lycheegw.state import routing
+from lycheegw.state import run_evidence
 from lycheegw.state import silence_timeouts
 from lycheegw.state import upstreams
 from lycheegw.state import verdicts
@@ -44,6 +46,7 @@
 
 _NOT_RUN = verdicts.RunVerdict.NOT_RUN
 _MAY_HAVE_RUN = verdicts.RunVerdict.MAY_HAVE_RUN
+_RAN = verdicts.RunVerdict.RAN
 
 # Rejections by upstreams after which a request is refused. Upstreams are tried
 # one after the other, and more attempts would only burden a busy fleet.
@@ -87,6 +90,7 @@
     {
         reasons.RetryReason.SERVER_ERROR,
         reasons.RetryReason.MALFORMED,
+        reasons.RetryReason.UNCLEAR_REJECTION,
         reasons.RetryReason.UNSIGNED,
     }
 )
@@ -203,10 +207,28 @@
         """Makes attempts at upstreams as long as these are within reach."""
         progress = accepted.progress
         progress.model = model_cascade.first_model(accepted.work)
-        held_by_request = accepted.sink.held.size
+        try:
+            await self._make_attempts(accepted)
+        except errors.RefusalError:
+            if not await self._deliver_held(accepted):
+                raise
+        finally:
+            if progress.held is not None:
+                progress.held.drop()
+
+    async def _make_attempts(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> None:
+        """Makes attempts at upstreams until a response has ended.
+
+        Raises:
+            errors.RefusalError: The request failed.
+        """
+        progress = accepted.progress
+        memory_of_request = accepted.sink.memory.size
         while True:
-            # What the attempt before held is dropped.
-            accepted.sink.held.resize(held_by_request)
+            # What the attempt before read is dropped.
+            accepted.sink.memory.resize(memory_of_request)
             self._dependencies.suspects.refuse_blocked(accepted.request)
             if (
                 self._dependencies.reach.is_cut_off
@@ -227,6 +249,12 @@
                 await self._handle_failure(accepted, choice, error)
                 if progress.is_error_forwarded:
                     return
+                if (
+                    progress.held is not None
+                    and progress.held.model == progress.model
+                    and await self._deliver_held(accepted)
+                ):
+                    return
                 continue
             except BaseException:
                 self._dependencies.suspects.release(
@@ -241,7 +269,6 @@
             if larger is None:
                 return
             progress.model = larger
-            progress.run_count += 1
             progress.tried.clear()
 
     def connection_limit(self, service: routing.Service) -> int:
@@ -321,7 +348,7 @@
             reason,
             f"no available upstream among {choice.pool_size} of"
             f" {accepted.service.name}",
-            accepted.progress.verdict,
+            accepted.progress.runs.verdict,
             # Clients return spread out after the pause.
             choice.pause_s + retry_after_s,
         )
@@ -395,45 +422,119 @@
                 call = await self._dependencies.client.send(
                     self._build_attempt(accepted, choice)
                 )
-                # Before this, no bytes were sent to the upstream.
-                progress.is_in_flight = True
                 self._note_sent(accepted)
                 head = await self._wait_for_head(accepted, call, choice)
             progress.head_s = self._now_s() - progress.attempt_start_s
             progress.status = head.status
+            evidence = self._note_evidence(accepted, head)
             progress.confidence = head.confidence
             self._note_load(choice, head)
             self._dependencies.notices.note_response(
                 choice.upstream, head, progress.attempt_start_s
             )
             await answer_delivery.check_head(
-                head, call, accepted.sink.is_started, accepted.sink.held
+                head,
+                evidence,
+                call,
+                accepted.sink.is_started,
+                accepted.sink.memory,
             )
+            if progress.held is not None:
+                progress.held.drop()
             larger = self._larger_model(accepted)
             self._note_answer(accepted, version, larger)
+            answer = held_answers.Answer(
+                call,
+                head,
+                choice,
+                progress.model,
+                progress.attempt_start_s,
+                progress.head_s,
+            )
             if larger is not None:
-                call.abort()
+                progress.runs.end(_RAN)
+                progress.held = held_answers.HeldAnswer(
+                    answer, lambda: self._note_call_ended(accepted, choice)
+                )
                 return larger
+        except BaseException:
+            if call is not None:
+                call.abort()
+            self._note_call_ended(accepted, choice)
+            raise
+        await self._deliver(accepted, answer)
+        return None
+
+    async def _deliver(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        answer: held_answers.Answer,
+    ) -> None:
+        """Forwards the body of a response; raises errors.UpstreamError."""
+        version = answer.choice.upstream.entry.version
+        try:
             await answer_delivery.deliver(
                 accepted,
-                call,
-                head,
+                answer.call,
+                answer.head,
                 version,
                 lambda: self._note_pace(accepted, version),
-                lambda: self._may_try_elsewhere(accepted, choice),
+                lambda: self._may_try_elsewhere(accepted, answer.choice),
             )
-            call.finish()
+            answer.call.finish()
             self._note_stream_end(accepted)
-            return None
         except BaseException:
-            if call is not None:
-                call.abort()
+            answer.call.abort()
             raise
         finally:
-            choice.upstream.in_flight -= 1
-            self._dependencies.rollouts.note_ended(
-                accepted.service.name, version, accepted.request.session
-            )
+            self._note_call_ended(accepted, answer.choice)
+
+    def _note_call_ended(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> None:
+        """Records that an upstream has no more work with an attempt."""
+        choice.upstream.in_flight -= 1
+        self._dependencies.rollouts.note_ended(
+            accepted.service.name,
+            choice.upstream.entry.version,
+            accepted.request.session,
+        )
+
+    async def _deliver_held(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> bool:
+        """Delivers the answer that was to be given up, if it is still there.
+
+        Raises:
+            errors.RefusalError: It broke off, and the request failed.
+        """
+        progress = accepted.progress
+        answer = None if progress.held is None else progress.held.take()
+        if answer is None:
+            return False
+        progress.model = answer.model
+        progress.upstream = answer.choice.upstream.entry.host_id
+        progress.status = answer.head.status
+        progress.confidence = answer.head.confidence
+        progress.attempt_start_s = answer.started_s
+        progress.head_s = answer.head_s
+        self._state.counters.add("answers.held_delivered")
+        self._dependencies.note(
+            "held_answer",
+            request_id=accepted.request.request_id,
+            upstream=progress.upstream,
+            model=progress.model,
+            confidence=progress.confidence,
+        )
+        try:
+            await self._deliver(accepted, answer)
+        except errors.UpstreamError as error:
+            await self._handle_failure(accepted, answer.choice, error)
+            if not progress.is_error_forwarded:
+                await self._make_attempts(accepted)
+        return True
 
     def _note_attempt(
         self,
@@ -446,6 +547,7 @@
         progress.attempt_count += 1
         progress.attempt_start_s = now_s
         progress.upstream = upstream.entry.host_id
+        progress.evidence = ""
         if progress.sent_count:
             self._dependencies.budgets.note_extra_attempt(service.name)
         progress.sent_count += 1
@@ -477,9 +579,23 @@
             last_event=progress.last_event,
         )
 
+    def _note_evidence(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        head: forwarded_requests.ResponseHead,
+    ) -> run_evidence.RunEvidence:
+        """Returns and records what a response says about a run."""
+        evidence = head.evidence(accepted.request.request_id)
+        accepted.progress.evidence = str(evidence)
+        basis = run_evidence.judge(evidence).basis
+        self._state.counters.add(f"evidence.{basis.value}")
+        return evidence
+
     def _note_sent(self, accepted: accepted_requests.AcceptedRequest) -> None:
         """Records how late, and by how old a list, an attempt was sent."""
         progress, route = accepted.progress, accepted.work.route.name
+        if progress.held is not None:
+            progress.held.note_sent()
         progress.send_delay_s = self._now_s() - progress.attempt_start_s
         progress.list_age_s = self._dependencies.list_age_s()
         self._dependencies.observe("send_delay", route, progress.send_delay_s)
@@ -500,10 +616,21 @@
             progress.last_event if progress.event_count else None,
             _urgency(accepted.work, progress.model),
             self.connection_limit(accepted.service),
-            lambda: not self._new_objections(accepted, choice),
+            lambda: self._may_send(accepted, choice),
             progress.answered,
         )
 
+    def _may_send(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> bool:
+        """Begins an attempt, in the turn of its first byte, or rules it out."""
+        if self._new_objections(accepted, choice):
+            return False
+        accepted.progress.runs.begin()
+        return True
+
     def _new_objections(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -586,7 +713,7 @@
         may_repeat = (
             accepted.request.is_idempotent
             and (route.is_resumable or not progress.event_count)
-            and progress.run_count + 1 < route.max_attempts
+            and progress.runs.run_count + 1 < route.max_attempts
             and self._left_s(accepted.request) >= _MIN_TIME_LEFT_S
             and self._dependencies.budgets.allows_attempt(accepted.service.name)
         )
@@ -620,7 +747,7 @@
         route, progress = accepted.work.route, accepted.progress
         if not accepted.request.is_idempotent:
             return None
-        if progress.run_count + 1 >= route.max_attempts:
+        if progress.runs.run_count + 1 >= route.max_attempts:
             return None
         min_timeout_s = (
             _MIN_TIMEOUT_SHARE_OF_TARGET[route.kind] * route.target_latency_s
@@ -668,7 +795,9 @@
     ) -> str | None:
         """Returns the model to ask next, None if the response is kept."""
         progress, service = accepted.progress, accepted.service
-        has_attempt = progress.run_count + 1 < accepted.work.route.max_attempts
+        has_attempt = (
+            progress.runs.run_count + 1 < accepted.work.route.max_attempts
+        )
         if progress.event_count or not has_attempt:
             return None
         larger = model_cascade.larger_model(
@@ -779,12 +908,10 @@
             errors.RefusalError: The request failed.
         """
         progress = accepted.progress
-        progress.is_in_flight = False
-        progress.verdict = progress.verdict.max_with(error.verdict)
-        if error.verdict is _NOT_RUN:
-            progress.rejection_count += 1
-        else:
-            progress.run_count += 1
+        if progress.held is not None:
+            progress.held.note_failed()
+        progress.runs.end(error.verdict)
+        progress.rejection_count += error.verdict is _NOT_RUN
         progress.tried.add(choice.upstream.entry.host_id)
         await self._note_failure(accepted, choice, error)
         reason = self._refusal_reason(accepted, error)
@@ -794,13 +921,14 @@
         elif (
             isinstance(error, accepted_requests.HttpStatusError)
             and not progress.event_count
+            and (progress.held is None or progress.held.model is None)
         ):
             await _forward_error_response(accepted, error.answer)
         else:
             raise errors.RefusalError(
                 reason,
                 f"{progress.attempt_count} attempts, last error: {error}",
-                progress.verdict,
+                progress.runs.verdict,
                 self._retry_after_s(
                     accepted.work, error.reason in _ABSENT_REASONS
                 ),
@@ -832,10 +960,11 @@
         self._dependencies.note(
             "attempt_failed",
             request_id=accepted.request.request_id,
+            run=error.verdict.value,
+            evidence=accepted.progress.evidence,
             upstream=host_id,
             version=version,
             reason=error.reason.value,
-            run=error.verdict.value,
             message=str(error),
         )
         if error.reason in _UNSENT_REASONS:
@@ -890,9 +1019,10 @@
             progress.event_count and route.is_resumable
         ):
             return reasons.RefusalReason.STREAM_BROKEN
-        if error.verdict is not _NOT_RUN and not accepted.request.is_idempotent:
+        may_have_run = progress.runs.verdict is not _NOT_RUN
+        if may_have_run and not accepted.request.is_idempotent:
             return reasons.RefusalReason.MAY_HAVE_RUN
-        if progress.run_count >= route.max_attempts:
+        if progress.runs.run_count >= route.max_attempts:
             return reasons.RefusalReason.ATTEMPTS_EXHAUSTED
         if progress.rejection_count > _MAX_REJECTIONS:
             return reasons.RefusalReason.SHED
@@ -935,8 +1065,8 @@
 def _may_relay(accepted: accepted_requests.AcceptedRequest) -> bool:
     """Returns whether a peer may serve a request in this node's place."""
     progress = accepted.progress
-    has_not_run = progress.current_verdict() is _NOT_RUN
-    has_attempt = progress.run_count < accepted.work.route.max_attempts
+    has_not_run = progress.runs.verdict is _NOT_RUN
+    has_attempt = progress.runs.run_count < accepted.work.route.max_attempts
     return (
         not accepted.work.incoming.is_relayed
         and not progress.is_relay_declined
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import hashlib
+import http
 from typing import NamedTuple
 
 from lycheegw.coordination import accepted_requests
@@ -39,7 +40,14 @@
 
 
 class Codec(NamedTuple):
-    """Decodes the headers of requests and encodes refusals."""
+    """Decodes the headers of requests and encodes refusals.
+
+    Attributes:
+        decode_traits: Returns the traits in a client's headers.
+        encode_refusal: Returns the response to a refused request.
+        promises_not_run: Returns whether clients take a status for a promise
+            that their request has not run and never will.
+    """
 
     decode_traits: Callable[
         [forwarded_requests.IncomingRequest], forwarded_requests.RequestTraits
@@ -47,6 +55,7 @@
     encode_refusal: Callable[
         [errors.RefusalError], forwarded_requests.LocalResponse
     ]
+    promises_not_run: Callable[[int], bool]
 
 
 def shutting_down_error() -> errors.RefusalError:
@@ -118,7 +127,7 @@
             self._note_end(end, "caller_gone", error)
             raise
         else:
-            self._note_end(end, "answered", None)
+            self._note_end(end, _outcome(end), None)
 
     async def _wait_for_startup(self) -> None:
         """Waits a short time for a process that has not read the store yet."""
@@ -272,7 +281,7 @@
             raise errors.RefusalError(
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"no complete response within {left_s:.2f} s",
-                accepted.progress.current_verdict(),
+                accepted.progress.runs.verdict,
                 forward_attempts.MIN_RETRY_AFTER_S,
             ) from None
         finally:
@@ -287,7 +296,7 @@
     ) -> None:
         """Sends a refusal, or breaks off a response that has begun."""
         if end.accepted is not None:
-            verdict = end.accepted.progress.current_verdict()
+            verdict = end.accepted.progress.runs.verdict
             error.verdict = error.verdict.max_with(verdict)
         self._state.counters.add(f"refusal.{error.reason.value}")
         self._note_end(end, "refused", error)
@@ -313,20 +322,23 @@
         """Records the outcome of a request in counters, histogram and log."""
         taken_s = self._now_s() - end.incoming.received_s
         self._state.counters.add(f"requests.{outcome}")
-        fields: dict[str, object] = {"taken_s": round(taken_s, 3)}
+        # Records of incidents may cut lines short: the verdict comes first.
+        fields: dict[str, object] = {}
         if end.traits is not None:
             fields["request_id"] = end.traits.request_id
+        if isinstance(error, errors.RefusalError):
+            fields |= {"reason": error.reason.value, "run": error.verdict.value}
         if end.accepted is not None:
             self._dependencies.observe(
                 outcome, end.accepted.request.kind, taken_s
             )
+            fields["evidence"] = end.accepted.progress.evidence
+            fields["runs"] = end.accepted.progress.runs.run_count
+        fields["taken_s"] = round(taken_s, 3)
+        if end.accepted is not None:
             fields |= _progress_fields(end.accepted)
         if isinstance(error, errors.RefusalError):
-            fields |= {
-                "reason": error.reason.value,
-                "run": error.verdict.value,
-                "message": str(error),
-            }
+            fields["message"] = str(error)
         if end.manifest_version is not None:
             fields["manifest"] = end.manifest_version
             fields["orders_age_s"] = round(
@@ -339,6 +351,14 @@
         return self._state.environment.monotonic_s()
 
 
+def _outcome(end: "_End") -> str:
+    """Returns how a request ended whose response was sent whole."""
+    is_error = end.accepted is not None and (
+        end.accepted.progress.status >= http.HTTPStatus.BAD_REQUEST
+    )
+    return "error_forwarded" if is_error else "answered"
+
+
 class _End:
     """A request as far as it was read and accepted, for the final log line.
 
--- a/src/lycheegw/coordination/interfaces.py
+++ b/src/lycheegw/coordination/interfaces.py
@@ -144,6 +144,10 @@
             errors.UpstreamError: The response broke off.
         """
 
+    @property
+    def has_trailing_data(self) -> bool:
+        """Whether bytes were received after the end of the response."""
+
     def finish(self) -> None:
         """Ends a call whose response was read completely."""
 
@@ -387,8 +391,8 @@
         """Sends an order; returns once the upstream accepted it.
 
         Raises:
-            errors.UpstreamError: The order was refused (NOT_RUN), or its
-                outcome is unknown.
+            errors.UpstreamError: The order was refused, or its outcome is
+                unknown.
         """
 
 
--- a/src/lycheegw/coordination/key_claims.py
+++ b/src/lycheegw/coordination/key_claims.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 import contextlib
 import hashlib
+import itertools
 import json
 from typing import Any
 from typing import NamedTuple
@@ -94,25 +95,41 @@
                 a stored answer, belongs to a different request, or can't be
                 claimed in the log.
         """
+        claim = self._new_claim(request)
+        reply: key_messages.CommitReply | None = None
         now_s = self._state.environment.monotonic_s()
         remaining_s = request.deadline_s - now_s - _DEADLINE_MARGIN_S
         try:
             async with asyncio.timeout(min(_BEGIN_TIMEOUT_S, remaining_s)):
-                return await self._claim_or_resolve(
-                    request, self._new_claim(request)
-                )
+                reply = await self._claim(request, claim)
+                if reply is None:
+                    return None
+                return await self._resolve_lost_claim(claim, reply)
         except TimeoutError:
+            if reply is not None:
+                raise key_refusals.may_have_run(
+                    "the node that claimed the key did not answer in time"
+                ) from None
             raise key_refusals.log_unavailable(
                 "the log did not answer in time",
-                key_refusals.verdict_without_log(request),
+                self._verdict_without_log(request, claim.key),
             ) from None
 
-    async def _claim_or_resolve(
+    async def _claim(
         self, request: requests.Request, claim: key_messages.KeyTransition
-    ) -> StoredAnswer | None:
+    ) -> key_messages.CommitReply | None:
+        """Claims a key; returns the reply if another claim holds it.
+
+        Raises:
+            errors.RefusalError: A request with the key runs at this node, or
+                the claim is not in the log.
+        """
         running = self._running_claim_by_key.get(claim.key)
         if running is not None:
-            self._check_fingerprint(claim, running.fingerprint)
+            # The running claim may yet be lost to one of this request.
+            key_refusals.check_fingerprint(
+                claim, running.fingerprint, verdicts.RunVerdict.MAY_HAVE_RUN
+            )
             raise key_refusals.in_use()
         self._running_claim_by_key[claim.key] = claim
         try:
@@ -128,8 +145,8 @@
         else:
             self._abandon(claim)
         if reply.status.state in key_messages.FREE_STATES:
-            raise self._refusal_without_commit(request, reply)
-        return await self._resolve_lost_claim(claim, reply.status)
+            raise self._refusal_without_commit(request, claim.key, reply)
+        return reply
 
     def _new_claim(
         self, request: requests.Request
@@ -151,24 +168,30 @@
         """Commits transitions of one stream through a coordinator.
 
         If no other node commits them, this node does. Submitting a claim
-        twice does no harm: the first in the log counts.
+        twice does no harm: the first in the log counts. Of several replies to
+        a transition the one that says most of the key is returned.
         """
         index = key_coordinator.stream_index(transitions[0].key)
         now_s = self._state.environment.monotonic_s()
         coordinators = key_coordinator.rank_coordinators(index, self._peers)
         own_id = self._state.identity.node_id
+        received = []
         for node_id in self._unresponsive.responsive(coordinators, now_s)[
             :_MAX_COORDINATORS_TRIED
         ]:
             if node_id == own_id:
                 break
             replies = await self._call_coordinator(node_id, transitions)
-            if replies is not None and all(
-                reply.is_logged for reply in replies
-            ):
-                return replies
+            if replies is not None:
+                if all(reply.is_logged for reply in replies):
+                    return replies
+                received.append(replies)
             self._state.counters.add("keys.keeper_failed")
-        return await self._coordinator.submit(index, transitions)
+        received.append(await self._coordinator.submit(index, transitions))
+        return [
+            max(reversed(replies), key=_knowledge)
+            for replies in zip(*received, strict=True)
+        ]
 
     async def _call_coordinator(
         self, node_id: str, transitions: Sequence[key_messages.KeyTransition]
@@ -205,10 +228,18 @@
             self._state.counters.add("keys.outcome_dropped")
 
     async def _resolve_lost_claim(
-        self, claim: key_messages.KeyTransition, status: key_messages.KeyStatus
+        self, claim: key_messages.KeyTransition, reply: key_messages.CommitReply
     ) -> StoredAnswer:
         """Returns the first claim's answer; raises RefusalError if none."""
-        self._check_fingerprint(claim, status.fingerprint)
+        status = reply.status
+        key_refusals.check_fingerprint(
+            claim,
+            status.fingerprint,
+            # Entries that were not read may hold a claim of this request.
+            verdicts.RunVerdict.NOT_RUN
+            if reply.is_logged or reply.is_current
+            else verdicts.RunVerdict.MAY_HAVE_RUN,
+        )
         if status.state is key_messages.KeyState.CLAIMED:
             status = await self._query_owner(claim, status)
         if status.state is key_messages.KeyState.MAY_HAVE_RUN:
@@ -219,7 +250,10 @@
         return _stored_answer(status.result)
 
     def _refusal_without_commit(
-        self, request: requests.Request, reply: key_messages.CommitReply
+        self,
+        request: requests.Request,
+        key: bytes,
+        reply: key_messages.CommitReply,
     ) -> errors.RefusalError:
         """Returns the refusal of a claim that was not read back."""
         if reply.is_current:
@@ -229,17 +263,30 @@
             )
         return key_refusals.log_unavailable(
             "the log could neither be written nor read",
-            key_refusals.verdict_without_log(request),
+            self._verdict_without_log(request, key),
         )
 
-    def _check_fingerprint(
-        self, claim: key_messages.KeyTransition, fingerprint: int
-    ) -> None:
-        if claim.fingerprint != fingerprint:
-            raise errors.RefusalError(
-                reasons.RefusalReason.KEY_MISMATCH,
-                "the idempotency key was used for a different request",
-            )
+    def _verdict_without_log(
+        self, request: requests.Request, key: bytes
+    ) -> verdicts.RunVerdict:
+        """Returns whether a key may have run while the log can't be read.
+
+        This request was not sent to an upstream, but an earlier one with the
+        same key may have been. The caller can rule that out, unless this node
+        sent one.
+        """
+        outcomes = itertools.chain(
+            self._unlogged_outcome_by_claim.values(),
+            self._logged_outcome_by_claim.values(),
+        )
+        was_sent = any(
+            outcome.key == key
+            and outcome.kind is not key_messages.TransitionKind.RELEASE
+            for outcome in outcomes
+        )
+        if was_sent or not request.is_first_send:
+            return verdicts.RunVerdict.MAY_HAVE_RUN
+        return verdicts.RunVerdict.NOT_RUN
 
     async def _query_owner(
         self, claim: key_messages.KeyTransition, status: key_messages.KeyStatus
@@ -271,7 +318,8 @@
                 "the node that claimed the key knows no outcome"
             )
         if owner_reply.outcome.kind is key_messages.TransitionKind.RELEASE:
-            raise key_refusals.in_use(verdicts.RunVerdict.NOT_RUN)
+            # Another claim may hold the key since the log was read.
+            raise key_refusals.in_use()
         is_done = owner_reply.outcome.kind is key_messages.TransitionKind.DONE
         state = (
             key_messages.KeyState.DONE
@@ -296,19 +344,24 @@
         self,
         request: requests.Request,
         verdict: verdicts.RunVerdict,
-        result: Any,
+        answer: StoredAnswer | None,
     ) -> None:
         """Records how a claimed request ended, for the next flush to the log.
 
         It never waits, so it delays no answer and can't be cancelled halfway.
+
+        Args:
+            request: The request.
+            verdict: Whether it may have run.
+            answer: Its answer, None if there is no usable one.
         """
         scope = f"{request.organisation}\n{request.idempotency_key}"
         claim = self._running_claim_by_key.pop(
             _digest(scope.encode(), _KEY_BYTES)
         )
         stored = b""
-        if verdict is verdicts.RunVerdict.RAN:
-            stored = json.dumps(result).encode()
+        if verdict is verdicts.RunVerdict.RAN and answer is not None:
+            stored = json.dumps(answer.result).encode()
         if len(stored) > _MAX_RESULT_BYTES:
             stored = b""
         kind = _KIND_BY_VERDICT[verdict]
@@ -379,6 +432,12 @@
     return is_claimed and status.claim == transition.claim
 
 
+def _knowledge(reply: key_messages.CommitReply) -> tuple[bool, bool, bool]:
+    """Returns a sort key: replies that say more of a key come later."""
+    is_free = reply.status.state in key_messages.FREE_STATES
+    return reply.is_logged, not is_free, reply.is_current
+
+
 def _stored_answer(result: bytes) -> StoredAnswer:
     """Returns a stored answer; raises RefusalError if it was not stored."""
     if not result:
--- a/src/lycheegw/coordination/service_runs.py
+++ b/src/lycheegw/coordination/service_runs.py
@@ -8,11 +8,11 @@
 
 from lycheegw.coordination import attempts
 from lycheegw.coordination import interfaces
+from lycheegw.coordination import key_claims
 from lycheegw.state import errors
 from lycheegw.state import node_state
 from lycheegw.state import reasons
 from lycheegw.state import requests
-from lycheegw.state import verdicts
 
 __all__ = ["ServiceAnswer", "ServiceRuns"]
 
@@ -74,17 +74,13 @@
         if stored is not None:
             self._state.trace(request.request_id, "answer_stored")
             return stored.result
-        result = None
-        verdict = verdicts.RunVerdict.MAY_HAVE_RUN
+        answer = None
         try:
             result = await self._run_operation(request, work, progress)
-            verdict = verdicts.RunVerdict.RAN
-        except errors.RefusalError as error:
-            verdict = error.verdict
-            raise
+            answer = key_claims.StoredAnswer(result)
         finally:
             await self._dependencies.key_claims.complete(
-                request, verdict, result
+                request, progress.ledger.verdict, answer
             )
         return result
 
--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
 import http.client
@@ -21,7 +22,13 @@
 from lycheegw.state import reasons
 from lycheegw.state import verdicts
 
-__all__ = ["HttpResponse", "ResponseStream", "fetch", "open_stream"]
+__all__ = [
+    "HttpResponse",
+    "ResponseStream",
+    "fetch",
+    "open_stream",
+    "read_response",
+]
 
 _CONNECT_TIMEOUT_S = 1.0
 _HEAD_END = b"\r\n\r\n"
@@ -81,8 +88,8 @@
     path: str,
     headers: Mapping[str, str],
     body: bytes,
-) -> tuple[bytes, bytes]:
-    """Returns the serialized head and body of a request."""
+) -> bytes:
+    """Returns a serialized request."""
     writer = _RequestWriter(*address)
     writer.request(
         method,
@@ -92,8 +99,7 @@
         preload_content=False,
         decode_content=False,
     )
-    head, _, sent_body = b"".join(writer.written).partition(_HEAD_END)
-    return head + _HEAD_END, sent_body
+    return b"".join(writer.written)
 
 
 class ResponseStream(asyncio.Protocol):
@@ -250,9 +256,7 @@
                 f"malformed response head: {error!r}",
             ) from error
         self.status = response.status
-        self.header_by_name = {
-            name.lower(): value for name, value in response.getheaders()
-        }
+        self.header_by_name = _header_by_name(response.getheaders())
         if "transfer-encoding" in self.header_by_name:
             raise _upstream_error(
                 reasons.RetryReason.MALFORMED,
@@ -268,6 +272,20 @@
             self._transport.abort()
 
 
+def _header_by_name(headers: Iterable[tuple[str, str]]) -> Mapping[str, str]:
+    """Returns headers with names in lower case.
+
+    Different values of one name are joined, so that none hides another.
+    """
+    values_by_name: dict[str, list[str]] = {}
+    for name, value in headers:
+        values_by_name.setdefault(name.lower(), []).append(value)
+    return {
+        name: ", ".join(dict.fromkeys(values))
+        for name, values in values_by_name.items()
+    }
+
+
 class _HeadSocket:
     """Socket stand-in that gives a response head to http.client's parser."""
 
@@ -280,10 +298,22 @@
         return io.BytesIO(self._head)
 
 
+def _open_socket() -> socket.socket:
+    """Returns a socket that is not connected."""
+    try:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise _upstream_error(
+            reasons.RetryReason.NO_FREE_CONNECTION,
+            f"opening a socket failed: {error!r}",
+            verdicts.RunVerdict.NOT_RUN,
+        ) from error
+
+
 async def _connect(address: tuple[str, int], timeout_s: float) -> socket.socket:
     """Returns a connected socket; on an error nothing was sent."""
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = _open_socket()
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
@@ -302,18 +332,20 @@
     return sock
 
 
-async def _send_request(sock: socket.socket, head: bytes, body: bytes) -> None:
+async def _send_request(sock: socket.socket, request: bytes) -> None:
     """Sends a request; raises errors.UpstreamError.
 
-    No server can have run a request without the end of its head. After that
-    it may have run, even if the body is incomplete.
+    It may have run once its first byte was sent: some servers run a request
+    whose head or body breaks off.
     """
-    loop = asyncio.get_running_loop()
+    sent = 0
     verdict = verdicts.RunVerdict.NOT_RUN
     try:
-        await loop.sock_sendall(sock, head)
+        with contextlib.suppress(BlockingIOError):
+            sent = sock.send(request)
         verdict = verdicts.RunVerdict.MAY_HAVE_RUN
-        await loop.sock_sendall(sock, body)
+        rest = memoryview(request)[sent:]
+        await asyncio.get_running_loop().sock_sendall(sock, rest)
     except OSError as error:
         raise _upstream_error(
             reasons.RetryReason.SEND_FAILED,
@@ -323,11 +355,11 @@
 
 
 async def _send_before_timeout(
-    sock: socket.socket, head: bytes, body: bytes, timeout_s: float
+    sock: socket.socket, request: bytes, timeout_s: float
 ) -> None:
     try:
         async with asyncio.timeout(timeout_s):
-            await _send_request(sock, head, body)
+            await _send_request(sock, request)
     except TimeoutError as error:
         raise _upstream_error(
             reasons.RetryReason.SEND_FAILED,
@@ -372,12 +404,12 @@
     deadline_s = loop.time() + timeout_s
     host, _, port = address.rpartition(":")
     target = (host, int(port))
-    head, body = _request_bytes(target, method, path, headers, body)
+    request = _request_bytes(target, method, path, headers, body)
     sock = await _connect(target, min(connect_timeout_s, timeout_s))
     with contextlib.ExitStack() as cleanup:
         cleanup.callback(sock.close)
         await _send_before_timeout(
-            sock, head, body, max(0.0, deadline_s - loop.time())
+            sock, request, max(0.0, deadline_s - loop.time())
         )
         _, stream = await loop.create_connection(ResponseStream, sock=sock)
         cleanup.pop_all()
@@ -406,8 +438,19 @@
     stream = await open_stream(
         address, method, path, timeout_s, headers or {}, body
     )
+    return await read_response(stream, max(0.0, deadline_s - loop.time()))
+
+
+async def read_response(
+    stream: ResponseStream, timeout_s: float
+) -> HttpResponse:
+    """Reads the rest of a response and closes the connection.
+
+    Raises:
+        errors.UpstreamError: The response is not complete, or malformed.
+    """
     try:
-        received = await stream.read_all(max(0.0, deadline_s - loop.time()))
+        received = await stream.read_all(timeout_s)
     except TimeoutError as error:
         raise _upstream_error(
             reasons.RetryReason.HEAD_TIMEOUT,
--- a/src/lycheegw/transport/peer_relay.py
+++ b/src/lycheegw/transport/peer_relay.py
@@ -164,17 +164,17 @@
         incoming: The request.
         is_started: Whether the response head was sent.
         is_finished: Whether the response was sent completely.
-        held: Memory that the request and its response take.
+        memory: What the request and its response take.
     """
 
     def __init__(
         self,
         stream: Any,
         incoming: forwarded_requests.IncomingRequest,
-        held: memory_budget.Reservation,
+        memory: memory_budget.Reservation,
     ):
         self.incoming = incoming
-        self.held = held
+        self.memory = memory
         self.is_started = False
         self.is_finished = False
         self._stream = stream
