--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -27,12 +27,12 @@
     Attributes:
         incoming: The request.
         is_started: Whether the response head was sent.
-        held: Memory that the request and its response take.
+        memory: What the request and its response take.
     """
 
     incoming: forwarded_requests.IncomingRequest
     is_started: bool
-    held: memory_budget.Reservation
+    memory: memory_budget.Reservation
 
     async def send(self, refusal: forwarded_requests.LocalResponse) -> None:
         """Sends a refusal by the router as the whole response."""
--- a/src/lycheegw/coordination/answer_delivery.py
+++ b/src/lycheegw/coordination/answer_delivery.py
@@ -56,7 +56,7 @@
     evidence: run_evidence.RunEvidence,
     call: interfaces.ForwardCall,
     has_begun: bool,
-    held: memory_budget.Reservation,
+    memory: memory_budget.Reservation,
 ) -> None:
     """Checks the response head before anything of the response is forwarded.
 
@@ -65,7 +65,7 @@
         evidence: What it says about a run.
         call: Call from which the body is read.
         has_begun: Whether the client has received a part of the stream.
-        held: Memory that the request takes.
+        memory: What the request takes.
 
     Raises:
         errors.UpstreamError: The response may be for another request, or is a
@@ -129,7 +129,7 @@
             _MAY_HAVE_RUN,
         )
     if head.status >= 500:
-        body = await _read_error_body(call, held)
+        body = await _read_error_body(call, memory)
         call.finish()
         raise accepted_requests.HttpStatusError(
             accepted_requests.WholeAnswer(head, body)
@@ -174,14 +174,14 @@
     """Forwards a body; raises errors.UpstreamError if it breaks off."""
     if accepted.work.incoming.method != b"HEAD":
         _check_length(head.content_length or 0, _MAX_BODY_BYTES)
-    sink, held = accepted.sink, accepted.sink.held
-    held_before = held.size
+    sink, memory = accepted.sink, accepted.sink.memory
+    memory_before = memory.size
     body = bytearray()
     received = 0
     while (data := await call.read()) is not None:
         received += len(data)
         body += data
-        if received > _MAX_COLLECTED_BYTES or not held.grow(len(data)):
+        if received > _MAX_COLLECTED_BYTES or not memory.grow(len(data)):
             break
     is_whole = data is None
     if is_whole:
@@ -192,7 +192,7 @@
         await sink.write(bytes(body[:_PART_BYTES]))
         del body[:_PART_BYTES]
     if not is_whole:
-        held.resize(held_before)
+        memory.resize(memory_before)
         while (data := await call.read()) is not None:
             received += len(data)
             _check_length(received, _MAX_BODY_BYTES)
@@ -202,14 +202,14 @@
 
 
 async def _read_error_body(
-    call: interfaces.ForwardCall, held: memory_budget.Reservation
+    call: interfaces.ForwardCall, memory: memory_budget.Reservation
 ) -> bytes:
     """Returns the body of an error response; raises errors.UpstreamError."""
     body = bytearray()
     while (data := await call.read()) is not None:
         body += data
         _check_length(len(body), _MAX_ERROR_BYTES)
-        if not held.grow(len(data)):
+        if not memory.grow(len(data)):
             raise memory_budget.full_error("the body of an error")
     return bytes(body)
 
@@ -241,8 +241,8 @@
     may_try_elsewhere: Callable[[], bool],
 ) -> None:
     parser = event_streams.EventParser()
-    held = accepted.sink.held
-    held_before = held.size
+    memory = accepted.sink.memory
+    memory_before = memory.size
     events = 0
     gap_s = max(_MIN_GAP_S, _GAP_FACTOR * accepted.work.route.target_gap_s)
     loop = asyncio.get_running_loop()
@@ -265,7 +265,7 @@
             await _forward_events(accepted, b"".join(parts), head, version)
         if events > events_before:
             due_s = loop.time() + gap_s
-        if not held.resize(held_before + len(parser.incomplete)):
+        if not memory.resize(memory_before + len(parser.incomplete)):
             raise memory_budget.full_error("an incomplete event")
         if parser.fault:
             raise errors.UpstreamError(
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -225,10 +225,10 @@
             errors.RefusalError: The request failed.
         """
         progress = accepted.progress
-        held_by_request = accepted.sink.held.size
+        memory_of_request = accepted.sink.memory.size
         while True:
-            # What the attempt before held is dropped.
-            accepted.sink.held.resize(held_by_request)
+            # What the attempt before read is dropped.
+            accepted.sink.memory.resize(memory_of_request)
             self._dependencies.suspects.refuse_blocked(accepted.request)
             if (
                 self._dependencies.reach.is_cut_off
@@ -437,7 +437,7 @@
                 evidence,
                 call,
                 accepted.sink.is_started,
-                accepted.sink.held,
+                accepted.sink.memory,
             )
             if progress.held_answer is not None:
                 progress.held_answer.drop()
@@ -472,7 +472,7 @@
     ) -> None:
         """Forwards the body of a response; raises errors.UpstreamError."""
         version = answer.choice.upstream.entry.version
-        held_before = accepted.sink.held.size
+        memory_before = accepted.sink.memory.size
         try:
             await answer_delivery.deliver(
                 accepted,
@@ -488,7 +488,7 @@
             answer.call.abort()
             raise
         finally:
-            accepted.sink.held.resize(held_before)
+            accepted.sink.memory.resize(memory_before)
             self._note_call_ended(accepted, answer.choice)
 
     def _note_call_ended(
--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -65,7 +65,7 @@
         incoming: The request.
         is_started: Whether the response head was sent.
         is_finished: Whether the response was sent completely.
-        held: Memory that the request and its response take.
+        memory: What the request and its response take.
     """
 
     def __init__(
@@ -74,7 +74,7 @@
         incoming: forwarded_requests.IncomingRequest,
     ):
         self.incoming = incoming
-        self.held = connection.held
+        self.memory = connection.memory
         self.is_started = False
         self.is_finished = False
         self._connection = connection
@@ -114,7 +114,7 @@
     """One client connection, which handles one request at a time.
 
     Attributes:
-        held: Memory that the current request and its response take.
+        memory: What the current request and its response take.
         is_lingering: Whether a response has ended the connection, and what the
             client still sends is read and dropped.
     """
@@ -132,7 +132,7 @@
         self._request: h11.Request | None = None
         self._received_s = 0.0
         self._body = bytearray()
-        self.held = server.budget.open()
+        self.memory = server.budget.open()
         # Bytes behind the request that is being handled.
         self._pipelined = server.budget.open()
         self._is_paused = False
@@ -176,7 +176,7 @@
         if self._task is not None:
             self._task.cancel()
         else:
-            self.held.release()
+            self.memory.release()
 
     def eof_received(self) -> bool:
         # A half-closed connection counts as a disconnect of the client.
@@ -241,7 +241,7 @@
         if buffered > self._limits.header_bytes:
             self._reject(431, "head too large")
             return
-        if buffered and not self.held.resize(
+        if buffered and not self.memory.resize(
             _BODY_COPIES * len(self._body) + buffered
         ):
             self._refuse_for_memory()
@@ -260,7 +260,7 @@
             self._body += event.data
             if len(self._body) > self._limits.body_bytes:
                 self._reject(413, "body too large")
-            elif not self.held.resize(_BODY_COPIES * len(self._body)):
+            elif not self.memory.resize(_BODY_COPIES * len(self._body)):
                 self._refuse_for_memory()
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
@@ -299,10 +299,15 @@
             if name == b"content-length":
                 # h11 has checked that it is a number.
                 length = int(value)
+        memory_before = self.memory.size
         if length > self._limits.body_bytes:
             self._reject(413, "body too large")
-        elif not self.held.fits(_BODY_COPIES * length):
+        elif not self.memory.resize(_BODY_COPIES * length):
             self._refuse_for_memory()
+        else:
+            # Bytes count once they arrive: a slow caller must not keep others
+            # out.
+            self.memory.resize(memory_before)
 
     def _start_handler(self) -> None:
         self._cancel_timer()
@@ -348,7 +353,7 @@
             self._server.note_running(-1)
             self._task = None
             self._request = None
-            self.held.release()
+            self.memory.release()
             self._pipelined.release()
         self._finish_request()
 
@@ -451,7 +456,7 @@
         """Closes after the client has had time to read the response."""
         self.is_lingering = True
         self._body = bytearray()
-        self.held.release()
+        self.memory.release()
         self._pipelined.release()
         self._resume_reading()
         if self._parser.their_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}:
--- a/tests/test_stream_stalls.py
+++ b/tests/test_stream_stalls.py
@@ -42,7 +42,7 @@
 
     def __init__(self, write_s: float = 0.0):
         self.is_started = False
-        self.held = memory_budget.MemoryBudget().open()
+        self.memory = memory_budget.MemoryBudget().open()
         self.written = b""
         self._write_s = write_s
 
