Soak: a response without end isn't lost at a planned stop

A node that passes on a response of unknown length as it arrives leaves it to the caller to give it up, so that its connection ends without an answer. All other requests are judged as before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -300,6 +300,23 @@
     assert not _broken_rules(record)
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_broken"),
+    [("endless_responses", False), ("grey_failures", True)],
+)
+def test_response_without_end_is_not_lost_at_a_stop(
+    kind: str, is_broken: bool
+) -> None:
+    record = _record(status=None)
+    record.disturbances.append(
+        checker.Disturbance(NODE, "terminate", 9.0, 12.0)
+    )
+    record.faulty_responses.append(
+        checker.FaultyResponse("a1", "desk-0", kind, "200", True, 10.1)
+    )
+    assert ("LOST" in _broken_rules(record)) == is_broken
+
+
 def _bad_version_record(count: int, last_s: float) -> checker.Record:
     """Returns a record of requests at a bad version, and one at `last_s`."""
     record = checker.Record()
