Soak: a pause begins when a request is rejected

A request that an upstream accepted and that came to it again in a pause counted as rejected at both times, so that the pause began too early. Times of the rejections themselves count now.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -298,8 +298,9 @@
         received_s: Monotonic seconds at which requests reached it, including
             those that it rejected.
         received_ids: Ids of these requests.
-        rejected_ids: Ids of the requests that it rejected.
-        rejected_s: Monotonic seconds at which it rejected requests.
+        rejected_s: Monotonic seconds at which it rejected requests for want of
+            room.
+        rejected_ids: Ids of these requests.
     """
 
     def __init__(
@@ -328,7 +329,7 @@
         self.answered_ids: set[str] = set()
         self.received_s: list[float] = []
         self.received_ids: list[str] = []
-        self.rejected_ids: set[str] = set()
+        self.rejected_ids: list[str] = []
         self._running = 0
         self._server = _create_server(self._handle)
 
@@ -385,7 +386,7 @@
         )
         if self.is_full or is_full:
             self.rejected_s.append(time.monotonic())
-            self.rejected_ids.add(self.received_ids[-1])
+            self.rejected_ids.append(self.received_ids[-1])
             await _respond(exchange, 503, b"", rejection)
             return
         faulty = self.choose_fault(self.received_ids[-1])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -894,16 +894,20 @@
             for attempt_id, received_s in zip(
                 standin.received_ids, standin.received_s, strict=True
             ):
-                sent = self.record.sent_by_id.get(attempt_id)
-                if sent is None:
-                    continue
-                at_s = received_s - self._started_s
-                self.record.offers.append(
-                    checker.Arrival(attempt_id, name, at_s)
-                )
-                if attempt_id in standin.rejected_ids:
+                if attempt_id in self.record.sent_by_id:
+                    at_s = received_s - self._started_s
+                    self.record.offers.append(
+                        checker.Arrival(attempt_id, name, at_s)
+                    )
+            # A request may come again that was accepted at first.
+            for attempt_id, rejected_s in zip(
+                standin.rejected_ids, standin.rejected_s, strict=True
+            ):
+                if attempt_id in self.record.sent_by_id:
+                    node = self.record.sent_by_id[attempt_id].node
+                    at_s = rejected_s - self._started_s
                     self.record.pauses.append(
-                        checker.Pause(name, sent.node, at_s, at_s + _PAUSE_S)
+                        checker.Pause(name, node, at_s, at_s + _PAUSE_S)
                     )
 
     async def _evacuate(self, fault: schedule.Fault) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -405,6 +405,22 @@
     assert ("BUDGET" in _broken_rules(record)) == is_broken
 
 
+# Guards against a pause that begins when a request came first, which was
+# rejected when it came again (seed 24 on 4c4daab).
+def test_pause_begins_at_the_rejection(tmp_path: pathlib.Path) -> None:
+    soak = world.Soak(1, 20.0, 1, tmp_path)
+    soak._started_s = 0.0
+    soak.record.sent_by_id["a1"] = checker.Sent(NODE, False, "key-1", 10.0)
+    standin = platform_standins.Upstream("desk-0", [])
+    standin.received_ids, standin.received_s = ["a1", "a1"], [10.1, 11.1]
+    standin.rejected_ids, standin.rejected_s = ["a1"], [11.1]
+    proxy = processes.Proxy("")
+    soak._upstreams["desk-0"] = world._Upstream("desk", "z-a", standin, proxy)
+    soak._record_offers()
+    assert [each.at_s for each in soak.record.offers] == [10.1, 11.1]
+    assert [each.from_s for each in soak.record.pauses] == [11.1]
+
+
 @pytest.mark.parametrize(("count", "is_broken"), [(3, False), (4, True)])
 def test_requests_with_a_part_that_crashes_upstreams_are_found(
     count: int, is_broken: bool
