Heads of callers are bounded by memory, not by their number of lines

A proper request with more than 256 header lines was refused with 431 since, though its head was within max_header_bytes. A parsed line takes some 500 bytes, so they are reserved instead, and a head that doesn't fit gets 503.

tests/test_ingress.py: a head of short lines up to the limit is handled; of three heads of 41 KB in a budget of 120 KB the third gets 503, and all memory is given back.

--- a/src/lycheegw/transport/ingress.py
+++ b/src/lycheegw/transport/ingress.py
@@ -29,8 +29,8 @@
 _MAX_PIPELINED_BYTES = 16 * 1024
 # All connections read into this buffer, as each copies what it read at once.
 _READ_BUFFER = memoryview(bytearray(_READ_BYTES))
-# Header lines of a request; each takes some 500 bytes once parsed.
-_MAX_HEADER_LINES = 256
+# Bytes that a parsed header line takes beside its text.
+_HEADER_LINE_BYTES = 500
 # Copies of a body while it is received, or while it is sent to an upstream.
 _BODY_COPIES = 2
 # Reading continues this long after a response that was sent before the whole
@@ -132,6 +132,8 @@
         self._request: h11.Request | None = None
         self._received_s = 0.0
         self._body = bytearray()
+        # Memory of the parsed head of the current request.
+        self._parsed_head_bytes = 0
         self.memory = server.budget.open()
         # Bytes behind the request that is being handled.
         self._pipelined = server.budget.open()
@@ -241,7 +243,7 @@
         if buffered > self._limits.header_bytes:
             self._reject(431, "head too large")
             return
-        if buffered and not self.memory.resize(
+        if buffered and not self._reserve(
             _BODY_COPIES * len(self._body) + buffered
         ):
             self._refuse_for_memory()
@@ -260,11 +262,15 @@
             self._body += event.data
             if len(self._body) > self._limits.body_bytes:
                 self._reject(413, "body too large")
-            elif not self.memory.resize(_BODY_COPIES * len(self._body)):
+            elif not self._reserve(_BODY_COPIES * len(self._body)):
                 self._refuse_for_memory()
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
 
+    def _reserve(self, size: int) -> bool:
+        """Reserves memory for `size` bytes besides those of a parsed head."""
+        return self.memory.resize(self._parsed_head_bytes + size)
+
     def _handle_head(self, request: h11.Request) -> None:
         self._is_reading_head = False
         self._request = request
@@ -274,8 +280,9 @@
         if _head_bytes(request) > self._limits.header_bytes:
             self._reject(431, "head too large")
             return
-        if len(request.headers) > _MAX_HEADER_LINES:
-            self._reject(431, "too many header lines")
+        self._parsed_head_bytes = _HEADER_LINE_BYTES * len(request.headers)
+        if not self._reserve(0):
+            self._refuse_for_memory()
             return
         self._start_timer(
             min(_BODY_TIMEOUT_S, self._limits.idle_timeout_s),
@@ -302,7 +309,7 @@
         memory_before = self.memory.size
         if length > self._limits.body_bytes:
             self._reject(413, "body too large")
-        elif not self.memory.resize(_BODY_COPIES * length):
+        elif not self._reserve(_BODY_COPIES * length):
             self._refuse_for_memory()
         else:
             # Bytes count once they arrive: a slow caller must not keep others
@@ -353,6 +360,7 @@
             self._server.note_running(-1)
             self._task = None
             self._request = None
+            self._parsed_head_bytes = 0
             self.memory.release()
             self._pipelined.release()
         self._finish_request()
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lycheegw.state import forwarded_requests
+from lycheegw.state import memory_budget
 from lycheegw.state import routing
 from lycheegw.transport import ingress
 
@@ -287,3 +288,38 @@
         async with asyncio.timeout(1.5):
             assert await streams[0].read() == b""
         streams[1].close()
+
+
+# Guards against the denial of proper requests by a bound of memory: their heads
+# are within the limit of bytes, in many short lines.
+async def test_head_of_many_short_lines_is_handled() -> None:
+    async with _server(_echo) as server:
+        reader, writer = await _open(server)
+        lines = b"a:\r\n" * ((LIMITS.header_bytes - 100) // len(b"a: \r\n"))
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n")
+        assert await _read_status(reader) == 200
+        writer.close()
+
+
+# Guards against heads of many lines, which take more memory than their bytes.
+async def test_parsed_heads_are_bounded_in_sum() -> None:
+    release = asyncio.Event()
+
+    async def handle(exchange: ingress.Exchange) -> None:
+        await release.wait()
+        await _echo(exchange)
+
+    async with _server(handle) as server, asyncio.timeout(5.0):
+        server.budget = memory_budget.MemoryBudget(120_000)
+        head = b"GET /1 HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 80 + b"\r\n"
+        opened = []
+        for _ in range(3):
+            opened.append(await _open(server))
+            opened[-1][1].write(head)
+            await asyncio.sleep(0.05)
+        assert await _read_status(opened[2][0]) == 503
+        release.set()
+        for reader, _ in opened[:2]:
+            assert await _read_status(reader) == 200
+        await asyncio.sleep(0.05)
+        assert server.budget.held == 0
