--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -235,7 +235,7 @@
         progress = accepted.progress
         memory_of_request = accepted.sink.memory.size
         while True:
-            # What the attempt before read is dropped.
+            # Gives back the memory of the attempt before.
             accepted.sink.memory.resize(memory_of_request)
             self._dependencies.suspects.refuse_blocked(accepted.request)
             if (
