Tests: shared parts of promise tests are public; rejections beside rejections

Rejections and the ingress's statuses are with the other refusals, the late decline with the promises, and requests are sent by one function.

--- a/tests/platform/test_held_answers.py
+++ b/tests/platform/test_held_answers.py
@@ -1,10 +1,9 @@
-"""Held answers beside relays, stalls, waits and stops; odd rejections."""
+"""Held answers beside relays, stalls, waits, errors and stops."""
 
 import asyncio
 from collections.abc import Callable
 import contextlib
 import math
-import re
 import time
 from typing import Any
 
@@ -76,39 +75,6 @@
             node.forwarder._dependencies.budgets.note_request("llm")
 
 
-# Guards against a second run of an unsafe request that a peer declined after a
-# part of its response.
-async def test_late_decline_is_not_offered_to_another_peer() -> None:
-    async with fleet_harness.fleet(nodes=3) as fleet:
-        await promises._wait_for_peers(fleet)
-        fleet.nodes[0].reach.is_cut_off = True
-
-        def decline_late(node: Any) -> None:
-            serve = node.peers.serve_relayed
-
-            async def serve_and_decline(stream: Any) -> None:
-                await serve(promises._DecliningStream(stream))
-
-            node.peers.serve_relayed = serve_and_decline
-
-        for node in fleet.nodes[1:]:
-            decline_late(node)
-        host, _, port = fleet.nodes[0].settings.listen.rpartition(":")
-        _, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            (
-                "POST /book/1 HTTP/1.1\r\n"
-                f"Host: {platform_standins.HOST}\r\n{ID}: once\r\n"
-                "X-Lycheegw-Deadline-Ms: 1500\r\n"
-                f"Api-Key: {platform_standins.API_KEY}\r\n"
-                "Content-Length: 4\r\n\r\nonce"
-            ).encode()
-        )
-        await asyncio.sleep(1.0)
-        writer.close()
-        assert len(fleet.seen) == 1
-
-
 async def _ask_cut_off(
     peer_part: Callable[[raw_upstreams.RawRequest, asyncio.StreamWriter], Any],
     lost: asyncio.Event | None,
@@ -156,7 +122,7 @@
             await stack.enter_async_context(
                 raw_upstreams.raw_upstream(fleet, name, "llm", respond)
             )
-        await promises._wait_for_peers(fleet)
+        await promises.wait_for_peers(fleet)
         _allow_extras(fleet)
         if lost is not None:
             serve = fleet.nodes[1].peers.serve_relayed
@@ -170,13 +136,7 @@
             fleet.nodes[1].peers.serve_relayed = serve_until_lost
         reply: Any = None
         try:
-            reply = await platform_standins.send_request(
-                fleet.nodes[0].settings.listen,
-                "/ask/1",
-                "POST",
-                b"q",
-                promises._PROMPT,
-            )
+            reply = await promises.ask(fleet.nodes[0])
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             reply = error
         return reply, times_s
@@ -243,14 +203,8 @@
         raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
         _allow_extras(fleet)
-        reply = await platform_standins.send_request(
-            fleet.nodes[0].settings.listen,
-            "/ask/1",
-            "POST",
-            b"q",
-            promises._PROMPT,
-        )
-        assert reply is not None and reply.status == 200
+        reply = await promises.ask(fleet.nodes[0])
+        assert reply.status == 200
 
 
 # Guards against an answer that is held on the only connection on which the
@@ -275,14 +229,8 @@
         async with raw_upstreams.raw_upstream(fleet, "m1", "llm", respond):
             await asyncio.sleep(0.3)
             _allow_extras(fleet)
-            reply = await platform_standins.send_request(
-                fleet.nodes[0].settings.listen,
-                "/ask/1",
-                "POST",
-                b"q",
-                promises._PROMPT,
-            )
-            assert reply is not None and b"LARGE" in reply.body
+            reply = await promises.ask(fleet.nodes[0])
+            assert b"LARGE" in reply.body
 
 
 # Guards against a request that stays suspect although its held answer was
@@ -314,10 +262,8 @@
             note(request, upstream, is_answered)
 
         suspects.note_success = note_success  # type: ignore[method-assign]
-        reply = await platform_standins.send_request(
-            node.settings.listen, "/ask/1", "POST", b"q", promises._PROMPT
-        )
-        assert reply is not None and reply.status == 200
+        reply = await promises.ask(node)
+        assert reply.status == 200
         assert True in noted
 
 
@@ -343,14 +289,8 @@
     ):
         _allow_extras(fleet)
         freshness = fleet.nodes[0].forwarder._dependencies.freshness
-        reply = await platform_standins.send_request(
-            fleet.nodes[0].settings.listen,
-            "/ask/1",
-            "POST",
-            b"q",
-            promises._PROMPT,
-        )
-        assert reply is not None and reply.status == 200
+        reply = await promises.ask(fleet.nodes[0])
+        assert reply.status == 200
 
 
 # Guards against an error of the larger model in place of an answer.
@@ -373,138 +313,8 @@
         raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
         _allow_extras(fleet)
-        reply = await platform_standins.send_request(
-            fleet.nodes[0].settings.listen,
-            "/ask/1",
-            "POST",
-            b"q",
-            promises._PROMPT,
-        )
-        assert reply is not None and reply.status == 200
-
-
-# Guards against a caller that waits for its deadline after a rejection with an
-# empty id.
-async def test_rejection_with_an_empty_id_does_not_wait() -> None:
-    async def respond(
-        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        writer.write(
-            b"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
-            b"X-Lycheegw-Attempt-Id:\r\nContent-Length: 0\r\n\r\n"
-        )
-
-    async with (
-        fleet_harness.fleet() as fleet,
-        raw_upstreams.all_raw_upstreams(fleet, respond),
-    ):
-        started_s = time.monotonic()
-        await platform_standins.send_request(
-            fleet.nodes[0].settings.listen, "/book/1", "POST", b"q"
-        )
-        taken_s = time.monotonic() - started_s
-        assert taken_s < 0.5
-
-
-# Guards against a run of a request that the ingress has refused, whatever
-# follows on its connection.
-async def test_ingress_statuses_are_true() -> None:
-    async with fleet_harness.fleet() as fleet:
-        host, _, port = fleet.nodes[0].settings.listen.rpartition(":")
-
-        def head(number: str, length: int, more: str = "") -> bytes:
-            return (
-                "POST /book/1 HTTP/1.1\r\n"
-                f"Host: {platform_standins.HOST}\r\n{ID}: {number}\r\n"
-                "X-Lycheegw-Deadline-Ms: 3000\r\n"
-                f"Api-Key: {platform_standins.API_KEY}\r\n{more}"
-                f"Content-Length: {length}\r\n\r\n"
-            ).encode()
-
-        async def play(*parts: bytes | float) -> bytes:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            for part in parts:
-                if isinstance(part, float):
-                    await asyncio.sleep(part)
-                else:
-                    writer.write(part)
-            data = b""
-            try:
-                async with asyncio.timeout(1.2):
-                    while more := await reader.read(65536):
-                        data += more
-            except (TimeoutError, ConnectionError):
-                pass
-            writer.close()
-            return data
-
-        cases = {
-            "head too slow, rest": (
-                head("a", 1)[:60],
-                0.7,
-                head("a", 1)[60:] + b"x",
-            ),
-            "pipelined slow head": (
-                head("b0", 1) + b"x" + head("b1", 1)[:60],
-                0.8,
-                head("b1", 1)[60:] + b"x",
-            ),
-            "pipelined garbage": (
-                head("c0", 1) + b"x" + b"\x00garbage\r\n\r\n",
-            ),
-            "pipelined 413": (
-                head("d0", 1) + b"x" + head("d1", 200000) + b"x" * 200000,
-            ),
-            "pipelined 431": (
-                head("e0", 1)
-                + b"x"
-                + head("e1", 1, "X: " + "y" * 20000 + "\r\n")
-                + b"x",
-            ),
-            "three at once": (
-                b"".join(head(f"f{n}", 1) + b"x" for n in range(3)),
-            ),
-            "at the timeout": (
-                head("g", 1)[:60],
-                0.4995,
-                head("g", 1)[60:] + b"x",
-            ),
-        }
-        for name, parts in cases.items():
-            data = await play(*parts)
-            statuses = [
-                each.decode() for each in re.findall(rb"HTTP/1.1 (\d+)", data)
-            ]
-            ran = [each.header_by_name[ID.lower()] for each in fleet.seen]
-            assert statuses.count("200") == len(ran), name
-            fleet.seen.clear()
-
-
-# Guards against a rejection that isn't believed because of bytes after it that
-# belong to no request.
-async def test_rejection_before_stray_bytes_is_retried() -> None:
-    seen: list[str] = []
-
-    async def respond(
-        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        seen.append(request.header_by_name[ID.lower()])
-        if len(seen) == 1:
-            writer.write(_reject(request) + b"\x00\x01stray")
-        else:
-            writer.write(raw_upstreams.response(request))
-
-    async with (
-        fleet_harness.fleet() as fleet,
-        raw_upstreams.all_raw_upstreams(fleet, respond),
-    ):
-        for _ in range(40):
-            budgets = fleet.nodes[0].forwarder._dependencies.budgets
-            budgets.note_request("desk")
-        reply = await platform_standins.send_request(
-            fleet.nodes[0].settings.listen, "/book/1", "POST", b"q"
-        )
-        assert reply is not None and reply.status == 200
+        reply = await promises.ask(fleet.nodes[0])
+        assert reply.status == 200
 
 
 # Guards against a promise by a node that stops while it holds an answer, and
@@ -525,7 +335,7 @@
 
     ran: list[int] = []
     async with (
-        fleet_harness.fleet(manifest=promises._long_routes()) as fleet,
+        fleet_harness.fleet(manifest=promises.long_manifest()) as fleet,
         raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
         _allow_extras(fleet)
@@ -537,11 +347,11 @@
                 "/ask/1",
                 "POST",
                 b"q",
-                promises._PROMPT | {"X-Lycheegw-Deadline-Ms": "15000"},
+                promises.PROMPT | {"X-Lycheegw-Deadline-Ms": "15000"},
             )
         )
         await fleet_harness.wait_until(lambda: bool(ran))
-        await promises._stop(node)
+        await promises.stop_node(node)
         reply = await sending
         await asyncio.sleep(0.1)
         assert reply is None or reply.status not in promises.PROMISES
--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -27,7 +27,7 @@
 _WHOLE_ANSWER = (
     f"HTTP/1.1 200 OK\r\n{_OWN_ID}{_SIGNATURE}Content-Length: 2\r\n\r\nok"
 )
-_PROMPT = {
+PROMPT = {
     "X-Lycheegw-Model": "*",
     "X-Lycheegw-Token-Usage": "900,50",
     "X-Lycheegw-Prompt-Prefix": "aa:700,bb:200",
@@ -450,9 +450,10 @@
 ]
 
 
-async def _ask(node: edge_app.EdgeNode) -> platform_standins.Reply:
+async def ask(node: edge_app.EdgeNode) -> platform_standins.Reply:
+    """Sends a prompt for any model; returns the response."""
     reply = await platform_standins.send_request(
-        node.settings.listen, "/ask/1", "POST", b"q", _PROMPT
+        node.settings.listen, "/ask/1", "POST", b"q", PROMPT
     )
     assert reply is not None
     return reply
@@ -463,7 +464,7 @@
 @pytest.mark.parametrize("rejection", _REJECTIONS)
 async def test_dropped_answer_counts_as_a_run(rejection: str) -> None:
     async with _cascade(1, rejection) as (fleet, ran):
-        reply = await _ask(fleet.nodes[0])
+        reply = await ask(fleet.nodes[0])
         assert ran
         assert reply.status not in PROMISES
 
@@ -473,13 +474,14 @@
 @pytest.mark.parametrize("rejection", _REJECTIONS)
 async def test_answer_is_kept_if_no_better_one_is_made(rejection: str) -> None:
     async with _cascade(1, rejection) as (fleet, ran):
-        reply = await _ask(fleet.nodes[0])
+        reply = await ask(fleet.nodes[0])
         assert ran
         assert reply.status == 200 and reply.is_whole
         assert reply.body.count(b"data: token") == 5
 
 
-async def _wait_for_peers(fleet: fleet_harness.Fleet) -> None:
+async def wait_for_peers(fleet: fleet_harness.Fleet) -> None:
+    """Waits until all nodes of a fleet know each other."""
     await fleet_harness.wait_until(
         lambda: all(
             len(node.peers.live_nodes()) == len(fleet.nodes)
@@ -496,14 +498,14 @@
 
     rejection = _head(503, _MARK, _OWN_ID, _EMPTY)
     async with _cascade(2, rejection, cut_off) as (fleet, ran):
-        await _wait_for_peers(fleet)
+        await wait_for_peers(fleet)
         fleet.nodes[0].reach.is_cut_off = True
         for node in fleet.nodes:
             # The second step is an attempt beyond the first.
             budgets = node.forwarder._dependencies.budgets
             for _ in range(20):
                 budgets.note_request("llm")
-        reply = await _ask(fleet.nodes[0])
+        reply = await ask(fleet.nodes[0])
         assert ran
         counters = fleet.nodes[0].state.counters.by_name
         assert "relay.declined" not in counters
@@ -534,7 +536,7 @@
         fleet_harness.fleet(nodes=2) as fleet,
         raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
-        await _wait_for_peers(fleet)
+        await wait_for_peers(fleet)
         reply = await platform_standins.send_request(
             fleet.nodes[0].settings.listen, "/look/1"
         )
@@ -591,7 +593,7 @@
         fleet_harness.fleet(nodes=3) as fleet,
         raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
-        await _wait_for_peers(fleet)
+        await wait_for_peers(fleet)
         fleet.nodes[0].reach.is_cut_off = True
         for node in fleet.nodes[1:]:
             lose(node)
@@ -603,7 +605,7 @@
         assert reply.status not in PROMISES
 
 
-class _DecliningStream:
+class DecliningStream:
     """A stream on which a peer declines after a part of its response."""
 
     def __init__(self, stream: Any):
@@ -623,14 +625,14 @@
 # had sent a part of the response.
 async def test_peer_that_declines_late_may_have_run_the_request() -> None:
     async with fleet_harness.fleet(nodes=3) as fleet:
-        await _wait_for_peers(fleet)
+        await wait_for_peers(fleet)
         fleet.nodes[0].reach.is_cut_off = True
 
         def decline_late(node: edge_app.EdgeNode) -> None:
             serve = node.peers.serve_relayed
 
             async def serve_and_decline(stream: Any) -> None:
-                await serve(_DecliningStream(stream))
+                await serve(DecliningStream(stream))
 
             node.peers.serve_relayed = serve_and_decline
 
@@ -646,14 +648,16 @@
         assert status not in PROMISES
 
 
-def _long_routes() -> dict[str, Any]:
+def long_manifest() -> dict[str, Any]:
+    """Returns a manifest whose requests may outlast the grace time."""
     manifest = platform_standins.manifest()
     for route in manifest["routes"]:
         route["timeout_ms"] = 20_000
     return manifest
 
 
-async def _stop(node: edge_app.EdgeNode) -> None:
+async def stop_node(node: edge_app.EdgeNode) -> None:
+    """Stops a node as SIGTERM does, with a grace time of `GRACE_S`."""
     levels = node.settings.service_levels._replace(grace_s=GRACE_S)
     node.settings = node.settings._replace(service_levels=levels)
     await node.drain()
@@ -725,16 +729,16 @@
 
     async with (
         fleet_harness.fleet(
-            nodes=2 if relayed else 1, manifest=_long_routes()
+            nodes=2 if relayed else 1, manifest=long_manifest()
         ) as fleet,
         raw_upstreams.all_raw_upstreams(fleet, respond),
     ):
         if relayed:
-            await _wait_for_peers(fleet)
+            await wait_for_peers(fleet)
             fleet.nodes[0].reach.is_cut_off = True
         sending = asyncio.create_task(_book_slowly(fleet.nodes[0], 0.0))
         await fleet_harness.wait_until(lambda: bool(ran))
-        await _stop(fleet.nodes[-1])
+        await stop_node(fleet.nodes[-1])
         reply = await sending
         assert len(ran) == 1
         assert reply is None or reply.status not in PROMISES
@@ -744,11 +748,44 @@
 # node that stops had refused it.
 @pytest.mark.parametrize("body_s", [1.0, GRACE_S - 0.3, GRACE_S + 0.5])
 async def test_request_that_a_stop_refused_does_not_run(body_s: float) -> None:
-    async with fleet_harness.fleet(manifest=_long_routes()) as fleet:
+    async with fleet_harness.fleet(manifest=long_manifest()) as fleet:
         sending = asyncio.create_task(_book_slowly(fleet.nodes[0], body_s))
         await asyncio.sleep(0.1)
-        await _stop(fleet.nodes[0])
+        await stop_node(fleet.nodes[0])
         reply = await sending
         await asyncio.sleep(0.3)
         assert reply is not None
         assert (reply.status in PROMISES) == (not fleet.seen)
+
+
+# Guards against a second run of an unsafe request that a peer declined after a
+# part of its response.
+async def test_late_decline_is_not_offered_to_another_peer() -> None:
+    async with fleet_harness.fleet(nodes=3) as fleet:
+        await wait_for_peers(fleet)
+        fleet.nodes[0].reach.is_cut_off = True
+
+        def decline_late(node: Any) -> None:
+            serve = node.peers.serve_relayed
+
+            async def serve_and_decline(stream: Any) -> None:
+                await serve(DecliningStream(stream))
+
+            node.peers.serve_relayed = serve_and_decline
+
+        for node in fleet.nodes[1:]:
+            decline_late(node)
+        host, _, port = fleet.nodes[0].settings.listen.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            (
+                "POST /book/1 HTTP/1.1\r\n"
+                f"Host: {platform_standins.HOST}\r\n{ID}: once\r\n"
+                "X-Lycheegw-Deadline-Ms: 1500\r\n"
+                f"Api-Key: {platform_standins.API_KEY}\r\n"
+                "Content-Length: 4\r\n\r\nonce"
+            ).encode()
+        )
+        await asyncio.sleep(1.0)
+        writer.close()
+        assert len(fleet.seen) == 1
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -1,6 +1,8 @@
 """A status that promises that a request has not run is true."""
 
 import asyncio
+import re
+import time
 
 import pytest
 
@@ -193,3 +195,135 @@
             for number in range(5):
                 assert (await send(fleet, f"r{number}")).status == 200
             assert pool.opened_count - opened == 5
+
+
+def _reject(request: raw_upstreams.RawRequest) -> bytes:
+    attempt_id = request.header_by_name[ID.lower()]
+    return (
+        "HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+        f"{ID}: {attempt_id}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+# Guards against a caller that waits for its deadline after a rejection with an
+# empty id.
+async def test_rejection_with_an_empty_id_does_not_wait() -> None:
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nX-Lycheegw-Not-Executed: 1\r\n"
+            b"X-Lycheegw-Attempt-Id:\r\nContent-Length: 0\r\n\r\n"
+        )
+
+    async with (
+        fleet_harness.fleet() as fleet,
+        raw_upstreams.all_raw_upstreams(fleet, respond),
+    ):
+        started_s = time.monotonic()
+        await platform_standins.send_request(
+            fleet.nodes[0].settings.listen, "/book/1", "POST", b"q"
+        )
+        taken_s = time.monotonic() - started_s
+        assert taken_s < 0.5
+
+
+# Guards against a run of a request that the ingress has refused, whatever
+# follows on its connection.
+async def test_ingress_statuses_are_true() -> None:
+    async with fleet_harness.fleet() as fleet:
+        host, _, port = fleet.nodes[0].settings.listen.rpartition(":")
+
+        def head(number: str, length: int, more: str = "") -> bytes:
+            return (
+                "POST /book/1 HTTP/1.1\r\n"
+                f"Host: {platform_standins.HOST}\r\n{ID}: {number}\r\n"
+                "X-Lycheegw-Deadline-Ms: 3000\r\n"
+                f"Api-Key: {platform_standins.API_KEY}\r\n{more}"
+                f"Content-Length: {length}\r\n\r\n"
+            ).encode()
+
+        async def play(*parts: bytes | float) -> bytes:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for part in parts:
+                if isinstance(part, float):
+                    await asyncio.sleep(part)
+                else:
+                    writer.write(part)
+            data = b""
+            try:
+                async with asyncio.timeout(1.2):
+                    while more := await reader.read(65536):
+                        data += more
+            except (TimeoutError, ConnectionError):
+                pass
+            writer.close()
+            return data
+
+        cases = {
+            "head too slow, rest": (
+                head("a", 1)[:60],
+                0.7,
+                head("a", 1)[60:] + b"x",
+            ),
+            "pipelined slow head": (
+                head("b0", 1) + b"x" + head("b1", 1)[:60],
+                0.8,
+                head("b1", 1)[60:] + b"x",
+            ),
+            "pipelined garbage": (
+                head("c0", 1) + b"x" + b"\x00garbage\r\n\r\n",
+            ),
+            "pipelined 413": (
+                head("d0", 1) + b"x" + head("d1", 200000) + b"x" * 200000,
+            ),
+            "pipelined 431": (
+                head("e0", 1)
+                + b"x"
+                + head("e1", 1, "X: " + "y" * 20000 + "\r\n")
+                + b"x",
+            ),
+            "three at once": (
+                b"".join(head(f"f{n}", 1) + b"x" for n in range(3)),
+            ),
+            "at the timeout": (
+                head("g", 1)[:60],
+                0.4995,
+                head("g", 1)[60:] + b"x",
+            ),
+        }
+        for name, parts in cases.items():
+            data = await play(*parts)
+            statuses = [
+                each.decode() for each in re.findall(rb"HTTP/1.1 (\d+)", data)
+            ]
+            ran = [each.header_by_name[ID.lower()] for each in fleet.seen]
+            assert statuses.count("200") == len(ran), name
+            fleet.seen.clear()
+
+
+# Guards against a rejection that isn't believed because of bytes after it that
+# belong to no request.
+async def test_rejection_before_stray_bytes_is_retried() -> None:
+    seen: list[str] = []
+
+    async def respond(
+        request: raw_upstreams.RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        seen.append(request.header_by_name[ID.lower()])
+        if len(seen) == 1:
+            writer.write(_reject(request) + b"\x00\x01stray")
+        else:
+            writer.write(raw_upstreams.response(request))
+
+    async with (
+        fleet_harness.fleet() as fleet,
+        raw_upstreams.all_raw_upstreams(fleet, respond),
+    ):
+        for _ in range(40):
+            budgets = fleet.nodes[0].forwarder._dependencies.budgets
+            budgets.note_request("desk")
+        reply = await platform_standins.send_request(
+            fleet.nodes[0].settings.listen, "/book/1", "POST", b"q"
+        )
+        assert reply.status == 200
