--- a/src/lycheegw/app.py
+++ b/src/lycheegw/app.py
@@ -8,11 +8,9 @@
 from absl import logging
 
 from lycheegw import lifecycle
-from lycheegw.coordination import admission
 from lycheegw.coordination import bad_version_detector
 from lycheegw.coordination import bill_replicas
 from lycheegw.coordination import billing
-from lycheegw.coordination import capacity
 from lycheegw.coordination import catalog_updater
 from lycheegw.coordination import checkpoints
 from lycheegw.coordination import cold_detection
@@ -37,6 +35,8 @@
 from lycheegw.coordination import upstream_selection
 from lycheegw.coordination import version_plans
 from lycheegw.coordination import version_reconciler
+from lycheegw.coordination.load import admission
+from lycheegw.coordination.load import capacity
 from lycheegw.protocol import bill_codec
 from lycheegw.protocol import config_codec
 from lycheegw.protocol import key_codec
--- a/src/lycheegw/coordination/attempts.py
+++ b/src/lycheegw/coordination/attempts.py
@@ -12,7 +12,6 @@
 from typing import Any
 from typing import NamedTuple
 
-from lycheegw.coordination import admission
 from lycheegw.coordination import bad_version_detector
 from lycheegw.coordination import bill_messages
 from lycheegw.coordination import billing
@@ -25,6 +24,7 @@
 from lycheegw.coordination import suspects
 from lycheegw.coordination import upstream_selection
 from lycheegw.coordination import version_plans
+from lycheegw.coordination.load import admission
 from lycheegw.state import errors
 from lycheegw.state import node_state
 from lycheegw.state import reasons
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -10,8 +10,6 @@
 
 from lycheegw.coordination import accepted_requests
 from lycheegw.coordination import answer_delivery
-from lycheegw.coordination import backlogs
-from lycheegw.coordination import balancing
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
 from lycheegw.coordination import freshness
@@ -19,14 +17,16 @@
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
 from lycheegw.coordination import relays
-from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
 from lycheegw.coordination import shared_rates
 from lycheegw.coordination import suspects
 from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import upstream_reach
-from lycheegw.coordination import wait_queues
 from lycheegw.coordination import zone_reachability
+from lycheegw.coordination.load import backlogs
+from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import wait_queues
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
--- a/src/lycheegw/coordination/held_answers.py
+++ b/src/lycheegw/coordination/held_answers.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from lycheegw.coordination import balancing
 from lycheegw.coordination import interfaces
+from lycheegw.coordination.load import balancing
 from lycheegw.state import forwarded_requests
 
 __all__ = ["MAX_WAIT_S", "Answer", "HeldAnswer"]
--- /dev/null
+++ b/src/lycheegw/coordination/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: estimates, balancing, backlogs and admission."""
--- a/src/lycheegw/coordination/admission.py
+++ b/src/lycheegw/coordination/load/admission.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 import contextlib
 
-from lycheegw.coordination import fair_queue
+from lycheegw.coordination.load import fair_queue
 from lycheegw.state import errors
 from lycheegw.state import node_state
 from lycheegw.state import reasons
--- a/src/lycheegw/coordination/backlog_aggregator.py
+++ b/src/lycheegw/coordination/load/backlog_aggregator.py
@@ -11,9 +11,9 @@
 
 from absl import logging
 
-from lycheegw.coordination import backlog_sums
 from lycheegw.coordination import interfaces
-from lycheegw.coordination import zone_aggregators
+from lycheegw.coordination.load import backlog_sums
+from lycheegw.coordination.load import zone_aggregators
 from lycheegw.state import errors
 from lycheegw.state import node_state
 
--- a/src/lycheegw/coordination/backlogs.py
+++ b/src/lycheegw/coordination/load/backlogs.py
@@ -13,10 +13,10 @@
 
 from absl import logging
 
-from lycheegw.coordination import backlog_aggregator
-from lycheegw.coordination import backlog_sums
 from lycheegw.coordination import interfaces
-from lycheegw.coordination import zone_aggregators
+from lycheegw.coordination.load import backlog_aggregator
+from lycheegw.coordination.load import backlog_sums
+from lycheegw.coordination.load import zone_aggregators
 from lycheegw.state import errors
 from lycheegw.state import node_state
 
--- a/src/lycheegw/coordination/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -9,14 +9,14 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from lycheegw.coordination import backlogs
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
 from lycheegw.coordination import rendezvous
-from lycheegw.coordination import response_times
 from lycheegw.coordination import shared_rates
 from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import zone_reachability
+from lycheegw.coordination.load import backlogs
+from lycheegw.coordination.load import response_times
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
 from lycheegw.state import requests
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -11,9 +11,6 @@
 from absl import logging
 
 from lycheegw import lifecycle
-from lycheegw.coordination import backlog_aggregator
-from lycheegw.coordination import backlogs
-from lycheegw.coordination import balancing
 from lycheegw.coordination import block_records
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
@@ -24,7 +21,6 @@
 from lycheegw.coordination import node_registry
 from lycheegw.coordination import reach_reports
 from lycheegw.coordination import relays
-from lycheegw.coordination import response_times
 from lycheegw.coordination import retry_budgets
 from lycheegw.coordination import shared_rates
 from lycheegw.coordination import store_rate_limiter
@@ -34,8 +30,12 @@
 from lycheegw.coordination import topic_readers
 from lycheegw.coordination import upstream_notices
 from lycheegw.coordination import upstream_reach
-from lycheegw.coordination import zone_aggregators
 from lycheegw.coordination import zone_reachability
+from lycheegw.coordination.load import backlog_aggregator
+from lycheegw.coordination.load import backlogs
+from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import zone_aggregators
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import notice_codec
 from lycheegw.protocol import reach_codec
--- a/src/lycheegw/measure/backlog_fleet.py
+++ b/src/lycheegw/measure/backlog_fleet.py
@@ -19,10 +19,10 @@
 from typing import Any
 from typing import NamedTuple
 
-from lycheegw.coordination import backlog_aggregator
-from lycheegw.coordination import backlogs
 from lycheegw.coordination import interfaces
-from lycheegw.coordination import zone_aggregators
+from lycheegw.coordination.load import backlog_aggregator
+from lycheegw.coordination.load import backlogs
+from lycheegw.coordination.load import zone_aggregators
 from lycheegw.protocol import backlog_codec
 from lycheegw.state import clocks
 from lycheegw.state import errors
--- a/src/lycheegw/measure/balance.py
+++ b/src/lycheegw/measure/balance.py
@@ -12,8 +12,8 @@
 from typing import Any
 from typing import NamedTuple
 
-from lycheegw.coordination import balancing
-from lycheegw.coordination import response_times
+from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import response_times
 from lycheegw.measure import backlog_fleet
 from lycheegw.measure import report
 from lycheegw.state import forwarded_requests
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -4,8 +4,8 @@
 
 from google.protobuf import message as protobuf_message
 
-from lycheegw.coordination import backlog_aggregator
-from lycheegw.coordination import backlog_sums
+from lycheegw.coordination.load import backlog_aggregator
+from lycheegw.coordination.load import backlog_sums
 from lycheegw.protocol.pb import backlogs_pb2
 from lycheegw.state import errors
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from lycheegw.coordination import admission
-from lycheegw.coordination import capacity
-from lycheegw.coordination import fair_queue
+from lycheegw.coordination.load import admission
+from lycheegw.coordination.load import capacity
+from lycheegw.coordination.load import fair_queue
 from lycheegw.state import errors
 from lycheegw.state import node_state
 from lycheegw.state import reasons
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -19,13 +19,13 @@
 from hypothesis import strategies
 import pytest
 
-from lycheegw.coordination import backlog_aggregator
-from lycheegw.coordination import backlog_sums
-from lycheegw.coordination import backlogs
-from lycheegw.coordination import balancing
 from lycheegw.coordination import rendezvous
-from lycheegw.coordination import response_times
-from lycheegw.coordination import zone_aggregators
+from lycheegw.coordination.load import backlog_aggregator
+from lycheegw.coordination.load import backlog_sums
+from lycheegw.coordination.load import backlogs
+from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import zone_aggregators
 from lycheegw.measure import backlog_fleet
 from lycheegw.protocol import backlog_codec
 from lycheegw.state import forwarded_requests
--- a/tests/test_model_cascade.py
+++ b/tests/test_model_cascade.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from lycheegw.coordination import model_cascade
-from lycheegw.coordination import response_times
+from lycheegw.coordination.load import response_times
 from lycheegw.state import forwarded_requests
 from tests import fakes
 
--- a/tests/test_run_verdicts.py
+++ b/tests/test_run_verdicts.py
@@ -10,9 +10,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from lycheegw.coordination import admission
 from lycheegw.coordination import dispatcher
 from lycheegw.coordination import retries
+from lycheegw.coordination.load import admission
 from lycheegw.state import errors
 from lycheegw.state import reasons
 from lycheegw.state import records
--- a/tests/test_wait_queues.py
+++ b/tests/test_wait_queues.py
@@ -10,7 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from lycheegw.coordination import wait_queues
+from lycheegw.coordination.load import wait_queues
 
 
 @hypothesis.given(
