--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -12,7 +12,9 @@
 from typing import NamedTuple
 
 from lycheegw.coordination import accepted_requests
+from lycheegw.coordination import attempt_limits
 from lycheegw.coordination import forward_attempts
+from lycheegw.coordination import forward_dependencies
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
@@ -64,7 +66,7 @@
         reasons.RefusalReason.SHUTTING_DOWN,
         "the node is shutting down",
         verdicts.RunVerdict.NOT_RUN,
-        retry_after_s=forward_attempts.MIN_RETRY_AFTER_S,
+        retry_after_s=attempt_limits.MIN_RETRY_AFTER_S,
     )
 
 
@@ -79,7 +81,7 @@
         self,
         state: node_state.NodeState,
         codec: Codec,
-        dependencies: forward_attempts.Dependencies,
+        dependencies: forward_dependencies.Dependencies,
     ):
         self.attempts = forward_attempts.ForwardAttempts(state, dependencies)
         self._state = state
@@ -287,7 +289,7 @@
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"no complete response within {left_s:.2f} s",
                 accepted.progress.runs.verdict,
-                forward_attempts.MIN_RETRY_AFTER_S,
+                attempt_limits.MIN_RETRY_AFTER_S,
             ) from None
         finally:
             self._time_limits.discard(limit)
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -14,7 +14,7 @@
 from lycheegw.coordination import block_records
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
-from lycheegw.coordination import forward_attempts
+from lycheegw.coordination import forward_dependencies
 from lycheegw.coordination import forwarding
 from lycheegw.coordination import freshness
 from lycheegw.coordination import interfaces
@@ -402,7 +402,7 @@
         self.forwarder = forwarding.Forwarder(
             self.state,
             self._adapter.caller_codec,
-            forward_attempts.Dependencies(
+            forward_dependencies.Dependencies(
                 self.directory,
                 self.balancer,
                 timings,
@@ -502,7 +502,7 @@
         service = manifest.service_by_name.get(pool) if manifest else None
         if service is None:
             return False
-        limit = self.forwarder.attempts.connection_limit(service)
+        limit = self.forwarder.attempts.limits.connection_limit(service)
         return self.forward_client.has_capacity(upstream.entry, limit)
 
     def _build_servers(self) -> None:
--- a/tests/platform/fleet_harness.py
+++ b/tests/platform/fleet_harness.py
@@ -82,6 +82,7 @@
         forwarder._dependencies = forwarder._dependencies._replace(note=note)
         attempts = forwarder.attempts
         attempts._dependencies = attempts._dependencies._replace(note=note)
+        attempts._records._dependencies = attempts._dependencies
         return lines
 
     async def add_upstream(
