Backlogs: outstanding work by service and organisation, over all nodes

Cause: nodes report the work at each upstream; whose work it is was known to the sender alone, so shares of organisations could hold per node only. Change: reports and sums carry the work by service and organisation beside that by upstream, in new fields that earlier builds ignore; a node reports at most 200 organisations. Backlogs.organisations(service) returns seconds over all nodes. Figures of a sum have one key each (ms_by_key), so tests name that instead of ms_by_upstream.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -449,7 +449,10 @@
         call: interfaces.ForwardCall | None = None
         try:
             with self._dependencies.backlogs.track(
-                choice.upstream.entry.host_id, choice.prefill_s
+                choice.upstream.entry.host_id,
+                choice.prefill_s,
+                accepted.service.name,
+                accepted.request.organisation,
             ):
                 call = await self._dependencies.client.send(
                     self._build_attempt(accepted, choice)
--- a/src/lycheegw/coordination/load/backlog_aggregator.py
+++ b/src/lycheegw/coordination/load/backlog_aggregator.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from absl import logging
@@ -47,14 +48,14 @@
         node_id: Node that sent the requests.
         started_ms: Start of the node's process, in Unix milliseconds.
         sequence: Grows with each report of a process.
-        ms_by_upstream: Milliseconds of prefill of unanswered requests by
-            upstream id.
+        ms_by_key: Milliseconds of prefill of unanswered requests, by upstream
+            and by organisation.
     """
 
     node_id: str
     started_ms: int
     sequence: int
-    ms_by_upstream: dict[str, int]
+    ms_by_key: Mapping[backlog_sums.Key, int]
 
 
 class Query(NamedTuple):
@@ -137,7 +138,7 @@
             self._version_by_node.popitem(last=False)
         expires_s = now_s + EXPIRE_AFTER_S
         for sums in (self._zone_sums, self._fleet_sums):
-            sums.put(report.node_id, report.ms_by_upstream, expires_s)
+            sums.put(report.node_id, report.ms_by_key, expires_s)
 
     async def run(self) -> None:
         """Reads the sums of the other zones until cancelled."""
@@ -184,7 +185,7 @@
         now_s = self._now_s()
         copy.apply(sums, now_s)
         self._fleet_sums.put(
-            f"zone {zone}", dict(copy.ms_by_upstream), now_s + EXPIRE_AFTER_S
+            f"zone {zone}", dict(copy.ms_by_key), now_s + EXPIRE_AFTER_S
         )
 
     def _now_s(self) -> float:
--- a/src/lycheegw/coordination/load/backlog_sums.py
+++ b/src/lycheegw/coordination/load/backlog_sums.py
@@ -1,7 +1,9 @@
-"""Sums of the backlogs that several nodes report, and copies of such sums.
+"""Sums of the figures that several nodes report, and copies of such sums.
 
-A sum knows the order in which its entries changed, so that a copy gets only
-what changed since it was last brought up to date.
+A figure is the outstanding work at an upstream, or that of an organisation at a
+service, in milliseconds of prefill. A sum knows the order in which its entries
+changed, so that a copy gets only what changed since it was last brought up to
+date.
 """
 
 import collections
@@ -9,43 +11,54 @@
 import math
 from typing import NamedTuple
 
-__all__ = ["BacklogSums", "Sums", "SumsCopy"]
+__all__ = ["BacklogSums", "Key", "OrganisationKey", "Sums", "SumsCopy"]
 
-# Upstreams of which a sum is kept; those without a backlog are dropped beyond.
-_MAX_UPSTREAMS = 4_000
+# Sums that are kept; those that are zero are dropped beyond.
+_MAX_KEYS = 4_000
+
+
+class OrganisationKey(NamedTuple):
+    """Names the outstanding work of an organisation at a service."""
+
+    service: str
+    organisation: str
+
+
+# What a figure is of; an upstream is named by its id.
+Key = str | OrganisationKey
 
 
 class Sums(NamedTuple):
-    """Backlogs of upstreams that changed after a sequence number.
+    """Figures that changed after a sequence number.
 
     Attributes:
         started_ms: Start of the process that added them up, in Unix
             milliseconds.
         sequence: Number of the latest change.
-        is_complete: Whether upstreams that are missing have no backlog.
-        ms_by_upstream: Milliseconds of prefill by upstream id.
+        is_complete: Whether figures that are missing are zero.
+        ms_by_key: Milliseconds by what they are of.
     """
 
     started_ms: int
     sequence: int
     is_complete: bool
-    ms_by_upstream: Mapping[str, int]
+    ms_by_key: Mapping[Key, int]
 
 
 class _Source(NamedTuple):
     """What one source contributes.
 
     Attributes:
-        ms_by_upstream: Milliseconds of prefill by upstream id.
+        ms_by_key: Milliseconds by what they are of.
         expires_s: Monotonic second from which on it doesn't count.
     """
 
-    ms_by_upstream: Mapping[str, int]
+    ms_by_key: Mapping[Key, int]
     expires_s: float
 
 
 class BacklogSums:
-    """The sums of what several sources report, by upstream.
+    """The sums of what several sources report.
 
     Milliseconds are whole numbers, so that a sum has no rounding error after
     any number of changes.
@@ -57,9 +70,9 @@
         self._source_by_id: dict[str, _Source] = {}
         # Sum and the number of its latest change, the latest one last. Zero is
         # kept, since copies have to learn of it.
-        self._change_by_upstream: collections.OrderedDict[
-            str, tuple[int, int]
-        ] = collections.OrderedDict()
+        self._change_by_key: collections.OrderedDict[Key, tuple[int, int]] = (
+            collections.OrderedDict()
+        )
         self._next_expiry_s = math.inf
         # Number of the latest change among the sums that were dropped.
         self._dropped_number = 0
@@ -67,38 +80,38 @@
     def put(
         self,
         source_id: str,
-        ms_by_upstream: Mapping[str, int],
+        ms_by_key: Mapping[Key, int],
         expires_s: float,
     ) -> None:
         """Replaces what a source contributes."""
         former = self._source_by_id.get(source_id)
-        former_ms = former.ms_by_upstream if former is not None else {}
-        self._source_by_id[source_id] = _Source(ms_by_upstream, expires_s)
+        former_ms = former.ms_by_key if former is not None else {}
+        self._source_by_id[source_id] = _Source(ms_by_key, expires_s)
         self._next_expiry_s = min(self._next_expiry_s, expires_s)
-        for upstream in former_ms.keys() | ms_by_upstream.keys():
+        for key in former_ms.keys() | ms_by_key.keys():
             self._add(
-                upstream,
-                ms_by_upstream.get(upstream, 0) - former_ms.get(upstream, 0),
+                key,
+                ms_by_key.get(key, 0) - former_ms.get(key, 0),
             )
 
-    def _add(self, upstream: str, change_ms: int) -> None:
+    def _add(self, key: Key, change_ms: int) -> None:
         if not change_ms:
             return
         self._sequence += 1
-        sum_ms, _ = self._change_by_upstream.get(upstream, (0, 0))
-        self._change_by_upstream[upstream] = (
+        sum_ms, _ = self._change_by_key.get(key, (0, 0))
+        self._change_by_key[key] = (
             sum_ms + change_ms,
             self._sequence,
         )
-        self._change_by_upstream.move_to_end(upstream)
-        if len(self._change_by_upstream) > _MAX_UPSTREAMS:
+        self._change_by_key.move_to_end(key)
+        if len(self._change_by_key) > _MAX_KEYS:
             self._drop_oldest_zero()
 
     def _drop_oldest_zero(self) -> None:
         """Drops the sum that is zero for the longest time, if any is."""
-        for upstream, (sum_ms, number) in self._change_by_upstream.items():
+        for key, (sum_ms, number) in self._change_by_key.items():
             if not sum_ms:
-                del self._change_by_upstream[upstream]
+                del self._change_by_key[key]
                 self._dropped_number = max(self._dropped_number, number)
                 return
 
@@ -127,17 +140,13 @@
             or sequence < self._dropped_number
         )
         after = 0 if is_complete else sequence
-        ms_by_upstream = {}
-        for upstream, (sum_ms, number) in reversed(
-            self._change_by_upstream.items()
-        ):
+        ms_by_key = {}
+        for key, (sum_ms, number) in reversed(self._change_by_key.items()):
             if number <= after:
                 break
             if sum_ms or not is_complete:
-                ms_by_upstream[upstream] = sum_ms
-        return Sums(
-            self._started_ms, self._sequence, is_complete, ms_by_upstream
-        )
+                ms_by_key[key] = sum_ms
+        return Sums(self._started_ms, self._sequence, is_complete, ms_by_key)
 
 
 class SumsCopy:
@@ -147,23 +156,23 @@
         started_ms: Start of that process, 0 before the first update.
         sequence: Number of the latest change that the copy has.
         updated_s: Monotonic second of the latest update.
-        ms_by_upstream: Milliseconds of prefill by upstream id.
+        ms_by_key: Milliseconds by what they are of.
     """
 
     def __init__(self) -> None:
         self.started_ms = 0
         self.sequence = 0
         self.updated_s = -math.inf
-        self.ms_by_upstream: dict[str, int] = {}
+        self.ms_by_key: dict[Key, int] = {}
 
     def apply(self, sums: Sums, now_s: float) -> None:
         """Brings the copy up to date."""
         if sums.is_complete:
-            self.ms_by_upstream.clear()
+            self.ms_by_key.clear()
         self.started_ms, self.sequence = sums.started_ms, sums.sequence
         self.updated_s = now_s
-        for upstream, sum_ms in sums.ms_by_upstream.items():
+        for key, sum_ms in sums.ms_by_key.items():
             if sum_ms > 0:
-                self.ms_by_upstream[upstream] = sum_ms
+                self.ms_by_key[key] = sum_ms
             else:
-                self.ms_by_upstream.pop(upstream, None)
+                self.ms_by_key.pop(key, None)
--- a/src/lycheegw/coordination/load/backlogs.py
+++ b/src/lycheegw/coordination/load/backlogs.py
@@ -1,4 +1,4 @@
-"""Estimates how much prefill work each upstream has left.
+"""Estimates how much prefill work upstreams and organisations have left.
 
 Upstreams report their load as a number of requests, but one prompt may take a
 thousand times as long as another. Each node sums the expected prefill times of
@@ -8,7 +8,9 @@
 
 import asyncio
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
+import heapq
 import math
 
 from absl import logging
@@ -36,6 +38,9 @@
 _REPEAT_AFTER_S = 1.0
 # Longest backlog in a report, in milliseconds; the field has 32 bits.
 _MAX_BACKLOG_MS = 2**32 - 1
+# Organisations of which a node reports the work; those with little work are
+# left out beyond.
+_MAX_ORGANISATIONS = 200
 
 
 class Backlogs:
@@ -58,31 +63,67 @@
         self._aggregators = aggregators
         self._started_ms = int(state.environment.wall_s() * 1000)
         self._sequence = 0
-        self._own_by_upstream: dict[str, float] = {}
+        self._own_s_by_key: dict[backlog_sums.Key, float] = {}
         self._copy = backlog_sums.SumsCopy()
         # The own report that is contained in the copy.
-        self._reported_ms: dict[str, int] = {}
+        self._reported_ms: Mapping[backlog_sums.Key, int] = {}
         self._exchanged_s = -math.inf
         self._is_due = asyncio.Event()
         self._exchange_ended: asyncio.Future[None] | None = None
 
     @contextlib.contextmanager
-    def track(self, upstream_id: str, seconds: float) -> Iterator[None]:
-        """Adds a request's prefill time to the backlog until the block ends."""
-        self._add(upstream_id, seconds)
+    def track(
+        self,
+        upstream_id: str,
+        seconds: float,
+        service: str = "",
+        organisation: str = "",
+    ) -> Iterator[None]:
+        """Adds a request's prefill time to the backlog until the block ends.
+
+        Args:
+            upstream_id: Upstream that the request is sent to.
+            seconds: Expected prefill time.
+            service: Service of the upstream.
+            organisation: Organisation of the request, empty if it has none.
+        """
+        keys: list[backlog_sums.Key] = [upstream_id]
+        if organisation:
+            keys.append(backlog_sums.OrganisationKey(service, organisation))
+        for key in keys:
+            self._add(key, seconds)
         try:
             yield
         finally:
-            self._add(upstream_id, -seconds)
+            for key in keys:
+                self._add(key, -seconds)
 
     def wait_s(self, upstream_id: str) -> float:
         """Returns the outstanding prefill time at an upstream, of all nodes."""
-        own_s = self._own_by_upstream.get(upstream_id, 0.0)
+        return self._seconds(upstream_id)
+
+    def organisations(self, service: str) -> Mapping[str, float]:
+        """Returns the outstanding prefill time at a service by organisation.
+
+        It is that of all nodes, in seconds.
+        """
+        keys = self._own_s_by_key.keys() | self._copy.ms_by_key.keys()
+        found = {
+            key.organisation: self._seconds(key)
+            for key in keys
+            if isinstance(key, backlog_sums.OrganisationKey)
+            and key.service == service
+        }
+        return {name: seconds for name, seconds in found.items() if seconds}
+
+    def _seconds(self, key: backlog_sums.Key) -> float:
+        """Returns a figure of all nodes, with this node's own part of now."""
+        own_s = self._own_s_by_key.get(key, 0.0)
         if self.age_s() > backlog_aggregator.EXPIRE_AFTER_S:
             return own_s
-        others_ms = self._copy.ms_by_upstream.get(
-            upstream_id, 0
-        ) - self._reported_ms.get(upstream_id, 0)
+        others_ms = self._copy.ms_by_key.get(key, 0) - self._reported_ms.get(
+            key, 0
+        )
         return own_s + max(0, others_ms) / 1000
 
     def longest_s(self) -> float:
@@ -94,15 +135,13 @@
         """Returns the age of what is known of the other nodes' backlogs."""
         return self._now_s() - self._copy.updated_s
 
-    def _add(self, upstream_id: str, seconds: float) -> None:
-        total_s = self._own_by_upstream.get(upstream_id, 0.0) + seconds
+    def _add(self, key: backlog_sums.Key, seconds: float) -> None:
+        total_s = self._own_s_by_key.get(key, 0.0) + seconds
         if total_s < 1e-6:
-            self._own_by_upstream.pop(upstream_id, None)
+            self._own_s_by_key.pop(key, None)
         else:
-            self._own_by_upstream[upstream_id] = total_s
-        change_ms = _milliseconds(total_s) - self._reported_ms.get(
-            upstream_id, 0
-        )
+            self._own_s_by_key[key] = total_s
+        change_ms = _milliseconds(total_s) - self._reported_ms.get(key, 0)
         if abs(change_ms) >= _MIN_REPORTED_CHANGE_MS:
             self._is_due.set()
 
@@ -144,7 +183,7 @@
     def is_repetition_due(self) -> bool:
         """Returns whether the last report is to be repeated or withdrawn."""
         return (
-            bool(self._own_by_upstream or self._reported_ms)
+            bool(self._own_s_by_key or self._reported_ms)
             and self._now_s() >= self._exchanged_s + _REPEAT_AFTER_S
         )
 
@@ -159,7 +198,7 @@
     async def _wait_until_due(self) -> None:
         """Returns when a report is due: after a change, or as a repetition."""
         while not self.is_report_due and not self.is_repetition_due():
-            has_report = bool(self._own_by_upstream or self._reported_ms)
+            has_report = bool(self._own_s_by_key or self._reported_ms)
             limit_s = _REPEAT_AFTER_S if has_report else None
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
@@ -184,10 +223,7 @@
             self._state.identity.node_id,
             self._started_ms,
             self._sequence,
-            {
-                upstream: _milliseconds(seconds)
-                for upstream, seconds in self._own_by_upstream.items()
-            },
+            self._own_figures(),
         )
         query = backlog_aggregator.Query(
             report, self._copy.started_ms, self._copy.sequence
@@ -209,7 +245,22 @@
             self._aggregators.note_no_reply(aggregator)
             return
         self._copy.apply(sums, self._now_s())
-        self._reported_ms = report.ms_by_upstream
+        self._reported_ms = report.ms_by_key
+
+    def _own_figures(self) -> dict[backlog_sums.Key, int]:
+        """Returns what this node reports."""
+        own = self._own_s_by_key
+        organisations = [each for each in own if not isinstance(each, str)]
+        left_out = heapq.nsmallest(
+            len(organisations) - _MAX_ORGANISATIONS,
+            organisations,
+            key=own.__getitem__,
+        )
+        return {
+            key: _milliseconds(seconds)
+            for key, seconds in own.items()
+            if key not in left_out
+        }
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -17,15 +17,33 @@
 _MAX_BACKLOG_MS = 2**32 - 1
 
 
-def _encode_backlogs(
-    ms_by_upstream: Mapping[str, int],
-) -> list[backlogs_pb2.Backlog]:
-    return [
-        backlogs_pb2.Backlog(
-            upstream=upstream, milliseconds=min(milliseconds, _MAX_BACKLOG_MS)
-        )
-        for upstream, milliseconds in ms_by_upstream.items()
-    ]
+def _encode_figures(
+    ms_by_key: Mapping[backlog_sums.Key, int],
+    message: backlogs_pb2.Report | backlogs_pb2.Sums,
+) -> None:
+    """Adds figures to a message."""
+    for key, milliseconds in ms_by_key.items():
+        bounded_ms = min(milliseconds, _MAX_BACKLOG_MS)
+        if isinstance(key, str):
+            message.backlogs.add(upstream=key, milliseconds=bounded_ms)
+        else:
+            message.organisations.add(
+                service=key.service,
+                organisation=key.organisation,
+                milliseconds=bounded_ms,
+            )
+
+
+def _decode_figures(
+    message: backlogs_pb2.Report | backlogs_pb2.Sums,
+) -> dict[backlog_sums.Key, int]:
+    figures: dict[backlog_sums.Key, int] = {
+        each.upstream: each.milliseconds for each in message.backlogs
+    }
+    for each in message.organisations:
+        key = backlog_sums.OrganisationKey(each.service, each.organisation)
+        figures[key] = each.milliseconds
+    return figures
 
 
 def _encode_query(query: backlog_aggregator.Query) -> bytes:
@@ -36,14 +54,10 @@
         known_sequence=query.known_sequence,
     )
     if report is not None:
-        message.report.CopyFrom(
-            backlogs_pb2.Report(
-                node_id=report.node_id,
-                started_ms=report.started_ms,
-                sequence=report.sequence,
-                backlogs=_encode_backlogs(report.ms_by_upstream),
-            )
-        )
+        message.report.node_id = report.node_id
+        message.report.started_ms = report.started_ms
+        message.report.sequence = report.sequence
+        _encode_figures(report.ms_by_key, message.report)
     return bytes(message.SerializeToString())
 
 
@@ -58,10 +72,7 @@
             message.report.node_id,
             message.report.started_ms,
             message.report.sequence,
-            {
-                each.upstream: each.milliseconds
-                for each in message.report.backlogs
-            },
+            _decode_figures(message.report),
         )
     return backlog_aggregator.Query(
         report, message.known_started_ms, message.known_sequence
@@ -73,8 +84,8 @@
         started_ms=sums.started_ms,
         sequence=sums.sequence,
         is_complete=sums.is_complete,
-        backlogs=_encode_backlogs(sums.ms_by_upstream),
     )
+    _encode_figures(sums.ms_by_key, message)
     return bytes(message.SerializeToString())
 
 
@@ -87,7 +98,7 @@
         message.started_ms,
         message.sequence,
         message.is_complete,
-        {each.upstream: each.milliseconds for each in message.backlogs},
+        _decode_figures(message),
     )
 
 
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -28,6 +28,7 @@
 from lycheegw.coordination.load import zone_aggregators
 from lycheegw.measure import backlog_fleet
 from lycheegw.protocol import backlog_codec
+from lycheegw.protocol.pb import backlogs_pb2
 from lycheegw.state import forwarded_requests
 from lycheegw.state import requests
 from lycheegw.state import routing
@@ -412,10 +413,65 @@
     latest = backlog_aggregator.Report("n9", 5, 2, {"u1": 1000})
     for report in (latest, late):
         sums = node.aggregator.answer(backlog_aggregator.Query(report, 0, 0))
-        assert sums.ms_by_upstream == {"u1": 1000}
+        assert sums.ms_by_key == {"u1": 1000}
     restarted = backlog_aggregator.Report("n9", 6, 1, {})
     sums = node.aggregator.answer(backlog_aggregator.Query(restarted, 0, 0))
-    assert not sums.ms_by_upstream
+    assert not sums.ms_by_key
+
+
+def test_work_of_an_organisation_at_all_nodes_is_known_to_each_node() -> None:
+    """An organisation that sends through many nodes is one and the same."""
+    clock = fakes.ManualClock()
+    nodes = _nodes(clock, 3, 3)
+    with contextlib.ExitStack() as holds:
+        for number, node in enumerate(nodes):
+            for service, organisation in (("m", "large"), ("other", "large")):
+                hold = node.backlogs.track(
+                    f"u{number}", 2.0, service, organisation
+                )
+                holds.enter_context(hold)
+            holds.enter_context(node.backlogs.track("u0", 1.0, "m", ""))
+        for node in (*nodes, *nodes):
+            node.exchange()
+        for node in nodes:
+            assert node.backlogs.organisations("m") == {"large": 6.0}
+            assert node.backlogs.wait_s("u0") == 7.0
+        clock.now_s += 4.0
+        # A node that hears nothing goes on with its own part.
+        assert nodes[0].backlogs.organisations("m") == {"large": 2.0}
+    assert not nodes[0].backlogs.organisations("m")
+
+
+def test_report_of_very_many_organisations_is_bounded() -> None:
+    clock = fakes.ManualClock()
+    first, second = _nodes(clock, 2, 3)
+    with contextlib.ExitStack() as holds:
+        for number in range(1_000):
+            hold = first.backlogs.track("u1", 0.01, "m", f"small{number}")
+            holds.enter_context(hold)
+        holds.enter_context(first.backlogs.track("u1", 5.0, "m", "large"))
+        first.exchange()
+        second.exchange()
+    known = second.backlogs.organisations("m")
+    assert known["large"] == 5.0
+    assert len(known) == backlogs._MAX_ORGANISATIONS
+
+
+def test_figures_of_later_builds_are_ignored() -> None:
+    """A field that this build doesn't know, beside those that it knows."""
+    query = backlog_aggregator.Query(
+        backlog_aggregator.Report("n", 5, 1, {"u1": 9}), 0, 0
+    )
+    report = backlogs_pb2.Report(
+        node_id="n",
+        started_ms=5,
+        sequence=1,
+        backlogs=[backlogs_pb2.Backlog(upstream="u1", milliseconds=9)],
+    )
+    # Field 99, of two bytes.
+    later = report.SerializeToString() + b"\x9a\x06\x02hi"
+    payload = b"\x0a" + bytes([len(later)]) + later
+    assert backlog_codec.CODEC.decode_query(payload) == query
 
 
 class BacklogMachine(stateful.RuleBasedStateMachine):
@@ -558,7 +614,7 @@
             copy.apply(sums.since(copy.started_ms, copy.sequence), 0.0)
             complete = sums.since(0, 0)
             assert complete.is_complete
-            assert copy.ms_by_upstream == complete.ms_by_upstream
+            assert copy.ms_by_key == complete.ms_by_key
 
 
 def test_sums_of_upstreams_that_are_gone_are_dropped() -> None:
@@ -568,9 +624,9 @@
     copy.apply(sums.since(0, 0), 0.0)
     for number in range(10_000):
         sums.put("n1", {f"u{number}": 900, "kept": 50}, math.inf)
-    assert len(sums._change_by_upstream) <= backlog_sums._MAX_UPSTREAMS
+    assert len(sums._change_by_key) <= backlog_sums._MAX_KEYS
     copy.apply(sums.since(copy.started_ms, copy.sequence), 0.0)
-    assert copy.ms_by_upstream == {"u9999": 900, "kept": 50}
+    assert copy.ms_by_key == {"u9999": 900, "kept": 50}
 
 
 # Guards against exchanges that end because of one estimate.
