Responses: a status above 599 is malformed

Change: both readers of responses treat it as malformed, as they do 000 and 099: upstreams, status checks, the store, the chat interface.

--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -52,6 +52,8 @@
 # Bound of a response head. Longer ones are mostly rejected unparsed, as parsing
 # thousands of lines holds the event loop.
 _MAX_HEAD_BYTES = 16 * 1024
+# Largest status code (RFC 9110, section 15); the parser checks the smallest.
+_MAX_STATUS = 599
 # Header lines of a response head; each takes some 500 bytes once parsed.
 _MAX_HEADER_LINES = 128
 # Bytes that are read from a socket at once, and unparsed bytes above which a
@@ -237,11 +239,7 @@
         for _ in range(_MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                if len(event.headers) > _MAX_HEADER_LINES:
-                    self.is_unusable = True
-                    raise _malformed_error(
-                        f"more than {_MAX_HEADER_LINES} header lines"
-                    )
+                self._check_head(event)
                 return RawResponseHead(
                     event.status_code,
                     tuple((bytes(n), bytes(v)) for n, v in event.headers),
@@ -258,6 +256,17 @@
             f"more than {_MAX_INFORMATIONAL} informational responses"
         )
 
+    def _check_head(self, response: h11.Response) -> None:
+        """Raises errors.UpstreamError for a head that can't be used."""
+        if response.status_code > _MAX_STATUS:
+            self.is_unusable = True
+            raise _malformed_error(f"status {response.status_code}")
+        if len(response.headers) > _MAX_HEADER_LINES:
+            self.is_unusable = True
+            raise _malformed_error(
+                f"more than {_MAX_HEADER_LINES} header lines"
+            )
+
     async def read(self) -> bytes | None:
         """Returns the next bytes of the body, None at its end."""
         event = await self._next_event()
--- a/src/lycheegw/transport/http_client.py
+++ b/src/lycheegw/transport/http_client.py
@@ -37,6 +37,8 @@
 _MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Digits of a content length, more than any length needs.
 _MAX_LENGTH_DIGITS = 20
+# Largest status code (RFC 9110, section 15); the parser checks the smallest.
+_MAX_STATUS = 599
 
 
 class HttpResponse(NamedTuple):
@@ -255,6 +257,10 @@
                 reasons.RetryReason.MALFORMED,
                 f"malformed response head: {error!r}",
             ) from error
+        if response.status > _MAX_STATUS:
+            raise _upstream_error(
+                reasons.RetryReason.MALFORMED, f"status {response.status}"
+            )
         self.status = response.status
         self.header_by_name = _header_by_name(response.getheaders())
         if "transfer-encoding" in self.header_by_name:
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -596,12 +596,13 @@
         if leave_after_s is not None:
             await asyncio.sleep(leave_after_s)
             return None
-        return await _read_reply(reader)
+        return await read_reply(reader)
     finally:
         writer.close()
 
 
-async def _read_reply(reader: asyncio.StreamReader) -> Reply:
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Returns a response; raises IncompleteReadError without a head."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
     fields = {}
--- a/tests/platform/raw_upstreams.py
+++ b/tests/platform/raw_upstreams.py
@@ -37,7 +37,11 @@
 
 @contextlib.asynccontextmanager
 async def raw_upstream(
-    fleet: fleet_harness.Fleet, name: str, service: str, respond: Respond
+    fleet: fleet_harness.Fleet,
+    name: str,
+    service: str,
+    respond: Respond,
+    reads_bodies: bool = True,
 ) -> AsyncIterator[None]:
     """Runs an upstream that takes the place of the one with that name.
 
@@ -46,6 +50,7 @@
         name: Id of an upstream of the fleet, which gets no more requests.
         service: Service of the upstream.
         respond: Called with each request to write the response.
+        reads_bodies: Whether bodies are read before the response is written.
     """
     tasks: set[asyncio.Task[None]] = set()
 
@@ -66,7 +71,9 @@
                     key.lower(): value.strip()
                     for key, _, value in (line.partition(":") for line in lines)
                 }
-                await reader.readexactly(int(fields.get("content-length", "0")))
+                length = int(fields.get("content-length", "0"))
+                if reads_bodies:
+                    await reader.readexactly(length)
                 await respond(RawRequest(fields, number), writer)
                 await writer.drain()
                 number += 1
@@ -96,7 +103,7 @@
 
 @contextlib.asynccontextmanager
 async def all_raw_upstreams(
-    fleet: fleet_harness.Fleet, respond: Respond
+    fleet: fleet_harness.Fleet, respond: Respond, reads_bodies: bool = True
 ) -> AsyncIterator[None]:
     """Runs upstreams that take the places of all those of a fleet.
 
@@ -104,6 +111,7 @@
         fleet: Fleet whose nodes use them.
         respond: Called with each request to write the response; status checks
             are answered without it.
+        reads_bodies: Whether bodies are read before the response is written.
     """
 
     async def respond_to_attempt(
@@ -122,7 +130,9 @@
             ("d2", "desk"),
         ):
             await stack.enter_async_context(
-                raw_upstream(fleet, name, service, respond_to_attempt)
+                raw_upstream(
+                    fleet, name, service, respond_to_attempt, reads_bodies
+                )
             )
         yield
 
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -178,3 +178,28 @@
         server.data = _STATUS_LINES + length
         with pytest.raises(errors.UpstreamError):
             await READERS[read](server.address)
+
+
+# MIXED, issue 58: a status outside 100 to 599, by each reader of responses.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+@pytest.mark.parametrize("read", ["pool", "store", "chat, whole"])
+async def test_status_out_of_range_is_a_failure(
+    read: str, status: bytes
+) -> None:
+    async with _server() as server:
+        head = _HEADS["length"].replace(b" 200 ", b" %s " % status)
+        server.data = head + b"{}"
+        with pytest.raises((errors.UpstreamError, errors.StoreError)):
+            await READERS[read](server.address)
+
+
+# MIXED, issue 58: a reset after part of a body without a length.
+@pytest.mark.parametrize("read", ["pool", "store", "chat, whole"])
+async def test_body_without_a_length_that_ends_by_a_reset_is_a_failure(
+    read: str,
+) -> None:
+    async with _server() as server:
+        server.resets = True
+        server.data = _HEADS["close"] + b"{"
+        with pytest.raises((errors.UpstreamError, errors.StoreError)):
+            await READERS[read](server.address)
