Balancing: speeds of upstreams, learnt over all nodes, and damping by age

Cause: all upstreams counted as equally fast, a load with a fourth figure counted as none, and application services were chosen by this node's counts. Change: load/speeds.py learns a factor of each upstream from the pace of streams and the times of application responses; samples travel with the backlogs. Waits and prefill times include it and what the upstream reported last. load/selection.py takes the first candidate in affinity order that is as good as the best one, within the age of the figures. measure balance has unequal speeds, noise, 374 nodes, evenness and further policies.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -26,6 +26,7 @@
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import speeds
 from lycheegw.coordination.load import wait_queues
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
@@ -127,6 +128,7 @@
         balancer: Selects upstreams.
         timings: Expected response times.
         backlogs: Outstanding prefill work of upstreams.
+        speeds: How fast each upstream is.
         rates: Rate limits of upstreams that all nodes share.
         budgets: Limits retries.
         rollouts: Selects the version of a request.
@@ -152,6 +154,7 @@
     balancer: balancing.Balancer
     timings: response_times.ResponseTimes
     backlogs: backlogs.Backlogs
+    speeds: speeds.Speeds
     rates: shared_rates.SharedRates
     budgets: retry_budgets.RetryBudgets
     rollouts: canary_rollouts.CanaryRollouts
@@ -444,13 +447,12 @@
             errors.UpstreamError: The attempt failed.
         """
         progress = accepted.progress
-        version = choice.upstream.entry.version
         self._note_attempt(accepted, choice)
         call: interfaces.ForwardCall | None = None
         try:
             with self._dependencies.backlogs.track(
                 choice.upstream.entry.host_id,
-                choice.prefill_s,
+                choice.work_s,
                 accepted.service.name,
                 accepted.request.organisation,
             ):
@@ -483,7 +485,7 @@
                     )
                 progress.held_answer.drop()
             larger = self._larger_model(accepted)
-            self._note_answer(accepted, version, larger)
+            self._note_answer(accepted, choice, larger)
             answer = held_answers.Answer(
                 call,
                 head,
@@ -521,7 +523,7 @@
                 answer.call,
                 answer.head,
                 version,
-                lambda: self._note_pace(accepted, version),
+                lambda: self._note_pace(accepted, answer.choice),
                 lambda: self._may_try_elsewhere(accepted, answer.choice),
             )
             answer.call.finish()
@@ -649,6 +651,7 @@
             load_age_s=round(load_age_s, 2),
             wait_s=round(choice.wait_s, 2),
             wait_age_s=round(wait_age_s, 2),
+            speed=round(choice.speed, 2),
             left_s=round(self._left_s(accepted.request), 3),
             last_event=progress.last_event,
         )
@@ -861,6 +864,7 @@
                 upstream.entry.started_ms / 1000,
                 0,
                 now_s,
+                head.slowness,
             )
         )
 
@@ -920,11 +924,16 @@
     def _note_answer(
         self,
         accepted: accepted_requests.AcceptedRequest,
-        version: str,
+        choice: balancing.Choice,
         larger: str | None,
     ) -> None:
         """Records the response head, and whether another model is asked."""
         progress, service = accepted.progress, accepted.service.name
+        version = choice.upstream.entry.version
+        if choice.service.engine is None and progress.status < 300:
+            self._dependencies.speeds.note_work(
+                choice.upstream, service, None, progress.head_s
+            )
         tokens = accepted.work.traits.prompt_tokens
         self._response_times.note_first_byte(
             service, progress.model, tokens, progress.head_s
@@ -947,15 +956,20 @@
             )
 
     def _note_pace(
-        self, accepted: accepted_requests.AcceptedRequest, version: str
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
     ) -> None:
         """Records the time between the first events of a stream."""
-        progress = accepted.progress
+        progress, service = accepted.progress, accepted.service.name
         passed_s = self._now_s() - progress.attempt_start_s - progress.head_s
+        pace_s = passed_s / (answer_delivery.PACE_EVENTS - 1)
+        upstream = choice.upstream
         self._dependencies.rollouts.note_pace(
-            accepted.service.name,
-            version,
-            passed_s / (answer_delivery.PACE_EVENTS - 1),
+            service, upstream.entry.version, pace_s
+        )
+        self._dependencies.speeds.note_work(
+            upstream, service, progress.model, pace_s
         )
 
     def _note_stream_end(
--- a/src/lycheegw/coordination/load/backlog_aggregator.py
+++ b/src/lycheegw/coordination/load/backlog_aggregator.py
@@ -33,6 +33,8 @@
 CALL_TIMEOUT_S = 0.3
 # Time after which the report of a node that isn't heard of doesn't count.
 EXPIRE_AFTER_S = 3.0
+# The same for its samples of speeds, which decay anyway.
+_SPEEDS_EXPIRE_AFTER_S = 12.0
 # Nodes of which the version of the last report is kept.
 _MAX_NODES = 2_000
 # Interval at which the sums of other zones are read, in seconds.
@@ -50,12 +52,15 @@
         sequence: Grows with each report of a process.
         ms_by_key: Milliseconds of prefill of unanswered requests, by upstream
             and by organisation.
+        speeds: Samples of the speeds of upstreams, None if those of an earlier
+            report still hold.
     """
 
     node_id: str
     started_ms: int
     sequence: int
     ms_by_key: Mapping[backlog_sums.Key, int]
+    speeds: Mapping[backlog_sums.Key, int] | None = None
 
 
 class Query(NamedTuple):
@@ -139,6 +144,12 @@
         expires_s = now_s + EXPIRE_AFTER_S
         for sums in (self._zone_sums, self._fleet_sums):
             sums.put(report.node_id, report.ms_by_key, expires_s)
+            if report.speeds is not None:
+                sums.put(
+                    f"speeds of {report.node_id}",
+                    report.speeds,
+                    now_s + _SPEEDS_EXPIRE_AFTER_S,
+                )
 
     async def run(self) -> None:
         """Reads the sums of the other zones until cancelled."""
--- a/src/lycheegw/coordination/load/backlog_sums.py
+++ b/src/lycheegw/coordination/load/backlog_sums.py
@@ -1,9 +1,9 @@
 """Sums of the figures that several nodes report, and copies of such sums.
 
-A figure is the outstanding work at an upstream, or that of an organisation at a
-service, in milliseconds of prefill. A sum knows the order in which its entries
-changed, so that a copy gets only what changed since it was last brought up to
-date.
+A figure is the outstanding work at an upstream, that of an organisation at a
+service, or what an upstream's work took, in milliseconds. A sum knows the order
+in which its entries changed, so that a copy gets only what changed since it was
+last brought up to date.
 """
 
 import collections
@@ -11,7 +11,14 @@
 import math
 from typing import NamedTuple
 
-__all__ = ["BacklogSums", "Key", "OrganisationKey", "Sums", "SumsCopy"]
+__all__ = [
+    "BacklogSums",
+    "Key",
+    "OrganisationKey",
+    "SpeedKey",
+    "Sums",
+    "SumsCopy",
+]
 
 # Sums that are kept; those that are zero are dropped beyond.
 _MAX_KEYS = 4_000
@@ -24,8 +31,21 @@
     organisation: str
 
 
+class SpeedKey(NamedTuple):
+    """Names the time that samples of an upstream's speed took.
+
+    Attributes:
+        upstream: Id of the upstream.
+        is_actual: Whether it is the time taken, or that of as many samples at
+            the usual speed.
+    """
+
+    upstream: str
+    is_actual: bool
+
+
 # What a figure is of; an upstream is named by its id.
-Key = str | OrganisationKey
+Key = str | OrganisationKey | SpeedKey
 
 
 class Sums(NamedTuple):
--- a/src/lycheegw/coordination/load/backlogs.py
+++ b/src/lycheegw/coordination/load/backlogs.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -41,6 +42,8 @@
 # Organisations of which a node reports the work; those with little work are
 # left out beyond.
 _MAX_ORGANISATIONS = 200
+# Interval at which a report has the samples of speeds, in seconds.
+_SPEEDS_INTERVAL_S = 2.0
 
 
 class Backlogs:
@@ -48,6 +51,10 @@
 
     The estimate combines the node's own outstanding requests with the sums
     that the aggregator of its zone sent last.
+
+    Attributes:
+        own_speeds: Returns this node's samples of the speeds of upstreams,
+            which go with its reports.
     """
 
     def __init__(
@@ -63,6 +70,8 @@
         self._aggregators = aggregators
         self._started_ms = int(state.environment.wall_s() * 1000)
         self._sequence = 0
+        self.own_speeds: Callable[[], Mapping[backlog_sums.Key, int]] = dict
+        self._speeds_reported_s = -math.inf
         self._own_s_by_key: dict[backlog_sums.Key, float] = {}
         self._copy = backlog_sums.SumsCopy()
         # The own report that is contained in the copy.
@@ -116,6 +125,12 @@
         }
         return {name: seconds for name, seconds in found.items() if seconds}
 
+    def known_sums(self) -> Mapping[backlog_sums.Key, int]:
+        """Returns the sums that the aggregator sent, none if too old."""
+        if self.age_s() > backlog_aggregator.EXPIRE_AFTER_S:
+            return {}
+        return self._copy.ms_by_key
+
     def _seconds(self, key: backlog_sums.Key) -> float:
         """Returns a figure of all nodes, with this node's own part of now."""
         own_s = self._own_s_by_key.get(key, 0.0)
@@ -131,10 +146,22 @@
         ids = self._state.upstreams.by_id
         return max((self.wait_s(each) for each in ids), default=0.0)
 
+    def busiest_to_mean(self) -> float:
+        """Returns the longest backlog over the mean one, 1 without any."""
+        ids = self._state.upstreams.by_id
+        backlogs_s = [self.wait_s(each) for each in ids]
+        total_s = sum(backlogs_s)
+        return max(backlogs_s) * len(ids) / total_s if total_s else 1.0
+
     def age_s(self) -> float:
         """Returns the age of what is known of the other nodes' backlogs."""
         return self._now_s() - self._copy.updated_s
 
+    def age_used_s(self) -> float:
+        """Returns the age of the figures in use, 0 if they are all its own."""
+        age_s = self.age_s()
+        return age_s if age_s <= backlog_aggregator.EXPIRE_AFTER_S else 0.0
+
     def _add(self, key: backlog_sums.Key, seconds: float) -> None:
         total_s = self._own_s_by_key.get(key, 0.0) + seconds
         if total_s < 1e-6:
@@ -219,11 +246,15 @@
         if aggregator is None:
             return
         self._sequence += 1
+        is_speeds_due = (
+            self._exchanged_s >= self._speeds_reported_s + _SPEEDS_INTERVAL_S
+        )
         report = backlog_aggregator.Report(
             self._state.identity.node_id,
             self._started_ms,
             self._sequence,
             self._own_figures(),
+            self.own_speeds() if is_speeds_due else None,
         )
         query = backlog_aggregator.Query(
             report, self._copy.started_ms, self._copy.sequence
@@ -243,8 +274,12 @@
             self._state.counters.add("backlogs.unread")
             logging.warning("sums of backlogs: %s", error)
             self._aggregators.note_no_reply(aggregator)
+            # The next one asked may have none of this node's samples.
+            self._speeds_reported_s = -math.inf
             return
         self._copy.apply(sums, self._now_s())
+        if is_speeds_due:
+            self._speeds_reported_s = self._exchanged_s
         self._reported_ms = report.ms_by_key
 
     def _own_figures(self) -> dict[backlog_sums.Key, int]:
--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -17,6 +17,8 @@
 from lycheegw.coordination import zone_reachability
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import selection
+from lycheegw.coordination.load import speeds
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
 from lycheegw.state import requests
@@ -33,6 +35,10 @@
 _WAIT_S_PER_REQUEST = 0.01
 # Wait added for an upstream in another zone, since cross-zone traffic costs.
 _CROSS_ZONE_PENALTY_S = 0.1
+# The same for services without a model, as a share of an upstream's slots.
+_CROSS_ZONE_LOAD = 0.1
+# Duration of a response that is assumed of a service without any samples.
+_UNKNOWN_DURATION_S = 0.05
 
 
 class Choice(NamedTuple):
@@ -46,6 +52,8 @@
         wait_s: Expected wait for the requests queued before it.
         objections: What spoke against the upstream when it was selected, as a
             last resort; see `Balancer.objections`.
+        speed: Time that work takes there, relative to the service's mean; the
+            times above include it.
     """
 
     upstream: upstreams.Upstream
@@ -54,6 +62,12 @@
     prefill_s: float = 0.0
     wait_s: float = 0.0
     objections: frozenset[str] = frozenset()
+    speed: float = 1.0
+
+    @property
+    def work_s(self) -> float:
+        """Expected prefill time of the request at the usual speed."""
+        return self.prefill_s / self.speed
 
 
 class NoUpstream(NamedTuple):
@@ -75,7 +89,17 @@
 
 
 class Balancer:
-    """Selects upstreams by health, version, cold limits, affinity and load."""
+    """Selects upstreams by health, version, cold limits, affinity and load.
+
+    Attributes:
+        affinity_order: Returns upstreams of a model, the likeliest to cache the
+            prefix of a prompt first.
+        cached_tokens: Returns the tokens of a prompt that an upstream of a rank
+            in this order has cached.
+        crossing_s: Returns the wait that is worth as much as sending work to an
+            upstream's zone.
+        select: Returns the rank of the candidate to take.
+    """
 
     def __init__(
         self,
@@ -88,7 +112,13 @@
         reachability: zone_reachability.ZoneReachability,
         timings: response_times.ResponseTimes,
         prefill_backlogs: backlogs.Backlogs,
+        upstream_speeds: speeds.Speeds,
     ):
+        self.affinity_order = self._rendezvous_order
+        self.cached_tokens = self._shared_tokens_of_first
+        self.crossing_s = self._crossing_s
+        self.select: selection.Policy = selection.first_as_good
+        self._speeds = upstream_speeds
         self._state = state
         self._response_times = timings
         self._backlogs = prefill_backlogs
@@ -273,88 +303,159 @@
         model: str | None,
         options: list[upstreams.Upstream],
     ) -> Choice:
-        """Returns the first upstream in affinity order with a tolerable wait.
+        """Returns the upstream at which the response is expected soonest.
 
-        The wait is tolerable if it exceeds the shortest one by no more than
-        the time to prefill the shared prefix on another upstream.
+        Among those that are as good, by what is known, it is the first in
+        affinity order.
         """
         if service.engine is None:
-            upstream = self._pick_least_loaded(options)
-            return Choice(upstream, service, "least loaded")
-        traits = work.traits
-        key, shared = affinity_key(traits)
-        name = model or traits.model
-        tokens = traits.prompt_tokens
-        prefill_s = self._response_times.prefill_s(service.name, name, tokens)
-        miss_penalty_s = self._response_times.miss_penalty_s(
-            service.name, name, tokens, shared
-        )
-        is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
-        wait_s_by_id = self._weighted_waits(options, is_zone_bound)
-        max_wait_s = min(wait_s_by_id.values()) + miss_penalty_s
-        order = self._affinity_order(
-            f"{name or ''} {key}", options, is_zone_bound
-        )
-        rank, upstream = next(
-            (rank, each)
-            for rank, each in enumerate(order)
-            if wait_s_by_id[each.entry.host_id] <= max_wait_s
-        )
+            return self._pick_by_requests(work, service, options)
+        name = model or work.traits.model
+        order = self.affinity_order(work, name, options)
+        candidates = self._candidates(work, service, name, order)
+        rank = self.select(candidates, self._backlogs.age_used_s())
+        chosen = candidates[rank]
+        is_home = rank == 0 and affinity_key(work.traits)[0] is not None
         return Choice(
-            upstream,
+            chosen.upstream,
             service,
-            "affinity" if rank == 0 and key is not None else "shorter wait",
-            prefill_s + (miss_penalty_s if rank else 0.0),
-            self._wait_s(upstream),
+            "affinity" if is_home else "shorter wait",
+            chosen.prefill_s,
+            chosen.wait_s,
+            speed=chosen.speed,
         )
 
-    def _weighted_waits(
-        self, options: Sequence[upstreams.Upstream], is_zone_bound: bool
-    ) -> dict[str, float]:
-        """Returns the wait at each upstream, plus a penalty for other zones."""
-        penalty_s = _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
-        return {
-            each.entry.host_id: self._wait_s(each)
-            + (0.0 if self._is_local(each) else penalty_s)
-            for each in options
-        }
+    def _candidates(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        service: routing.Service,
+        model: str | None,
+        order: Sequence[upstreams.Upstream],
+    ) -> list[selection.Candidate]:
+        """Returns what is expected of each upstream, in the same order."""
+        tokens = work.traits.prompt_tokens
+        shared = affinity_key(work.traits)[1]
+        prefill_s = self._response_times.prefill_s(service.name, model, tokens)
+        miss_penalty_s = self._response_times.miss_penalty_s(
+            service.name, model, tokens, shared
+        )
+        now_s = self._state.environment.monotonic_s()
+        candidates = []
+        for rank, each in enumerate(order):
+            speed = self._speeds.factor(each)
+            missing = shared - self.cached_tokens(work, model, each, rank)
+            miss_s = miss_penalty_s * missing / shared if shared else 0.0
+            candidates.append(
+                selection.Candidate(
+                    each,
+                    speed * self._wait_s(each, now_s),
+                    speed * (prefill_s + miss_s),
+                    speed * miss_s,
+                    self.crossing_s(work, each),
+                    speed,
+                )
+            )
+        return candidates
 
-    def _affinity_order(
+    def _rendezvous_order(
         self,
-        key: str,
+        work: forwarded_requests.ForwardedWork,
+        model: str | None,
         options: Sequence[upstreams.Upstream],
-        is_zone_bound: bool,
     ) -> list[upstreams.Upstream]:
         """Returns the upstreams, the likeliest to cache the prefix first."""
+        key, shared = affinity_key(work.traits)
         by_id = {each.entry.host_id: each for each in options}
-        order = [by_id[each] for each in rendezvous.order(key, by_id)]
-        if is_zone_bound:
+        factors = self._speeds.learnt_by_id()
+        weights = {each: 1 / factors.get(each, 1.0) for each in by_id}
+        order = [
+            by_id[each]
+            for each in rendezvous.weighted_order(
+                f"{model or ''} {key or work.traits.request_id}", weights
+            )
+        ]
+        if shared < _CROSS_ZONE_AFFINITY_TOKENS:
             order.sort(key=lambda each: not self._is_local(each))
         return order
 
-    def _wait_s(self, upstream: upstreams.Upstream) -> float:
-        """Returns the expected wait of a new request at an upstream."""
-        now_s = self._state.environment.monotonic_s()
+    def _shared_tokens_of_first(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        model: str | None,
+        upstream: upstreams.Upstream,
+        rank: int,
+    ) -> int:
+        """Returns the tokens that an upstream has cached, by its rank."""
+        del model, upstream
+        return affinity_key(work.traits)[1] if rank == 0 else 0
+
+    def _crossing_s(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        upstream: upstreams.Upstream,
+    ) -> float:
+        """Returns the wait that is worth as much as crossing zones."""
+        if self._is_local(upstream):
+            return 0.0
+        _, shared = affinity_key(work.traits)
+        is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
+        return _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
+
+    def _wait_s(self, upstream: upstreams.Upstream, now_s: float) -> float:
+        """Returns the expected wait of a new request, at the usual speed."""
         backlog_s = self._backlogs.wait_s(upstream.entry.host_id)
         return backlog_s + _WAIT_S_PER_REQUEST * upstream.estimated_load(now_s)
 
     def _is_local(self, upstream: upstreams.Upstream) -> bool:
         return upstream.entry.zone == self._state.identity.zone
 
-    def _pick_least_loaded(
-        self, options: Sequence[upstreams.Upstream]
-    ) -> upstreams.Upstream:
-        """Returns the least loaded upstream; ties go to this node's zone."""
-        now_s = self._state.environment.monotonic_s()
-        zone = self._state.identity.zone
+    def _pick_by_requests(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        service: routing.Service,
+        options: Sequence[upstreams.Upstream],
+    ) -> Choice:
+        """Returns the upstream that answers soonest by requests in flight.
 
-        def rank(upstream: upstreams.Upstream) -> tuple[float, bool, float]:
-            slots = max(1, upstream.entry.slots)
-            load = round(upstream.estimated_load(now_s) / slots, 1)
-            is_remote = upstream.entry.zone != zone
-            return load, is_remote, self._state.environment.random.random()
+        Those of all nodes count, by what they told the aggregator, and at least
+        those that the upstream reported and that this node has sent.
+        """
+        now_s = self._state.environment.monotonic_s()
+        usual_s = self._response_times.expected_first_byte_s(
+            service.name, None, 0
+        )
+        duration_s = usual_s or _UNKNOWN_DURATION_S
+        random = self._state.environment.random.random
+
+        def estimate(upstream: upstreams.Upstream) -> selection.Candidate:
+            told = self._backlogs.wait_s(upstream.entry.host_id) / duration_s
+            in_flight = max(told, upstream.estimated_load(now_s))
+            speed = self._speeds.factor(upstream)
+            load = in_flight / max(1, upstream.entry.slots)
+            crossing_s = 0.0
+            if not self._is_local(upstream):
+                crossing_s = _CROSS_ZONE_LOAD * duration_s
+            return selection.Candidate(
+                upstream,
+                speed * load * duration_s,
+                speed * duration_s,
+                0.0,
+                crossing_s,
+                speed,
+            )
 
-        return min(options, key=rank)
+        del work
+        chosen = min(
+            map(estimate, options), key=lambda each: (each.cost_s, random())
+        )
+        return Choice(
+            chosen.upstream,
+            service,
+            "least loaded",
+            chosen.prefill_s,
+            chosen.wait_s,
+            speed=chosen.speed,
+        )
 
 
 def affinity_key(
--- a/src/lycheegw/coordination/rendezvous.py
+++ b/src/lycheegw/coordination/rendezvous.py
@@ -4,11 +4,16 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 
 import xxhash
 
-__all__ = ["first", "order"]
+__all__ = ["first", "order", "weighted_order"]
+
+# Hashes have 64 bits.
+_HASHES = 2.0**64
 
 
 def order(key: str, members: Iterable[str]) -> Sequence[str]:
@@ -19,6 +24,22 @@
     )
 
 
+def weighted_order(
+    key: str, weight_by_member: Mapping[str, float]
+) -> Sequence[str]:
+    """Returns the members in order of their priority for `key`.
+
+    A member is the first one of a share of the keys that is proportional to
+    its weight; a change of a weight moves few keys. Weights are above 0.
+    """
+
+    def rank(member: str) -> float:
+        hashed = xxhash.xxh64_intdigest(f"{key}\n{member}".encode())
+        return -math.log((hashed + 1) / _HASHES) / weight_by_member[member]
+
+    return sorted(weight_by_member, key=rank)
+
+
 def first(key: str, members: Iterable[str]) -> str | None:
     """Returns the member with priority for `key`, None without members."""
     ordered = order(key, members)
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -35,6 +35,7 @@
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import speeds
 from lycheegw.coordination.load import zone_aggregators
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import notice_codec
@@ -398,6 +399,7 @@
             reachability,
             timings,
             self.backlogs,
+            self.speeds,
         )
         self.forwarder = forwarding.Forwarder(
             self.state,
@@ -407,6 +409,7 @@
                 self.balancer,
                 timings,
                 self.backlogs,
+                self.speeds,
                 rates,
                 retry_budgets.RetryBudgets(
                     self.state,
@@ -461,6 +464,8 @@
         self.backlogs = backlogs.Backlogs(
             self.state, self.peers, backlog_codec.CODEC, aggregators
         )
+        self.speeds = speeds.Speeds(self.state, self.backlogs.known_sums)
+        self.backlogs.own_speeds = self.speeds.own_figures
         self.application.add_task(aggregator.run)
         self.application.add_task(self.backlogs.run)
 
@@ -605,7 +610,12 @@
             "is_ready": float(self.is_ready),
             "process_cpu_s": time.process_time(),
             "longest_backlog_s": self.backlogs.longest_s(),
+            "backlog_evenness": self.backlogs.busiest_to_mean(),
         }
+        for extreme, factor in zip(
+            ("least", "greatest"), self.speeds.extremes(), strict=True
+        ):
+            gauges[f"upstream_speed_factor_{extreme}"] = factor
         for name, budget in self.budgets._asdict().items():
             gauges[f"memory_held_bytes_{name}"] = float(budget.held)
             gauges[f"memory_limit_bytes_{name}"] = float(budget.limit)
--- a/src/lycheegw/measure/balance.py
+++ b/src/lycheegw/measure/balance.py
@@ -1,19 +1,24 @@
-"""Measures how late heads come in fleets of 7 to 186 nodes, in simulated time.
+"""Measures how evenly fleets of 7 to 374 nodes load upstreams.
 
-The router's balancer chooses by what its node knows. It is compared with an
-oracle that knows all queues and caches, and with the least connections of each
-node, as proxies choose that don't know of each other. Upstreams prefill one
-prompt at a time and cache shared parts.
+The router's balancer chooses by what its node knows, in simulated time. It is
+compared with an oracle that knows all queues, speeds and caches, with the least
+connections of each node, as proxies choose that don't know of each other, and
+with other policies on what the node knows. Upstreams prefill one prompt at a
+time and cache shared parts. They differ in speed, and some are slow at a time.
 """
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
+import math
 import random
 from typing import Any
 from typing import NamedTuple
 
 from lycheegw.coordination.load import balancing
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import selection
+from lycheegw.coordination.load import speeds
 from lycheegw.measure import backlog_fleet
 from lycheegw.measure import report
 from lycheegw.state import forwarded_requests
@@ -24,7 +29,7 @@
 __all__ = ["Lateness", "run", "simulate"]
 
 # Nodes, upstreams and zones of each size.
-_SIZES = ((7, 6, 1), (76, 63, 5), (186, 156, 5))
+_SIZES = ((7, 6, 1), (76, 63, 5), (186, 156, 5), (374, 314, 5))
 _WARM_UP_S, _SECONDS = 4.0, 5.0
 # Prompts as in the sheet of the large deployment: a shared part that one of
 # many subjects has, an own part, and two models.
@@ -36,6 +41,14 @@
 _TOKENS_PER_S = {_SMALL_MODEL: 214_000, _LARGE_MODEL: 21_400}
 _CACHE_TOKENS = 447_000
 _CROSS_ZONE_PENALTY_S = 0.1
+# Time that work takes on upstreams, relative to the usual one, by turns; and
+# how much longer it takes on some of them at a time.
+_SPEEDS = (0.7, 0.7, 1.7)
+_SLOW_SHARE, _SLOW_FACTOR, _SLOW_S = 0.15, 2.5, 0.6
+# Time from one event to the next of a stream at the usual speed.
+_EVENT_S = 0.03
+# Random candidates and the scale of costs of two policies.
+_FEW, _ROOM_SCALE_S = 3, 0.1
 # A wait is avoidable if another upstream had less than this to do.
 _FREE_S, _LONG_WAIT_S, _LATE_S = 0.1, 1.0, 3.0
 _TENTH = 0.1
@@ -69,6 +82,11 @@
         p99_s: 99th percentile of these times.
         avoidable_wait_share: Share of the attempts that waited for over 1 s
             while another upstream had next to nothing to do.
+        busiest_to_mean: Time that the busiest upstream owes, relative to the
+            mean of all, where both are means over the attempts.
+        idle_share: Share of the upstreams that owe nothing while another one
+            owes over 1 s.
+        reread_share: Share of the tokens of shared parts that were read again.
     """
 
     late_share: float
@@ -76,6 +94,9 @@
     p50_s: float
     p99_s: float
     avoidable_wait_share: float
+    busiest_to_mean: float
+    idle_share: float
+    reread_share: float
 
 
 class _Prompt(NamedTuple):
@@ -91,15 +112,27 @@
 
 class _Sent(NamedTuple):
     tokens: int
+    shared_tokens: int
+    is_read_again: bool
     head_s: float
     is_avoidable: bool
+    most_owed_s: float
+    mean_owed_s: float
+    idle_share: float
 
 
 class _Upstream:
-    """Prefills prompts in order of arrival, and caches shared parts."""
+    """Prefills prompts in order of arrival, and caches shared parts.
 
-    def __init__(self) -> None:
+    Attributes:
+        speed: Time that work takes there, relative to the usual one.
+    """
+
+    def __init__(self, speed: float, seed: int) -> None:
+        self.speed = speed
         self.free_s = 0.0
+        self._random = random.Random(seed)
+        self._slowness_by_turn: list[float] = []
         self._tokens_by_part: collections.OrderedDict[tuple[str, int], int] = (
             collections.OrderedDict()
         )
@@ -108,14 +141,35 @@
     def wait_s(self, now_s: float) -> float:
         return max(0.0, self.free_s - now_s)
 
-    def prefill_s(self, prompt: _Prompt) -> float:
-        is_cached = (prompt.model, prompt.subject) in self._tokens_by_part
-        tokens = prompt.own_tokens if is_cached else prompt.tokens
-        return tokens / _TOKENS_PER_S[prompt.model]
+    def slowness(self, now_s: float) -> float:
+        """Returns how much longer than on average work takes at the moment."""
+        turn = int(now_s / _SLOW_S)
+        while len(self._slowness_by_turn) <= turn:
+            is_slow = self._random.random() < _SLOW_SHARE
+            self._slowness_by_turn.append(_SLOW_FACTOR if is_slow else 1.0)
+        return self._slowness_by_turn[turn]
+
+    def is_cached(self, prompt: _Prompt) -> bool:
+        return (prompt.model, prompt.subject) in self._tokens_by_part
+
+    def head_s(self, now_s: float, prompt: _Prompt) -> float:
+        """Returns the time to the head of a prompt that is sent now."""
+        tokens = prompt.own_tokens if self.is_cached(prompt) else prompt.tokens
+        left_s = self.speed * tokens / _TOKENS_PER_S[prompt.model]
+        at_s = now_s + self.wait_s(now_s)
+        while True:
+            slowness = self.slowness(at_s)
+            turn_end_s = (int(at_s / _SLOW_S) + 1) * _SLOW_S
+            # Rounding may leave a time at the end of its turn.
+            turn_s = max(1e-6, turn_end_s - at_s)
+            if left_s * slowness <= turn_s:
+                return at_s + left_s * slowness - now_s
+            left_s -= turn_s / slowness
+            at_s += turn_s
 
     def take(self, now_s: float, prompt: _Prompt) -> float:
         """Queues a prompt; returns the time to its head."""
-        head_s = self.wait_s(now_s) + self.prefill_s(prompt)
+        head_s = self.head_s(now_s, prompt)
         self.free_s = now_s + head_s
         key = (prompt.model, prompt.subject)
         self._cached_tokens -= self._tokens_by_part.pop(key, 0)
@@ -144,6 +198,76 @@
         return lambda *_: result_by_name.get(name, False)
 
 
+class _Router(NamedTuple):
+    """What a node chooses by."""
+
+    balancer: balancing.Balancer
+    times: response_times.ResponseTimes
+    rates: speeds.Speeds
+
+
+def _by_wait(_: random.Random) -> selection.Policy:
+    """Returns the policy of earlier builds, which ignore speeds and age.
+
+    It takes the first candidate whose wait exceeds the shortest one by no more
+    than the time to prefill the shared part.
+    """
+
+    def select(candidates: Sequence[selection.Candidate], _: float) -> int:
+        miss_s = candidates[-1].prefill_s - candidates[0].prefill_s
+        waits_s = [each.wait_s + each.crossing_s for each in candidates]
+        bound_s = min(waits_s) + max(0.0, miss_s)
+        return next(
+            rank for rank, wait_s in enumerate(waits_s) if wait_s <= bound_s
+        )
+
+    return select
+
+
+def _by_finish(_: random.Random) -> selection.Policy:
+    """Returns the policy that takes the least cost, as if it were exact."""
+
+    def select(candidates: Sequence[selection.Candidate], _: float) -> int:
+        costs_s = [each.cost_s for each in candidates]
+        return costs_s.index(min(costs_s))
+
+    return select
+
+
+def _of_few(generator: random.Random) -> selection.Policy:
+    """Returns the policy that looks at the first and a few random ones."""
+
+    def select(candidates: Sequence[selection.Candidate], _: float) -> int:
+        others = range(1, len(candidates))
+        drawn = generator.sample(others, min(_FEW, len(others)))
+        return min([0, *drawn], key=lambda rank: candidates[rank].cost_s)
+
+    return select
+
+
+def _by_free_room(generator: random.Random) -> selection.Policy:
+    """Returns the policy that draws candidates, the cheap ones more often."""
+
+    def select(candidates: Sequence[selection.Candidate], age_s: float) -> int:
+        best_s = min(each.cost_s for each in candidates)
+        scale_s = _ROOM_SCALE_S + age_s
+        weights = [
+            math.exp((best_s - each.cost_s) / scale_s) for each in candidates
+        ]
+        return generator.choices(range(len(candidates)), weights)[0]
+
+    return select
+
+
+_POLICIES: dict[str, Callable[[random.Random], selection.Policy]] = {
+    "router": lambda _: selection.first_as_good,
+    "by wait": _by_wait,
+    "by finish": _by_finish,
+    "of few": _of_few,
+    "by free room": _by_free_room,
+}
+
+
 class _Run:
     """A fleet whose attempts are placed by one policy."""
 
@@ -163,14 +287,15 @@
         self._policy = policy
         self._random = random.Random(seed)
         self._upstream_by_id = {
-            each: _Upstream() for each in self.fleet.zone_by_upstream
+            each: _Upstream(_SPEEDS[number % len(_SPEEDS)], seed + number)
+            for number, each in enumerate(self.fleet.zone_by_upstream)
         }
+        # Upstreams that have read a shared part.
+        self._readers: set[tuple[str, int]] = set()
         self._outstanding: collections.Counter[tuple[int, str]] = (
             collections.Counter()
         )
-        self._router_by_node: dict[
-            int, tuple[balancing.Balancer, response_times.ResponseTimes]
-        ] = {}
+        self._router_by_node: dict[int, _Router] = {}
         generator = random.Random(seed)
         self._shared_tokens = [
             int(
@@ -199,19 +324,32 @@
 
     def _draw(self, node: backlog_fleet.Node) -> backlog_fleet.Attempt:
         prompt, now_s = self._draw_prompt(), self._now_s()
-        if self._policy == "router":
+        if self._policy in _POLICIES:
             upstream_id, expected_s, note_head = self._route(node, prompt)
         else:
             upstream_id = self._place(node, prompt)
             expected_s, note_head = 0.0, lambda _: None
         upstream = self._upstream_by_id[upstream_id]
+        owed_s = [each.wait_s(now_s) for each in self._upstream_by_id.values()]
         is_long = upstream.wait_s(now_s) > _LONG_WAIT_S
-        is_avoidable = is_long and any(
-            each.wait_s(now_s) < _FREE_S
-            for each in self._upstream_by_id.values()
-        )
+        part = (prompt.model, prompt.subject)
+        is_again = part in self._readers and not upstream.is_cached(prompt)
+        self._readers.add(part)
         head_s = upstream.take(now_s, prompt)
-        self.sent.append(_Sent(prompt.tokens, head_s, is_avoidable))
+        self.sent.append(
+            _Sent(
+                prompt.tokens,
+                prompt.shared_tokens,
+                is_again,
+                head_s,
+                is_long and min(owed_s) < _FREE_S,
+                max(owed_s),
+                sum(owed_s) / len(owed_s),
+                owed_s.count(0.0) / len(owed_s)
+                if max(owed_s) > _LONG_WAIT_S
+                else 0.0,
+            )
+        )
 
         key = (id(node), upstream_id)
         self._outstanding[key] += 1
@@ -232,7 +370,7 @@
             tie = self._random.random()
             if self._policy == "least connections":
                 return float(self._outstanding[id(node), upstream_id]), tie
-            head_s = upstream.wait_s(now_s) + upstream.prefill_s(prompt)
+            head_s = upstream.head_s(now_s, prompt)
             return head_s + (0.0 if is_local else _CROSS_ZONE_PENALTY_S), tie
 
         return min(self._upstream_by_id, key=cost)
@@ -241,7 +379,7 @@
         self, node: backlog_fleet.Node, prompt: _Prompt
     ) -> tuple[str, float, Callable[[float], None]]:
         """Returns the router's choice, what it expects, and a listener."""
-        balancer, times = self._router(node)
+        balancer, times, rates = self._router(node)
         parts = (
             forwarded_requests.PromptPart(
                 f"s{prompt.subject}", prompt.shared_tokens
@@ -277,12 +415,28 @@
             times.note_first_byte(
                 _SERVICE.name, prompt.model, prompt.tokens, head_s
             )
+            if self._policy != "by wait":
+                self._note_speed(choice.upstream, prompt.model, rates)
 
-        return choice.upstream.entry.host_id, choice.prefill_s, note_head
+        return choice.upstream.entry.host_id, choice.work_s, note_head
+
+    def _note_speed(
+        self,
+        upstream: upstreams.Upstream,
+        model: str,
+        rates: speeds.Speeds,
+    ) -> None:
+        """Records what a response tells of its upstream's speed."""
+        now_s = self._now_s()
+        actual = self._upstream_by_id[upstream.entry.host_id]
+        slowness = actual.slowness(now_s)
+        upstream.record_load(
+            upstreams.LoadReport(frozenset(), 0, 0, 0.0, 0, now_s, slowness)
+        )
+        event_s = _EVENT_S * actual.speed * slowness
+        rates.note_work(upstream, _SERVICE.name, model, event_s)
 
-    def _router(
-        self, node: backlog_fleet.Node
-    ) -> tuple[balancing.Balancer, response_times.ResponseTimes]:
+    def _router(self, node: backlog_fleet.Node) -> _Router:
         if id(node) not in self._router_by_node:
             node.state.upstreams.replace_entries(
                 upstreams.HostEntry(
@@ -297,21 +451,23 @@
                 for host_id, zone in self.fleet.zone_by_upstream.items()
             )
             times = response_times.ResponseTimes()
+            rates = speeds.Speeds(node.state, node.backlogs.known_sums)
+            node.backlogs.own_speeds = rates.own_figures
             restrictions: Any = _Unrestricted()
-            self._router_by_node[id(node)] = (
-                balancing.Balancer(
-                    node.state,
-                    restrictions,
-                    restrictions,
-                    restrictions,
-                    restrictions,
-                    lambda _: True,
-                    restrictions,
-                    times,
-                    node.backlogs,
-                ),
+            balancer = balancing.Balancer(
+                node.state,
+                restrictions,
+                restrictions,
+                restrictions,
+                restrictions,
+                lambda _: True,
+                restrictions,
                 times,
+                node.backlogs,
+                rates,
             )
+            balancer.select = _POLICIES[self._policy](self._random)
+            self._router_by_node[id(node)] = _Router(balancer, times, rates)
         return self._router_by_node[id(node)]
 
 
@@ -324,7 +480,7 @@
     """Returns the lateness of a fleet.
 
     Args:
-        policy: "router", "oracle" or "least connections".
+        policy: A name in `_POLICIES`, "oracle" or "least connections".
         size: Nodes, upstreams and zones.
         seed: Seed of the prompts.
         seconds: Simulated time that is measured.
@@ -343,6 +499,11 @@
         heads_s[len(heads_s) // 2],
         heads_s[int(len(heads_s) * 0.99)],
         sum(each.is_avoidable for each in sent) / len(sent),
+        sum(each.most_owed_s for each in sent)
+        / max(1e-9, sum(each.mean_owed_s for each in sent)),
+        sum(each.idle_share for each in sent) / len(sent),
+        sum(each.shared_tokens for each in sent if each.is_read_again)
+        / max(1, sum(each.shared_tokens for each in sent)),
     )
 
 
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -5,6 +5,7 @@
 import json
 import math
 import re
+from typing import NamedTuple
 
 from lycheegw.coordination import interfaces
 from lycheegw.state import errors
@@ -29,6 +30,8 @@
 # no more.
 _MAX_COUNT = 2**31 - 1
 _COUNT = re.compile(r"[0-9]{1,10}")
+# Longest time that work may take on a machine, in percent of the usual one.
+_MAX_SLOWNESS_PERCENT = 10_000
 # Limits the prompt parts that a client's header can list; the rest are ignored.
 _MAX_PROMPT_PARTS = 64
 
@@ -201,9 +204,7 @@
     dropped_names = (
         _HOP_BY_HOP | {b"content-length"} | _connection_headers(head.headers)
     )
-    running, waiting, slots = _parse_load(
-        value_by_name.get(b"x-lycheegw-instance-load", "")
-    )
+    load = _parse_load(value_by_name.get(b"x-lycheegw-instance-load", ""))
     retry_after_s = _parse_amount(value_by_name.get(b"retry-after"))
     rate_limit_per_s = _parse_amount(value_by_name.get(b"server-limit"))
     max_rejections_per_s = _parse_amount(value_by_name.get(b"server-brittle"))
@@ -215,7 +216,7 @@
         b"server-brittle": max_rejections_per_s,
         b"x-lycheegw-confidence": confidence,
         b"x-lycheegw-cold-ms": cold_ms,
-        b"x-lycheegw-instance-load": running,
+        b"x-lycheegw-instance-load": load.running,
     }
     encoding = value_by_name.get(b"content-encoding", "identity")
     # The parser has checked that it is a number.
@@ -233,9 +234,9 @@
         _decode_mark(_values(head, b"x-lycheegw-not-executed")),
         encoding.lower() != "identity",
         confidence,
-        running,
-        waiting,
-        slots,
+        load.running,
+        load.waiting,
+        load.slots,
         value_by_name.get(b"x-lycheegw-instance-id"),
         None if cold_ms is None else cold_ms / 1000,
         retry_after_s,
@@ -251,6 +252,7 @@
         True,
         promises_not_run(head.status),
         bool({b"content-length", b"transfer-encoding"} & value_by_name.keys()),
+        load.slowness,
     )
 
 
@@ -296,11 +298,25 @@
     return count if count <= _MAX_COUNT else None
 
 
-def _parse_load(text: str) -> tuple[int | None, int | None, int | None]:
-    counts = [_parse_count(field.strip()) for field in text.split(",")]
-    if len(counts) != 3 or None in counts:
-        return None, None, None
-    return counts[0], counts[1], counts[2]
+class _Load(NamedTuple):
+    """What an upstream says of its load; None where it says nothing."""
+
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    slowness: float = 1.0
+
+
+def _parse_load(text: str) -> _Load:
+    """Returns the load; the fourth figure, in percent, may be missing."""
+    parsed = [_parse_count(field.strip()) for field in text.split(",")]
+    counts = [each for each in parsed if each is not None]
+    if len(parsed) not in {3, 4} or len(counts) < len(parsed):
+        return _Load()
+    running, waiting, slots, percent = (*counts, 100)[:4]
+    if not 1 <= percent <= _MAX_SLOWNESS_PERCENT:
+        return _Load()
+    return _Load(running, waiting, slots, percent / 100)
 
 
 def _parse_keep_alive(text: str) -> float | None:
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -22,19 +22,29 @@
     message: backlogs_pb2.Report | backlogs_pb2.Sums,
 ) -> None:
     """Adds figures to a message."""
+    speed_by_upstream: dict[str, backlogs_pb2.Speed] = {}
     for key, milliseconds in ms_by_key.items():
         bounded_ms = min(milliseconds, _MAX_BACKLOG_MS)
         if isinstance(key, str):
             message.backlogs.add(upstream=key, milliseconds=bounded_ms)
-        else:
+        elif isinstance(key, backlog_sums.OrganisationKey):
             message.organisations.add(
                 service=key.service,
                 organisation=key.organisation,
                 milliseconds=bounded_ms,
             )
+        else:
+            speed = speed_by_upstream.setdefault(
+                key.upstream, backlogs_pb2.Speed(upstream=key.upstream)
+            )
+            if key.is_actual:
+                speed.actual_ms = bounded_ms
+            else:
+                speed.usual_ms = bounded_ms
+    message.speeds.extend(speed_by_upstream.values())
 
 
-def _decode_figures(
+def _decode_work(
     message: backlogs_pb2.Report | backlogs_pb2.Sums,
 ) -> dict[backlog_sums.Key, int]:
     figures: dict[backlog_sums.Key, int] = {
@@ -46,6 +56,20 @@
     return figures
 
 
+def _decode_speeds(
+    message: backlogs_pb2.Report | backlogs_pb2.Sums,
+) -> dict[backlog_sums.Key, int]:
+    figures: dict[backlog_sums.Key, int] = {}
+    for each in message.speeds:
+        if each.HasField("usual_ms"):
+            key = backlog_sums.SpeedKey(each.upstream, False)
+            figures[key] = each.usual_ms
+        if each.HasField("actual_ms"):
+            key = backlog_sums.SpeedKey(each.upstream, True)
+            figures[key] = each.actual_ms
+    return figures
+
+
 def _encode_query(query: backlog_aggregator.Query) -> bytes:
     report = query.report
     message = backlogs_pb2.Query(
@@ -57,7 +81,10 @@
         message.report.node_id = report.node_id
         message.report.started_ms = report.started_ms
         message.report.sequence = report.sequence
-        _encode_figures(report.ms_by_key, message.report)
+        message.report.has_speeds = report.speeds is not None
+        _encode_figures(
+            {**report.ms_by_key, **(report.speeds or {})}, message.report
+        )
     return bytes(message.SerializeToString())
 
 
@@ -72,7 +99,10 @@
             message.report.node_id,
             message.report.started_ms,
             message.report.sequence,
-            _decode_figures(message.report),
+            _decode_work(message.report),
+            _decode_speeds(message.report)
+            if message.report.has_speeds
+            else None,
         )
     return backlog_aggregator.Query(
         report, message.known_started_ms, message.known_sequence
@@ -98,7 +128,7 @@
         message.started_ms,
         message.sequence,
         message.is_complete,
-        _decode_figures(message),
+        {**_decode_work(message), **_decode_speeds(message)},
     )
 
 
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -123,6 +123,8 @@
             not run and never will.
         has_framing: Whether the body has a length or chunks; else it ends with
             the connection.
+        slowness: How long work takes at the upstream at the moment; 1 is
+            usual.
     """
 
     status: int
@@ -147,6 +149,7 @@
     is_attributed: bool = True
     claims_not_run: bool = False
     has_framing: bool = True
+    slowness: float = 1.0
 
     def evidence(self, request_id: str) -> run_evidence.RunEvidence:
         """Returns what the head says about a run of a request."""
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -25,6 +25,7 @@
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import speeds
 from lycheegw.coordination.load import zone_aggregators
 from lycheegw.measure import backlog_fleet
 from lycheegw.protocol import backlog_codec
@@ -115,6 +116,7 @@
             fleet,  # type: ignore[arg-type]
             self.times,
             self.backlogs,
+            speeds.Speeds(self.state, self.backlogs.known_sums),
         )
 
     def exchange(self) -> None:
