Balancing: estimates of all upstreams in lists, waits and speeds in one pass

Cause: a choice among 30 upstreams took 266 us instead of 142 (micro-benchmark of Balancer.choose, processor time). Change: ages, sums and prices of zones are looked up once a choice, not once an upstream.

--- a/src/lycheegw/coordination/load/backlogs.py
+++ b/src/lycheegw/coordination/load/backlogs.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import heapq
 import math
@@ -109,7 +110,11 @@
 
     def wait_s(self, upstream_id: str) -> float:
         """Returns the outstanding prefill time at an upstream, of all nodes."""
-        return self._seconds(upstream_id)
+        return self._seconds([upstream_id])[0]
+
+    def waits_s(self, upstream_ids: Sequence[str]) -> list[float]:
+        """Returns these times of several upstreams, in the same order."""
+        return self._seconds(upstream_ids)
 
     def organisations(self, service: str) -> Mapping[str, float]:
         """Returns the outstanding prefill time at a service by organisation.
@@ -117,13 +122,17 @@
         It is that of all nodes, in seconds.
         """
         keys = self._own_s_by_key.keys() | self._copy.ms_by_key.keys()
-        found = {
-            key.organisation: self._seconds(key)
+        found = [
+            key
             for key in keys
             if isinstance(key, backlog_sums.OrganisationKey)
             and key.service == service
+        ]
+        return {
+            key.organisation: seconds
+            for key, seconds in zip(found, self._seconds(found), strict=True)
+            if seconds
         }
-        return {name: seconds for name, seconds in found.items() if seconds}
 
     def known_sums(self) -> Mapping[backlog_sums.Key, int]:
         """Returns the sums that the aggregator sent, none if too old."""
@@ -131,25 +140,27 @@
             return {}
         return self._copy.ms_by_key
 
-    def _seconds(self, key: backlog_sums.Key) -> float:
-        """Returns a figure of all nodes, with this node's own part of now."""
-        own_s = self._own_s_by_key.get(key, 0.0)
-        if self.age_s() > backlog_aggregator.EXPIRE_AFTER_S:
-            return own_s
-        others_ms = self._copy.ms_by_key.get(key, 0) - self._reported_ms.get(
-            key, 0
-        )
-        return own_s + max(0, others_ms) / 1000
+    def _seconds(self, keys: Sequence[backlog_sums.Key]) -> list[float]:
+        """Returns figures of all nodes, with this node's own part of now."""
+        own = self._own_s_by_key
+        sums, reported = self.known_sums(), self._reported_ms
+        if not sums:
+            return [own.get(key, 0.0) for key in keys]
+        return [
+            own.get(key, 0.0)
+            + max(0, sums.get(key, 0) - reported.get(key, 0)) / 1000
+            for key in keys
+        ]
 
     def longest_s(self) -> float:
         """Returns the longest backlog of all listed upstreams."""
         ids = self._state.upstreams.by_id
-        return max((self.wait_s(each) for each in ids), default=0.0)
+        return max(self.waits_s(list(ids)), default=0.0)
 
     def busiest_to_mean(self) -> float:
         """Returns the longest backlog over the mean one, 1 without any."""
         ids = self._state.upstreams.by_id
-        backlogs_s = [self.wait_s(each) for each in ids]
+        backlogs_s = self.waits_s(list(ids))
         total_s = sum(backlogs_s)
         return max(backlogs_s) * len(ids) / total_s if total_s else 1.0
 
--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import operator
 from typing import NamedTuple
 
 from lycheegw.coordination import canary_rollouts
@@ -88,17 +89,46 @@
     is_limit_announced: bool = False
 
 
+class _Estimates(NamedTuple):
+    """What is expected of each of several upstreams, in the same order.
+
+    Attributes:
+        waits_s: Waits for the requests queued before.
+        prefills_s: Prefill times of the request.
+        misses_s: Parts of these that an upstream with the prefix saves.
+        crossings_s: Waits that are worth as much as crossing zones.
+        speeds: Time that work takes, relative to the service's mean. Waits and
+            prefill times include it.
+    """
+
+    waits_s: list[float]
+    prefills_s: list[float]
+    misses_s: list[float]
+    crossings_s: list[float]
+    speeds: list[float]
+
+    def costs_s(self) -> list[float]:
+        """Returns the times to the first byte, with what crossing is worth."""
+        return list(
+            map(
+                operator.add,
+                map(operator.add, self.waits_s, self.prefills_s),
+                self.crossings_s,
+            )
+        )
+
+
 class Balancer:
     """Selects upstreams by health, version, cold limits, affinity and load.
 
     Attributes:
         affinity_order: Returns upstreams of a model, the likeliest to cache the
             prefix of a prompt first.
-        cached_tokens: Returns the tokens of a prompt that an upstream of a rank
-            in this order has cached.
-        crossing_s: Returns the wait that is worth as much as sending work to an
-            upstream's zone.
-        select: Returns the rank of the candidate to take.
+        cached_tokens: Returns the shared tokens of a prompt that upstreams in
+            this order have cached.
+        crossing_s: Returns the wait that is worth as much as sending work to
+            another zone.
+        select: Returns the rank of the upstream to take.
     """
 
     def __init__(
@@ -115,7 +145,7 @@
         upstream_speeds: speeds.Speeds,
     ):
         self.affinity_order = self._rendezvous_order
-        self.cached_tokens = self._shared_tokens_of_first
+        self.cached_tokens = self._assume_first_cached
         self.crossing_s = self._crossing_s
         self.select: selection.Policy = selection.first_as_good
         self._speeds = upstream_speeds
@@ -309,29 +339,30 @@
         affinity order.
         """
         if service.engine is None:
-            return self._pick_by_requests(work, service, options)
+            return self._pick_by_requests(service, options)
         name = model or work.traits.model
         order = self.affinity_order(work, name, options)
-        candidates = self._candidates(work, service, name, order)
-        rank = self.select(candidates, self._backlogs.age_used_s())
-        chosen = candidates[rank]
+        estimates = self._estimates(work, service, name, order)
+        rank = self.select(
+            estimates.costs_s(), estimates.misses_s, self._backlogs.age_used_s()
+        )
         is_home = rank == 0 and affinity_key(work.traits)[0] is not None
         return Choice(
-            chosen.upstream,
+            order[rank],
             service,
             "affinity" if is_home else "shorter wait",
-            chosen.prefill_s,
-            chosen.wait_s,
-            speed=chosen.speed,
+            estimates.prefills_s[rank],
+            estimates.waits_s[rank],
+            speed=estimates.speeds[rank],
         )
 
-    def _candidates(
+    def _estimates(
         self,
         work: forwarded_requests.ForwardedWork,
         service: routing.Service,
         model: str | None,
         order: Sequence[upstreams.Upstream],
-    ) -> list[selection.Candidate]:
+    ) -> _Estimates:
         """Returns what is expected of each upstream, in the same order."""
         tokens = work.traits.prompt_tokens
         shared = affinity_key(work.traits)[1]
@@ -339,23 +370,30 @@
         miss_penalty_s = self._response_times.miss_penalty_s(
             service.name, model, tokens, shared
         )
-        now_s = self._state.environment.monotonic_s()
-        candidates = []
-        for rank, each in enumerate(order):
-            speed = self._speeds.factor(each)
-            missing = shared - self.cached_tokens(work, model, each, rank)
-            miss_s = miss_penalty_s * missing / shared if shared else 0.0
-            candidates.append(
-                selection.Candidate(
-                    each,
-                    speed * self._wait_s(each, now_s),
-                    speed * (prefill_s + miss_s),
-                    speed * miss_s,
-                    self.crossing_s(work, each),
-                    speed,
+        missing_shares = [
+            1 - cached / shared if shared else 0.0
+            for cached in self.cached_tokens(work, model, order)
+        ]
+        speeds_by_rank = self._speeds.factors(order)
+        misses_s = [
+            speed * miss_penalty_s * share
+            for speed, share in zip(speeds_by_rank, missing_shares, strict=True)
+        ]
+        return _Estimates(
+            [
+                speed * wait_s
+                for speed, wait_s in zip(
+                    speeds_by_rank, self._waits_s(order), strict=True
                 )
-            )
-        return candidates
+            ],
+            [
+                speed * prefill_s + miss_s
+                for speed, miss_s in zip(speeds_by_rank, misses_s, strict=True)
+            ],
+            misses_s,
+            self._crossings_s(work, order),
+            speeds_by_rank,
+        )
 
     def _rendezvous_order(
         self,
@@ -375,43 +413,59 @@
             )
         ]
         if shared < _CROSS_ZONE_AFFINITY_TOKENS:
-            order.sort(key=lambda each: not self._is_local(each))
+            own_zone = self._state.identity.zone
+            order.sort(key=lambda each: each.entry.zone != own_zone)
         return order
 
-    def _shared_tokens_of_first(
+    def _assume_first_cached(
         self,
         work: forwarded_requests.ForwardedWork,
         model: str | None,
-        upstream: upstreams.Upstream,
-        rank: int,
-    ) -> int:
-        """Returns the tokens that an upstream has cached, by its rank."""
-        del model, upstream
-        return affinity_key(work.traits)[1] if rank == 0 else 0
+        order: Sequence[upstreams.Upstream],
+    ) -> list[int]:
+        """Returns the cached tokens if the first has the whole prefix."""
+        del model
+        return [affinity_key(work.traits)[1]] + [0] * (len(order) - 1)
 
-    def _crossing_s(
+    def _crossings_s(
         self,
         work: forwarded_requests.ForwardedWork,
-        upstream: upstreams.Upstream,
+        order: Sequence[upstreams.Upstream],
+    ) -> list[float]:
+        """Returns what the crossing to each upstream's zone is worth."""
+        zones = [each.entry.zone for each in order]
+        own_zone = self._state.identity.zone
+        by_zone = {
+            zone: 0.0 if zone == own_zone else self.crossing_s(work, zone)
+            for zone in set(zones)
+        }
+        return [by_zone[zone] for zone in zones]
+
+    def _crossing_s(
+        self, work: forwarded_requests.ForwardedWork, zone: str
     ) -> float:
-        """Returns the wait that is worth as much as crossing zones."""
-        if self._is_local(upstream):
-            return 0.0
+        """Returns the wait that is worth as much as crossing to a zone."""
+        del zone
         _, shared = affinity_key(work.traits)
         is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
         return _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
 
-    def _wait_s(self, upstream: upstreams.Upstream, now_s: float) -> float:
-        """Returns the expected wait of a new request, at the usual speed."""
-        backlog_s = self._backlogs.wait_s(upstream.entry.host_id)
-        return backlog_s + _WAIT_S_PER_REQUEST * upstream.estimated_load(now_s)
+    def _waits_s(self, order: Sequence[upstreams.Upstream]) -> list[float]:
+        """Returns the expected waits of a new request, at the usual speed."""
+        now_s = self._state.environment.monotonic_s()
+        backlogs_s = self._backlogs.waits_s(
+            [each.entry.host_id for each in order]
+        )
+        return [
+            backlog_s + _WAIT_S_PER_REQUEST * each.estimated_load(now_s)
+            for backlog_s, each in zip(backlogs_s, order, strict=True)
+        ]
 
     def _is_local(self, upstream: upstreams.Upstream) -> bool:
         return upstream.entry.zone == self._state.identity.zone
 
     def _pick_by_requests(
         self,
-        work: forwarded_requests.ForwardedWork,
         service: routing.Service,
         options: Sequence[upstreams.Upstream],
     ) -> Choice:
@@ -425,36 +479,34 @@
             service.name, None, 0
         )
         duration_s = usual_s or _UNKNOWN_DURATION_S
+        speeds_by_rank = self._speeds.factors(options)
+        told_s = self._backlogs.waits_s(
+            [each.entry.host_id for each in options]
+        )
+        waits_s = [
+            speed
+            * max(backlog_s, duration_s * each.estimated_load(now_s))
+            / max(1, each.entry.slots)
+            for speed, backlog_s, each in zip(
+                speeds_by_rank, told_s, options, strict=True
+            )
+        ]
         random = self._state.environment.random.random
 
-        def estimate(upstream: upstreams.Upstream) -> selection.Candidate:
-            told = self._backlogs.wait_s(upstream.entry.host_id) / duration_s
-            in_flight = max(told, upstream.estimated_load(now_s))
-            speed = self._speeds.factor(upstream)
-            load = in_flight / max(1, upstream.entry.slots)
-            crossing_s = 0.0
-            if not self._is_local(upstream):
-                crossing_s = _CROSS_ZONE_LOAD * duration_s
-            return selection.Candidate(
-                upstream,
-                speed * load * duration_s,
-                speed * duration_s,
-                0.0,
-                crossing_s,
-                speed,
-            )
+        def cost_s(rank: int) -> tuple[float, float]:
+            is_local = self._is_local(options[rank])
+            crossing_s = 0.0 if is_local else _CROSS_ZONE_LOAD * duration_s
+            running_s = speeds_by_rank[rank] * duration_s
+            return waits_s[rank] + running_s + crossing_s, random()
 
-        del work
-        chosen = min(
-            map(estimate, options), key=lambda each: (each.cost_s, random())
-        )
+        rank = min(range(len(options)), key=cost_s)
         return Choice(
-            chosen.upstream,
+            options[rank],
             service,
             "least loaded",
-            chosen.prefill_s,
-            chosen.wait_s,
-            speed=chosen.speed,
+            speeds_by_rank[rank] * duration_s,
+            waits_s[rank],
+            speed=speeds_by_rank[rank],
         )
 
 
--- a/src/lycheegw/coordination/load/selection.py
+++ b/src/lycheegw/coordination/load/selection.py
@@ -6,48 +6,22 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-from typing import NamedTuple
 
-from lycheegw.state import upstreams
-
-__all__ = ["Candidate", "Policy", "first_as_good"]
+__all__ = ["Policy", "first_as_good"]
 
 # Age beyond which figures don't widen a choice any further, in seconds.
 _MAX_AGE_S = 1.0
 
-
-class Candidate(NamedTuple):
-    """An upstream, and what is expected if it gets the request.
-
-    Attributes:
-        upstream: The upstream.
-        wait_s: Wait for the requests queued before it.
-        prefill_s: Prefill time of the request.
-        miss_s: Part of it that an upstream with the shared prefix saves.
-        crossing_s: Wait that is worth as much as crossing zones.
-        speed: Time that work takes there, relative to the service's mean; the
-            times include it.
-    """
-
-    upstream: upstreams.Upstream
-    wait_s: float
-    prefill_s: float
-    miss_s: float = 0.0
-    crossing_s: float = 0.0
-    speed: float = 1.0
-
-    @property
-    def cost_s(self) -> float:
-        """Time to the first byte, and what the crossing is worth."""
-        return self.wait_s + self.prefill_s + self.crossing_s
-
-
-# Returns the index of the selected one of several candidates, which are in
-# order of preference, by figures of an age in seconds.
-Policy = Callable[[Sequence[Candidate], float], int]
+# Returns the index of the candidate to take. The arguments are the cost of each
+# candidate in seconds, the part of it that one with the shared prefix saves,
+# and the age of the figures in seconds. The candidates are in order of
+# preference.
+Policy = Callable[[Sequence[float], Sequence[float], float], int]
 
 
-def first_as_good(candidates: Sequence[Candidate], age_s: float) -> int:
+def first_as_good(
+    costs_s: Sequence[float], misses_s: Sequence[float], age_s: float
+) -> int:
     """Returns the first candidate that is as good as the best one.
 
     A candidate counts as if it had the shared prefix: if it is taken now, it is
@@ -57,9 +31,9 @@
     figure ages, so figures can't tell costs apart that differ by less than
     their age.
     """
-    bound_s = min(each.cost_s for each in candidates) + min(age_s, _MAX_AGE_S)
+    bound_s = min(costs_s) + min(age_s, _MAX_AGE_S)
     return next(
         rank
-        for rank, each in enumerate(candidates)
-        if each.cost_s - each.miss_s <= bound_s
+        for rank, cost_s in enumerate(costs_s)
+        if cost_s - misses_s[rank] <= bound_s
     )
--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import itertools
 import math
 from typing import NamedTuple
@@ -72,9 +73,18 @@
 
     def factor(self, upstream: upstreams.Upstream) -> float:
         """Returns how much longer than usual work takes at an upstream now."""
+        return self.factors([upstream])[0]
+
+    def factors(self, order: Sequence[upstreams.Upstream]) -> list[float]:
+        """Returns the factors of several upstreams, in the same order."""
         now_s = self._state.environment.monotonic_s()
-        learnt = self.learnt_by_id().get(upstream.entry.host_id, 1.0)
-        return _bounded(learnt * upstream.slowness(now_s))
+        learnt = self.learnt_by_id()
+        factors = [learnt.get(each.entry.host_id, 1.0) for each in order]
+        for rank, upstream in enumerate(order):
+            if upstream.report is not None and upstream.report.slowness != 1.0:
+                slowness = upstream.slowness(now_s)
+                factors[rank] = _bounded(factors[rank] * slowness)
+        return factors
 
     def learnt_by_id(self) -> Mapping[str, float]:
         """Returns what responses of all nodes told, by upstream id."""
--- a/src/lycheegw/coordination/rendezvous.py
+++ b/src/lycheegw/coordination/rendezvous.py
@@ -32,12 +32,13 @@
     A member is the first one of a share of the keys that is proportional to
     its weight; a change of a weight moves few keys. Weights are above 0.
     """
-
-    def rank(member: str) -> float:
-        hashed = xxhash.xxh64_intdigest(f"{key}\n{member}".encode())
-        return -math.log((hashed + 1) / _HASHES) / weight_by_member[member]
-
-    return sorted(weight_by_member, key=rank)
+    prefix, log, digest = f"{key}\n", math.log, xxhash.xxh64_intdigest
+    rank_by_member = {
+        member: -log((digest((prefix + member).encode()) + 1) / _HASHES)
+        / weight
+        for member, weight in weight_by_member.items()
+    }
+    return sorted(rank_by_member, key=rank_by_member.__getitem__)
 
 
 def first(key: str, members: Iterable[str]) -> str | None:
--- a/src/lycheegw/measure/balance.py
+++ b/src/lycheegw/measure/balance.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import math
+import operator
 import random
 from typing import Any
 from typing import NamedTuple
@@ -213,10 +214,11 @@
     than the time to prefill the shared part.
     """
 
-    def select(candidates: Sequence[selection.Candidate], _: float) -> int:
-        miss_s = candidates[-1].prefill_s - candidates[0].prefill_s
-        waits_s = [each.wait_s + each.crossing_s for each in candidates]
-        bound_s = min(waits_s) + max(0.0, miss_s)
+    def select(
+        costs_s: Sequence[float], misses_s: Sequence[float], _: float
+    ) -> int:
+        waits_s = list(map(operator.sub, costs_s, misses_s))
+        bound_s = min(waits_s) + max(misses_s)
         return next(
             rank for rank, wait_s in enumerate(waits_s) if wait_s <= bound_s
         )
@@ -226,21 +228,16 @@
 
 def _by_finish(_: random.Random) -> selection.Policy:
     """Returns the policy that takes the least cost, as if it were exact."""
-
-    def select(candidates: Sequence[selection.Candidate], _: float) -> int:
-        costs_s = [each.cost_s for each in candidates]
-        return costs_s.index(min(costs_s))
-
-    return select
+    return lambda costs_s, *_: costs_s.index(min(costs_s))
 
 
 def _of_few(generator: random.Random) -> selection.Policy:
     """Returns the policy that looks at the first and a few random ones."""
 
-    def select(candidates: Sequence[selection.Candidate], _: float) -> int:
-        others = range(1, len(candidates))
+    def select(costs_s: Sequence[float], *_: object) -> int:
+        others = range(1, len(costs_s))
         drawn = generator.sample(others, min(_FEW, len(others)))
-        return min([0, *drawn], key=lambda rank: candidates[rank].cost_s)
+        return min([0, *drawn], key=costs_s.__getitem__)
 
     return select
 
@@ -248,13 +245,12 @@
 def _by_free_room(generator: random.Random) -> selection.Policy:
     """Returns the policy that draws candidates, the cheap ones more often."""
 
-    def select(candidates: Sequence[selection.Candidate], age_s: float) -> int:
-        best_s = min(each.cost_s for each in candidates)
-        scale_s = _ROOM_SCALE_S + age_s
-        weights = [
-            math.exp((best_s - each.cost_s) / scale_s) for each in candidates
-        ]
-        return generator.choices(range(len(candidates)), weights)[0]
+    def select(
+        costs_s: Sequence[float], _: Sequence[float], age_s: float
+    ) -> int:
+        best_s, scale_s = min(costs_s), _ROOM_SCALE_S + age_s
+        weights = [math.exp((best_s - each) / scale_s) for each in costs_s]
+        return generator.choices(range(len(costs_s)), weights)[0]
 
     return select
 
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -159,14 +159,14 @@
         The weight of the report decays with its age. The requests that this
         node has sent since, and those it has in flight, are known exactly.
         """
-        if self.report is None:
+        report = self.report
+        if report is None:
             return float(self.in_flight)
-        weight = 0.5 ** (self.report_age_s(now_s) / _LOAD_HALF_LIFE_S)
-        reported = self.report.running + self.report.queued
-        return max(
-            float(self.in_flight),
-            weight * reported + self._sent_since_report,
+        weight = 0.5 ** ((now_s - report.received_s) / _LOAD_HALF_LIFE_S)
+        load = (
+            weight * (report.running + report.queued) + self._sent_since_report
         )
+        return load if load > self.in_flight else float(self.in_flight)
 
     def slowness(self, now_s: float) -> float:
         """Returns how long work takes there now; 1 is usual.
