Speeds: what an upstream reports of its machine goes before its pace

Cause: an upstream's fourth figure of load holds its lasting speed as well (a node's lines: 0.66 to 0.75 and 1.9 of the usual time within a second of each other), and the pace of streams follows what else runs there. Change: samples are the reported figures where there are any, else paces and times of application responses, with more assumed samples. Factors are harmonic means.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -867,6 +867,8 @@
                 head.slowness,
             )
         )
+        if head.slowness is not None:
+            self._dependencies.speeds.note(upstream, 1.0, head.slowness)
 
     def _larger_model(
         self, accepted: accepted_requests.AcceptedRequest
--- a/src/lycheegw/coordination/load/backlog_aggregator.py
+++ b/src/lycheegw/coordination/load/backlog_aggregator.py
@@ -50,8 +50,8 @@
         node_id: Node that sent the requests.
         started_ms: Start of the node's process, in Unix milliseconds.
         sequence: Grows with each report of a process.
-        ms_by_key: Milliseconds of prefill of unanswered requests, by upstream
-            and by organisation.
+        value_by_key: Milliseconds of prefill of unanswered requests, by
+            upstream and by organisation.
         speeds: Samples of the speeds of upstreams, None if those of an earlier
             report still hold.
     """
@@ -59,7 +59,7 @@
     node_id: str
     started_ms: int
     sequence: int
-    ms_by_key: Mapping[backlog_sums.Key, int]
+    value_by_key: Mapping[backlog_sums.Key, int]
     speeds: Mapping[backlog_sums.Key, int] | None = None
 
 
@@ -143,7 +143,7 @@
             self._version_by_node.popitem(last=False)
         expires_s = now_s + EXPIRE_AFTER_S
         for sums in (self._zone_sums, self._fleet_sums):
-            sums.put(report.node_id, report.ms_by_key, expires_s)
+            sums.put(report.node_id, report.value_by_key, expires_s)
             if report.speeds is not None:
                 sums.put(
                     f"speeds of {report.node_id}",
@@ -196,7 +196,7 @@
         now_s = self._now_s()
         copy.apply(sums, now_s)
         self._fleet_sums.put(
-            f"zone {zone}", dict(copy.ms_by_key), now_s + EXPIRE_AFTER_S
+            f"zone {zone}", dict(copy.value_by_key), now_s + EXPIRE_AFTER_S
         )
 
     def _now_s(self) -> float:
--- a/src/lycheegw/coordination/load/backlog_sums.py
+++ b/src/lycheegw/coordination/load/backlog_sums.py
@@ -1,9 +1,9 @@
 """Sums of the figures that several nodes report, and copies of such sums.
 
 A figure is the outstanding work at an upstream, that of an organisation at a
-service, or what an upstream's work took, in milliseconds. A sum knows the order
-in which its entries changed, so that a copy gets only what changed since it was
-last brought up to date.
+service, both in milliseconds of prefill, or samples of an upstream's speed in
+thousandths. A sum knows the order in which its entries changed, so that a copy
+gets only what changed since it was last brought up to date.
 """
 
 import collections
@@ -32,16 +32,15 @@
 
 
 class SpeedKey(NamedTuple):
-    """Names the time that samples of an upstream's speed took.
+    """Names samples of an upstream's speed, in thousandths.
 
     Attributes:
         upstream: Id of the upstream.
-        is_actual: Whether it is the time taken, or that of as many samples at
-            the usual speed.
+        is_rate: Whether it is the sum of the samples, or their number.
     """
 
     upstream: str
-    is_actual: bool
+    is_rate: bool
 
 
 # What a figure is of; an upstream is named by its id.
@@ -56,31 +55,31 @@
             milliseconds.
         sequence: Number of the latest change.
         is_complete: Whether figures that are missing are zero.
-        ms_by_key: Milliseconds by what they are of.
+        value_by_key: Figures by what they are of.
     """
 
     started_ms: int
     sequence: int
     is_complete: bool
-    ms_by_key: Mapping[Key, int]
+    value_by_key: Mapping[Key, int]
 
 
 class _Source(NamedTuple):
     """What one source contributes.
 
     Attributes:
-        ms_by_key: Milliseconds by what they are of.
+        value_by_key: Figures by what they are of.
         expires_s: Monotonic second from which on it doesn't count.
     """
 
-    ms_by_key: Mapping[Key, int]
+    value_by_key: Mapping[Key, int]
     expires_s: float
 
 
 class BacklogSums:
     """The sums of what several sources report.
 
-    Milliseconds are whole numbers, so that a sum has no rounding error after
+    Figures are whole numbers, so that a sum has no rounding error after
     any number of changes.
     """
 
@@ -100,27 +99,27 @@
     def put(
         self,
         source_id: str,
-        ms_by_key: Mapping[Key, int],
+        value_by_key: Mapping[Key, int],
         expires_s: float,
     ) -> None:
         """Replaces what a source contributes."""
         former = self._source_by_id.get(source_id)
-        former_ms = former.ms_by_key if former is not None else {}
-        self._source_by_id[source_id] = _Source(ms_by_key, expires_s)
+        former_values = former.value_by_key if former is not None else {}
+        self._source_by_id[source_id] = _Source(value_by_key, expires_s)
         self._next_expiry_s = min(self._next_expiry_s, expires_s)
-        for key in former_ms.keys() | ms_by_key.keys():
+        for key in former_values.keys() | value_by_key.keys():
             self._add(
                 key,
-                ms_by_key.get(key, 0) - former_ms.get(key, 0),
+                value_by_key.get(key, 0) - former_values.get(key, 0),
             )
 
-    def _add(self, key: Key, change_ms: int) -> None:
-        if not change_ms:
+    def _add(self, key: Key, change: int) -> None:
+        if not change:
             return
         self._sequence += 1
-        sum_ms, _ = self._change_by_key.get(key, (0, 0))
+        total, _ = self._change_by_key.get(key, (0, 0))
         self._change_by_key[key] = (
-            sum_ms + change_ms,
+            total + change,
             self._sequence,
         )
         self._change_by_key.move_to_end(key)
@@ -129,8 +128,8 @@
 
     def _drop_oldest_zero(self) -> None:
         """Drops the sum that is zero for the longest time, if any is."""
-        for key, (sum_ms, number) in self._change_by_key.items():
-            if not sum_ms:
+        for key, (total, number) in self._change_by_key.items():
+            if not total:
                 del self._change_by_key[key]
                 self._dropped_number = max(self._dropped_number, number)
                 return
@@ -160,13 +159,13 @@
             or sequence < self._dropped_number
         )
         after = 0 if is_complete else sequence
-        ms_by_key = {}
-        for key, (sum_ms, number) in reversed(self._change_by_key.items()):
+        value_by_key = {}
+        for key, (total, number) in reversed(self._change_by_key.items()):
             if number <= after:
                 break
-            if sum_ms or not is_complete:
-                ms_by_key[key] = sum_ms
-        return Sums(self._started_ms, self._sequence, is_complete, ms_by_key)
+            if total or not is_complete:
+                value_by_key[key] = total
+        return Sums(self._started_ms, self._sequence, is_complete, value_by_key)
 
 
 class SumsCopy:
@@ -176,23 +175,23 @@
         started_ms: Start of that process, 0 before the first update.
         sequence: Number of the latest change that the copy has.
         updated_s: Monotonic second of the latest update.
-        ms_by_key: Milliseconds by what they are of.
+        value_by_key: Figures by what they are of.
     """
 
     def __init__(self) -> None:
         self.started_ms = 0
         self.sequence = 0
         self.updated_s = -math.inf
-        self.ms_by_key: dict[Key, int] = {}
+        self.value_by_key: dict[Key, int] = {}
 
     def apply(self, sums: Sums, now_s: float) -> None:
         """Brings the copy up to date."""
         if sums.is_complete:
-            self.ms_by_key.clear()
+            self.value_by_key.clear()
         self.started_ms, self.sequence = sums.started_ms, sums.sequence
         self.updated_s = now_s
-        for key, sum_ms in sums.ms_by_key.items():
-            if sum_ms > 0:
-                self.ms_by_key[key] = sum_ms
+        for key, total in sums.value_by_key.items():
+            if total > 0:
+                self.value_by_key[key] = total
             else:
-                self.ms_by_key.pop(key, None)
+                self.value_by_key.pop(key, None)
--- a/src/lycheegw/coordination/load/backlogs.py
+++ b/src/lycheegw/coordination/load/backlogs.py
@@ -121,7 +121,7 @@
 
         It is that of all nodes, in seconds.
         """
-        keys = self._own_s_by_key.keys() | self._copy.ms_by_key.keys()
+        keys = self._own_s_by_key.keys() | self._copy.value_by_key.keys()
         found = [
             key
             for key in keys
@@ -138,7 +138,7 @@
         """Returns the sums that the aggregator sent, none if too old."""
         if self.age_s() > backlog_aggregator.EXPIRE_AFTER_S:
             return {}
-        return self._copy.ms_by_key
+        return self._copy.value_by_key
 
     def _seconds(self, keys: Sequence[backlog_sums.Key]) -> list[float]:
         """Returns figures of all nodes, with this node's own part of now."""
@@ -291,7 +291,7 @@
         self._copy.apply(sums, self._now_s())
         if is_speeds_due:
             self._speeds_reported_s = self._exchanged_s
-        self._reported_ms = report.ms_by_key
+        self._reported_ms = report.value_by_key
 
     def _own_figures(self) -> dict[backlog_sums.Key, int]:
         """Returns what this node reports."""
--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -1,14 +1,15 @@
 """Learns how fast each upstream is, from its responses at all nodes.
 
 An upstream's factor is the time that its work takes, relative to the mean of
-its service: 1 is usual, 2 is half as fast. Each node keeps decaying samples of
-its own responses; the samples of all nodes are added up with the backlogs.
+its service: 1 is usual, 2 is half as fast. Samples are what an upstream reports
+of its machine, else the pace of its streams or the time to its responses. Each
+node keeps decaying samples of its own responses; the samples of all nodes are
+added up with the backlogs.
 """
 
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
-import itertools
 import math
 from typing import NamedTuple
 
@@ -24,11 +25,16 @@
 # Bounds on one sample and on a factor; a response that stalls says little about
 # the speed of the machine.
 _MIN_FACTOR, _MAX_FACTOR = 0.25, 4.0
-# Samples at the usual speed that are assumed of each upstream.
-_PRIOR_SAMPLES = 3.0
+# Samples at the usual speed that are assumed of each upstream: the pace of a
+# stream follows what else runs there, so few samples say little.
+_PRIOR_SAMPLES = 5.0
 # Interval at which factors are computed from the samples.
 _REFRESH_INTERVAL_S = 0.25
-_MS_PER_SAMPLE = 1000
+# Figures are whole thousandths.
+_UNITS = 1000
+# Half-life of the weight of what an upstream reported last, in seconds; it
+# changes many times a second.
+_REPORT_HALF_LIFE_S = 0.3
 # Weight of a new sample in the mean time of a kind of work.
 _MEAN_WEIGHT = 0.05
 
@@ -38,17 +44,18 @@
 
     Attributes:
         number: Number of samples, decayed.
-        ratios: Sum of their ratios of the time taken to that expected, decayed.
+        rates: Sum of the speeds that they show, decayed; 1 is usual, 2 is twice
+            as fast.
         at_s: Monotonic second of the latest decay.
     """
 
     number: float
-    ratios: float
+    rates: float
     at_s: float
 
     def decayed(self, now_s: float) -> "_SpeedSamples":
         weight = 0.5 ** (max(0.0, now_s - self.at_s) / _HALF_LIFE_S)
-        return _SpeedSamples(self.number * weight, self.ratios * weight, now_s)
+        return _SpeedSamples(self.number * weight, self.rates * weight, now_s)
 
 
 class Speeds:
@@ -69,6 +76,8 @@
         self._samples_by_id: dict[str, _SpeedSamples] = {}
         self._mean_s_by_work: dict[tuple[str, str | None], float] = {}
         self._factor_by_id: dict[str, float] = {}
+        # Mean time of a pool's samples, relative to what they were expected.
+        self._mean_by_pool: dict[str, float] = {}
         self._refreshed_s = -math.inf
 
     def factor(self, upstream: upstreams.Upstream) -> float:
@@ -81,9 +90,14 @@
         learnt = self.learnt_by_id()
         factors = [learnt.get(each.entry.host_id, 1.0) for each in order]
         for rank, upstream in enumerate(order):
-            if upstream.report is not None and upstream.report.slowness != 1.0:
-                slowness = upstream.slowness(now_s)
-                factors[rank] = _bounded(factors[rank] * slowness)
+            report = upstream.report
+            if report is not None and report.slowness is not None:
+                mean = self._mean_by_pool.get(upstream.entry.pool, 1.0)
+                weight = 0.5 ** (
+                    (now_s - report.received_s) / _REPORT_HALF_LIFE_S
+                )
+                told = _bounded(report.slowness / mean)
+                factors[rank] += weight * (told - factors[rank])
         return factors
 
     def learnt_by_id(self) -> Mapping[str, float]:
@@ -107,9 +121,9 @@
         former = self._samples_by_id.get(
             host_id, _SpeedSamples(0.0, 0.0, now_s)
         )
-        number, ratios, _ = former.decayed(now_s)
+        number, rates, _ = former.decayed(now_s)
         self._samples_by_id[host_id] = _SpeedSamples(
-            number + 1.0, ratios + _bounded(ratio), now_s
+            number + 1.0, rates + 1 / _bounded(ratio), now_s
         )
 
     def note_work(
@@ -121,18 +135,18 @@
     ) -> None:
         """Records the time of one unit of work of a model or a service.
 
-        The mean of all upstreams is what it takes usually. What the upstream
-        reported of its machine at the time doesn't count as its speed.
+        The mean of all upstreams is what it takes usually. An upstream that
+        reports how long work takes there is taken at its word.
         """
+        if upstream.report is not None and upstream.report.slowness is not None:
+            return
         if not 0 < actual_s < math.inf:
             self._state.counters.add("speeds.unusable_samples")
             return
-        now_s = self._state.environment.monotonic_s()
-        usual_s = actual_s / upstream.slowness(now_s)
-        mean_s = self._mean_s_by_work.setdefault((service, model), usual_s)
-        change_s = _MEAN_WEIGHT * (min(usual_s, _MAX_FACTOR * mean_s) - mean_s)
+        mean_s = self._mean_s_by_work.setdefault((service, model), actual_s)
+        change_s = _MEAN_WEIGHT * (min(actual_s, _MAX_FACTOR * mean_s) - mean_s)
         self._mean_s_by_work[service, model] = mean_s + change_s
-        self.note(upstream, mean_s, usual_s)
+        self.note(upstream, mean_s, actual_s)
 
     def own_figures(self) -> dict[backlog_sums.Key, int]:
         """Returns the samples of this node; those of lost upstreams end."""
@@ -144,11 +158,11 @@
         }
         figures: dict[backlog_sums.Key, int] = {}
         for host_id, samples in self._samples_by_id.items():
-            usual_ms = round(samples.number * _MS_PER_SAMPLE)
-            actual_ms = round(samples.ratios * _MS_PER_SAMPLE)
-            if usual_ms and actual_ms:
-                figures[backlog_sums.SpeedKey(host_id, False)] = usual_ms
-                figures[backlog_sums.SpeedKey(host_id, True)] = actual_ms
+            number = round(samples.number * _UNITS)
+            rates = round(samples.rates * _UNITS)
+            if number and rates:
+                figures[backlog_sums.SpeedKey(host_id, False)] = number
+                figures[backlog_sums.SpeedKey(host_id, True)] = rates
         return figures
 
     def extremes(self) -> tuple[float, float]:
@@ -159,30 +173,26 @@
     def _refresh(self) -> None:
         """Computes the factors from the samples of all nodes."""
         figures = self.read_sums() or self.own_figures()
-        pool_by_id = {
-            host_id: upstream.entry.pool
-            for host_id, upstream in self._state.upstreams.by_id.items()
-        }
-        ratio_by_id = {
-            host_id: _mean_ratio(figures, host_id) for host_id in pool_by_id
-        }
+        ids_by_pool: dict[str, list[str]] = {}
+        for host_id, upstream in self._state.upstreams.by_id.items():
+            ids_by_pool.setdefault(upstream.entry.pool, []).append(host_id)
         self._factor_by_id = {}
-        ids = sorted(pool_by_id, key=pool_by_id.__getitem__)
-        for _, group in itertools.groupby(ids, key=pool_by_id.__getitem__):
-            members = list(group)
-            mean = sum(map(ratio_by_id.__getitem__, members)) / len(members)
-            for host_id in members:
-                self._factor_by_id[host_id] = _bounded(
-                    ratio_by_id[host_id] / mean
-                )
-
-
-def _mean_ratio(figures: Mapping[backlog_sums.Key, int], host_id: str) -> float:
-    """Returns the mean ratio of an upstream's samples and the assumed ones."""
-    prior_ms = _PRIOR_SAMPLES * _MS_PER_SAMPLE
-    usual_ms = figures.get(backlog_sums.SpeedKey(host_id, False), 0)
-    actual_ms = figures.get(backlog_sums.SpeedKey(host_id, True), 0)
-    return _bounded((actual_ms + prior_ms) / (usual_ms + prior_ms))
+        for pool, ids in ids_by_pool.items():
+            samples_by_id = {each: _samples(figures, each) for each in ids}
+            numbers, rates = zip(*samples_by_id.values(), strict=True)
+            mean = sum(numbers) / sum(rates)
+            self._mean_by_pool[pool] = mean
+            for host_id, (number, rate) in samples_by_id.items():
+                self._factor_by_id[host_id] = _bounded(number / rate / mean)
+
+
+def _samples(
+    figures: Mapping[backlog_sums.Key, int], host_id: str
+) -> tuple[float, float]:
+    """Returns the number and the sum of samples, with those assumed."""
+    number = figures.get(backlog_sums.SpeedKey(host_id, False), 0)
+    rates = figures.get(backlog_sums.SpeedKey(host_id, True), 0)
+    return number / _UNITS + _PRIOR_SAMPLES, rates / _UNITS + _PRIOR_SAMPLES
 
 
 def _bounded(factor: float) -> float:
--- a/src/lycheegw/measure/balance.py
+++ b/src/lycheegw/measure/balance.py
@@ -257,6 +257,7 @@
 
 _POLICIES: dict[str, Callable[[random.Random], selection.Policy]] = {
     "router": lambda _: selection.first_as_good,
+    "router without reports": lambda _: selection.first_as_good,
     "by wait": _by_wait,
     "by finish": _by_finish,
     "of few": _of_few,
@@ -425,12 +426,15 @@
         """Records what a response tells of its upstream's speed."""
         now_s = self._now_s()
         actual = self._upstream_by_id[upstream.entry.host_id]
-        slowness = actual.slowness(now_s)
+        slowness = actual.speed * actual.slowness(now_s)
+        if self._policy == "router without reports":
+            event_s = _EVENT_S * slowness
+            rates.note_work(upstream, _SERVICE.name, model, event_s)
+            return
         upstream.record_load(
             upstreams.LoadReport(frozenset(), 0, 0, 0.0, 0, now_s, slowness)
         )
-        event_s = _EVENT_S * actual.speed * slowness
-        rates.note_work(upstream, _SERVICE.name, model, event_s)
+        rates.note(upstream, 1.0, slowness)
 
     def _router(self, node: backlog_fleet.Node) -> _Router:
         if id(node) not in self._router_by_node:
--- a/src/lycheegw/platform/headers.py
+++ b/src/lycheegw/platform/headers.py
@@ -304,7 +304,7 @@
     running: int | None = None
     waiting: int | None = None
     slots: int | None = None
-    slowness: float = 1.0
+    slowness: float | None = None
 
 
 def _parse_load(text: str) -> _Load:
@@ -313,7 +313,9 @@
     counts = [each for each in parsed if each is not None]
     if len(parsed) not in {3, 4} or len(counts) < len(parsed):
         return _Load()
-    running, waiting, slots, percent = (*counts, 100)[:4]
+    if len(counts) == 3:
+        return _Load(*counts)
+    running, waiting, slots, percent = counts
     if not 1 <= percent <= _MAX_SLOWNESS_PERCENT:
         return _Load()
     return _Load(running, waiting, slots, percent / 100)
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -12,35 +12,34 @@
 __all__ = ["CODEC"]
 
 
-# Longest backlog in a message, in milliseconds; the field has 32 bits. A sum
-# may exceed it.
-_MAX_BACKLOG_MS = 2**32 - 1
+# Largest figure in a message, of 32 bits. A sum may exceed it.
+_MAX_VALUE = 2**32 - 1
 
 
 def _encode_figures(
-    ms_by_key: Mapping[backlog_sums.Key, int],
+    value_by_key: Mapping[backlog_sums.Key, int],
     message: backlogs_pb2.Report | backlogs_pb2.Sums,
 ) -> None:
     """Adds figures to a message."""
     speed_by_upstream: dict[str, backlogs_pb2.Speed] = {}
-    for key, milliseconds in ms_by_key.items():
-        bounded_ms = min(milliseconds, _MAX_BACKLOG_MS)
+    for key, value in value_by_key.items():
+        bounded = min(value, _MAX_VALUE)
         if isinstance(key, str):
-            message.backlogs.add(upstream=key, milliseconds=bounded_ms)
+            message.backlogs.add(upstream=key, milliseconds=bounded)
         elif isinstance(key, backlog_sums.OrganisationKey):
             message.organisations.add(
                 service=key.service,
                 organisation=key.organisation,
-                milliseconds=bounded_ms,
+                milliseconds=bounded,
             )
         else:
             speed = speed_by_upstream.setdefault(
                 key.upstream, backlogs_pb2.Speed(upstream=key.upstream)
             )
-            if key.is_actual:
-                speed.actual_ms = bounded_ms
+            if key.is_rate:
+                speed.rates = bounded
             else:
-                speed.usual_ms = bounded_ms
+                speed.number = bounded
     message.speeds.extend(speed_by_upstream.values())
 
 
@@ -61,12 +60,12 @@
 ) -> dict[backlog_sums.Key, int]:
     figures: dict[backlog_sums.Key, int] = {}
     for each in message.speeds:
-        if each.HasField("usual_ms"):
+        if each.HasField("number"):
             key = backlog_sums.SpeedKey(each.upstream, False)
-            figures[key] = each.usual_ms
-        if each.HasField("actual_ms"):
+            figures[key] = each.number
+        if each.HasField("rates"):
             key = backlog_sums.SpeedKey(each.upstream, True)
-            figures[key] = each.actual_ms
+            figures[key] = each.rates
     return figures
 
 
@@ -83,7 +82,7 @@
         message.report.sequence = report.sequence
         message.report.has_speeds = report.speeds is not None
         _encode_figures(
-            {**report.ms_by_key, **(report.speeds or {})}, message.report
+            {**report.value_by_key, **(report.speeds or {})}, message.report
         )
     return bytes(message.SerializeToString())
 
@@ -115,7 +114,7 @@
         sequence=sums.sequence,
         is_complete=sums.is_complete,
     )
-    _encode_figures(sums.ms_by_key, message)
+    _encode_figures(sums.value_by_key, message)
     return bytes(message.SerializeToString())
 
 
--- a/src/lycheegw/state/forwarded_requests.py
+++ b/src/lycheegw/state/forwarded_requests.py
@@ -123,8 +123,8 @@
             not run and never will.
         has_framing: Whether the body has a length or chunks; else it ends with
             the connection.
-        slowness: How long work takes at the upstream at the moment; 1 is
-            usual.
+        slowness: How long work takes at the upstream at the moment, 1 is
+            usual, or None.
     """
 
     status: int
@@ -149,7 +149,7 @@
     is_attributed: bool = True
     claims_not_run: bool = False
     has_framing: bool = True
-    slowness: float = 1.0
+    slowness: float | None = None
 
     def evidence(self, request_id: str) -> run_evidence.RunEvidence:
         """Returns what the head says about a run of a request."""
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -14,9 +14,6 @@
 # Half-life of the weight of a reported load. A model's answer takes some
 # seconds, after which the reported requests have mostly ended.
 _LOAD_HALF_LIFE_S = 1.0
-# Half-life of the weight of a reported slowness, which changes many times a
-# second.
-_SLOWNESS_HALF_LIFE_S = 0.3
 
 
 class HostRole(enum.Enum):
@@ -69,7 +66,8 @@
         started_at_s: Wall-clock second at which it started, as reported.
         completed_total: Requests completed since it started.
         received_s: Monotonic second of receipt at this node.
-        slowness: How long work takes there at the moment; 1 is usual.
+        slowness: How long work takes there at the moment, 1 is usual; None if
+            it doesn't tell.
     """
 
     versions: frozenset[str]
@@ -78,7 +76,7 @@
     started_at_s: float
     completed_total: int
     received_s: float
-    slowness: float = 1.0
+    slowness: float | None = None
 
 
 class Upstream:
@@ -168,16 +166,6 @@
         )
         return load if load > self.in_flight else float(self.in_flight)
 
-    def slowness(self, now_s: float) -> float:
-        """Returns how long work takes there now; 1 is usual.
-
-        It is what was reported last; its weight decays with its age.
-        """
-        if self.report is None or self.report.slowness == 1.0:
-            return 1.0
-        weight = 0.5 ** (self.report_age_s(now_s) / _SLOWNESS_HALF_LIFE_S)
-        return 1.0 + weight * (self.report.slowness - 1.0)
-
     def end_connect_failure(self, now_s: float, cold_s: float) -> None:
         """Records that a response ended a failure to connect.
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -198,6 +198,36 @@
     ]
 
 
+# Guards against a load that is never read, and against figures out of range
+# that reach a choice.
+@pytest.mark.parametrize(
+    ("text", "load", "slowness"),
+    [
+        (b"3,1,8", (3, 1, 8), None),
+        (b"3,1,8,100", (3, 1, 8), 1.0),
+        (b"3, 1, 8, 250", (3, 1, 8), 2.5),
+        (b"3,1,8,40", (3, 1, 8), 0.4),
+        (b"3,1,8,0", (None, None, None), None),
+        (b"3,1,8,10001", (None, None, None), None),
+        (b"3,1,8,-5", (None, None, None), None),
+        (b"3,1,8,", (None, None, None), None),
+        (b"3,1,8,100,7", (None, None, None), None),
+        (b"3,1", (None, None, None), None),
+    ],
+)
+def test_load_has_three_figures_or_four(
+    text: bytes, load: tuple[int | None, ...], slowness: float | None
+) -> None:
+    fields = ((b"x-lycheegw-instance-load", text),)
+    head = headers.decode_response_head(
+        connection_pool.RawResponseHead(200, fields, fields)
+    )
+    assert (head.running, head.waiting, head.slots) == load
+    assert head.slowness == slowness
+    is_malformed = bool(head.malformed_headers)
+    assert is_malformed == (load[0] is None)
+
+
 def test_traits_of_a_prompt_are_decoded() -> None:
     incoming = forwarded_requests.IncomingRequest(
         b"POST",
--- a/tests/platform/test_malformed_headers.py
+++ b/tests/platform/test_malformed_headers.py
@@ -37,6 +37,7 @@
     [
         "X-Lycheegw-Instance-Load: {},0,8",
         "X-Lycheegw-Instance-Load: 1,{},8",
+        "X-Lycheegw-Instance-Load: 1,0,8,{}",
         "X-Lycheegw-Cold-Ms: {}",
         "X-Lycheegw-Confidence: {}",
         "Keep-Alive: timeout={}",
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -6,8 +6,6 @@
 """
 
 import collections
-from collections.abc import Mapping
-from collections.abc import Sequence
 import contextlib
 import heapq
 import math
@@ -23,150 +21,19 @@
 from lycheegw.coordination.load import backlog_aggregator
 from lycheegw.coordination.load import backlog_sums
 from lycheegw.coordination.load import backlogs
-from lycheegw.coordination.load import balancing
-from lycheegw.coordination.load import response_times
-from lycheegw.coordination.load import speeds
-from lycheegw.coordination.load import zone_aggregators
-from lycheegw.measure import backlog_fleet
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol.pb import backlogs_pb2
-from lycheegw.state import forwarded_requests
-from lycheegw.state import requests
-from lycheegw.state import routing
 from tests import fakes
+from tests import load_nodes
 
-SERVICE = routing.Service("m", "/", 100, 0.0, 0.0, routing.Engine(64, 1, {}))
-SHORT_TOKENS, LONG_TOKENS = 400, 40_000
-PREFILL_S = {SHORT_TOKENS: 0.008, LONG_TOKENS: 0.4}
+SHORT_TOKENS, LONG_TOKENS = load_nodes.SHORT_TOKENS, load_nodes.LONG_TOKENS
 # Half of a prompt is shared; prefill takes longer if that half is not cached.
 UNCACHED_FACTOR = 3.0
-SUBJECT_COUNT, CACHE_TOKENS = 16, 240_000
+CACHE_TOKENS = 240_000
 REPORT_INTERVAL_S = 0.1
 LATE_AFTER_S = 0.5
 
 
-class _UnrestrictedFleet:
-    """Directory, roll-outs, rates and zones that restrict nothing."""
-
-    closed_zones: frozenset[str] = frozenset()
-
-    def wants_target(self, *_: object) -> None:
-        return None
-
-    def allows_version(self, *_: object) -> bool:
-        return True
-
-    def is_withdrawn(self, *_: object) -> bool:
-        return False
-
-    def may_send(self, *_: object) -> bool:
-        return True
-
-    def unreachable(self) -> frozenset[str]:
-        return frozenset()
-
-    def is_leaving(self, upstream: object) -> bool:
-        return False
-
-    def is_brittle(self, upstream: object) -> bool:
-        return False
-
-    def pause_s(self, upstream: object) -> float:
-        return 0.0
-
-    def limit_per_s(self, upstream: object) -> None:
-        return None
-
-
-class _Node:
-    """A node's balancer with its backlogs and response times."""
-
-    def __init__(
-        self,
-        clock: fakes.ManualClock,
-        node_id: str,
-        upstream_count: int,
-        live_by_zone: Mapping[str, Sequence[str]],
-    ):
-        self.state = fakes.node(clock, node_id)
-        self.bus = fakes.FakePeerBus(node_id)
-        for number in range(upstream_count):
-            zone = "z" if number % 2 else "y"
-            fakes.add_upstream(self.state, f"u{number}", zone)
-        self.times = response_times.ResponseTimes()
-        for tokens, seconds in PREFILL_S.items():
-            self.times.note_first_byte("m", None, tokens, seconds)
-        aggregators = zone_aggregators.ZoneAggregators(
-            self.state, lambda: live_by_zone
-        )
-        self.aggregator = backlog_aggregator.BacklogAggregator(
-            self.state, self.bus, backlog_codec.CODEC, aggregators
-        )
-        self.backlogs = backlogs.Backlogs(
-            self.state, self.bus, backlog_codec.CODEC, aggregators
-        )
-        fleet = _UnrestrictedFleet()
-        self.balancer = balancing.Balancer(
-            self.state,
-            fleet,  # type: ignore[arg-type]
-            fleet,  # type: ignore[arg-type]
-            fleet,  # type: ignore[arg-type]
-            fleet,  # type: ignore[arg-type]
-            lambda _: True,
-            fleet,  # type: ignore[arg-type]
-            self.times,
-            self.backlogs,
-            speeds.Speeds(self.state, self.backlogs.known_sums),
-        )
-
-    def exchange(self) -> None:
-        """Reports this node's backlogs, and reads the sums."""
-        backlog_fleet.run_at_once(self.backlogs.exchange())
-
-    def exchange_if_due(self) -> None:
-        """Does what the node's task does at this time."""
-        now_s = self.state.environment.monotonic_s()
-        is_allowed = now_s >= self.backlogs.next_exchange_s()
-        if self.backlogs.is_report_due and is_allowed:
-            backlog_fleet.run_at_once(self.backlogs.run_once())
-
-    def choose(self, number: int, tokens: int) -> balancing.Choice:
-        parts = (
-            forwarded_requests.PromptPart(
-                f"s{number % SUBJECT_COUNT}", tokens // 2
-            ),
-            forwarded_requests.PromptPart(f"own{number}", tokens // 2),
-        )
-        incoming = forwarded_requests.IncomingRequest(
-            b"POST", b"/", (), b"", 0, True
-        )
-        traits = forwarded_requests.RequestTraits(
-            "r", "h", "/", None, 9, "m", False, parts, tokens, 50, None, None
-        )
-        work = forwarded_requests.ForwardedWork(
-            incoming, traits, fakes.STREAM_ROUTE
-        )
-        request = requests.Request(
-            "r", "", "ask", work, None, None, 9.0, 0, None, True, ""
-        )
-        choice = self.balancer.choose(request, work, SERVICE, None, set())
-        assert isinstance(choice, balancing.Choice)
-        return choice
-
-
-def _nodes(
-    clock: fakes.ManualClock, count: int, upstream_count: int
-) -> list[_Node]:
-    live_by_zone = {"z": [f"n{each}" for each in range(count)]}
-    nodes = [
-        _Node(clock, each, upstream_count, live_by_zone)
-        for each in live_by_zone["z"]
-    ]
-    for node in nodes:
-        node.bus.others = [other.bus for other in nodes if other is not node]
-    return nodes
-
-
 class _Upstream:
     """Prefills prompts one at a time, in order of arrival."""
 
@@ -178,7 +45,9 @@
         """Returns how long the prompt waits before its prefill."""
         wait_s = max(0.0, self.free_s - now_s)
         is_miss = not self._is_cached((subject, tokens), tokens // 2)
-        prefill_s = PREFILL_S[tokens] * (UNCACHED_FACTOR if is_miss else 1.0)
+        prefill_s = load_nodes.PREFILL_S[tokens] * (
+            UNCACHED_FACTOR if is_miss else 1.0
+        )
         self.free_s = now_s + wait_s + prefill_s
         return wait_s
 
@@ -199,7 +68,7 @@
         self.requests_per_s = 30.0
         self.rng = random.Random(seed)
         self.clock = fakes.ManualClock()
-        self.nodes = _nodes(self.clock, 4, 6)
+        self.nodes = load_nodes.nodes(self.clock, 4, 6)
         ids = self.nodes[0].state.upstreams.by_id
         self.by_id = {each: _Upstream(self.clock.now_s) for each in ids}
         self.sent: collections.Counter[str] = collections.Counter()
@@ -224,7 +93,7 @@
             self.reported = self.sent.copy()
 
     def _choose(
-        self, node: _Node, number: int, tokens: int, policy: str
+        self, node: load_nodes.Node, number: int, tokens: int, policy: str
     ) -> tuple[str, float]:
         """Returns an upstream's id and the expected prefill time."""
         if policy == "backlog":
@@ -236,7 +105,7 @@
         # more requests than the others.
         mean = sum(self.reported.values()) / len(self.by_id)
         order = rendezvous.order(
-            f"{tokens} {number % SUBJECT_COUNT}", self.by_id
+            f"{tokens} {number % load_nodes.SUBJECT_COUNT}", self.by_id
         )
         host_id = next(
             (each for each in order if self.reported[each] <= 1.3 * mean + 3),
@@ -259,7 +128,7 @@
             self.sent[host_id] += 1
             upstream = self.by_id[host_id]
             wait_s = upstream.prefill(
-                self.clock.now_s, number % SUBJECT_COUNT, tokens
+                self.clock.now_s, number % load_nodes.SUBJECT_COUNT, tokens
             )
             heapq.heappush(
                 self._pending_heads, (upstream.free_s, number, host_id)
@@ -295,7 +164,7 @@
 
 def test_prompt_goes_to_its_cached_prefix_unless_the_wait_is_longer() -> None:
     clock = fakes.ManualClock()
-    (node,) = _nodes(clock, 1, 6)
+    (node,) = load_nodes.nodes(clock, 1, 6)
     home = node.choose(1, LONG_TOKENS).upstream.entry.host_id
     miss_penalty_s = node.times.miss_penalty_s(
         "m", "m", LONG_TOKENS, LONG_TOKENS // 2
@@ -310,7 +179,7 @@
 
 def test_backlog_of_a_lost_node_expires() -> None:
     clock = fakes.ManualClock()
-    first, second = _nodes(clock, 2, 3)
+    first, second = load_nodes.nodes(clock, 2, 3)
 
     def exchange_all() -> None:
         first.exchange()
@@ -331,7 +200,7 @@
 
 def test_sums_that_are_not_read_again_expire() -> None:
     clock = fakes.ManualClock()
-    first, second = _nodes(clock, 2, 3)
+    first, second = load_nodes.nodes(clock, 2, 3)
     with first.backlogs.track("u1", 4.0):
         first.exchange()
         second.exchange()
@@ -346,7 +215,7 @@
     clock = fakes.ManualClock()
     sizes = []
     for count in (7, 76, 374):
-        nodes = _nodes(clock, count, 40)
+        nodes = load_nodes.nodes(clock, count, 40)
         last = nodes[-1]
         with contextlib.ExitStack() as holds:
             for number, node in enumerate(nodes):
@@ -367,7 +236,7 @@
 
 def test_next_node_adds_up_once_the_aggregator_does_not_reply() -> None:
     clock = fakes.ManualClock()
-    nodes = _nodes(clock, 5, 3)
+    nodes = load_nodes.nodes(clock, 5, 3)
     dead = next(each for each in nodes if _is_aggregator(each))
     alive = [each for each in nodes if each is not dead]
     dead.bus.is_dead = True
@@ -381,14 +250,14 @@
     assert alive[0].state.counters.by_name["backlogs.unread"] == 1
 
 
-def _is_aggregator(node: _Node) -> bool:
+def _is_aggregator(node: load_nodes.Node) -> bool:
     aggregators = node.backlogs._aggregators
     return aggregators.aggregator("z") == node.state.identity.node_id
 
 
 def test_restarted_aggregator_sends_complete_sums() -> None:
     clock = fakes.ManualClock()
-    nodes = _nodes(clock, 3, 3)
+    nodes = load_nodes.nodes(clock, 3, 3)
     index = next(
         number for number, each in enumerate(nodes) if _is_aggregator(each)
     )
@@ -398,7 +267,7 @@
         second.exchange()
     clock.now_s += 0.2
     first.exchange()
-    restarted = _Node(clock, f"n{index}", 3, {})
+    restarted = load_nodes.Node(clock, f"n{index}", 3, {})
     first.bus.others = [restarted.bus, second.bus]
     second.bus.others = [restarted.bus, first.bus]
     with first.backlogs.track("u2", 2.0):
@@ -410,21 +279,21 @@
 
 def test_report_that_arrives_late_replaces_no_later_one() -> None:
     clock = fakes.ManualClock()
-    (node,) = _nodes(clock, 1, 3)
+    (node,) = load_nodes.nodes(clock, 1, 3)
     late = backlog_aggregator.Report("n9", 5, 1, {"u1": 9000})
     latest = backlog_aggregator.Report("n9", 5, 2, {"u1": 1000})
     for report in (latest, late):
         sums = node.aggregator.answer(backlog_aggregator.Query(report, 0, 0))
-        assert sums.ms_by_key == {"u1": 1000}
+        assert sums.value_by_key == {"u1": 1000}
     restarted = backlog_aggregator.Report("n9", 6, 1, {})
     sums = node.aggregator.answer(backlog_aggregator.Query(restarted, 0, 0))
-    assert not sums.ms_by_key
+    assert not sums.value_by_key
 
 
 def test_work_of_an_organisation_at_all_nodes_is_known_to_each_node() -> None:
     """An organisation that sends through many nodes is one and the same."""
     clock = fakes.ManualClock()
-    nodes = _nodes(clock, 3, 3)
+    nodes = load_nodes.nodes(clock, 3, 3)
     with contextlib.ExitStack() as holds:
         for number, node in enumerate(nodes):
             for service, organisation in (("m", "large"), ("other", "large")):
@@ -446,7 +315,7 @@
 
 def test_report_of_very_many_organisations_is_bounded() -> None:
     clock = fakes.ManualClock()
-    first, second = _nodes(clock, 2, 3)
+    first, second = load_nodes.nodes(clock, 2, 3)
     with contextlib.ExitStack() as holds:
         for number in range(1_000):
             hold = first.backlogs.track("u1", 0.01, "m", f"small{number}")
@@ -484,7 +353,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = fakes.ManualClock()
-        self.nodes = _nodes(self.clock, self.NODES, self.UPSTREAMS)
+        self.nodes = load_nodes.nodes(self.clock, self.NODES, self.UPSTREAMS)
         self.holds: list[tuple[int, str, float, Any]] = []
 
     @stateful.rule(
@@ -570,7 +439,7 @@
     steps: list[tuple[int, str, float, float]],
 ) -> None:
     clock = fakes.ManualClock()
-    nodes = _nodes(clock, 5, 3)
+    nodes = load_nodes.nodes(clock, 5, 3)
     watched = nodes[4].backlogs
     own_by_node: dict[int, collections.Counter[str]] = {}
     reported_s_by_node: dict[int, float] = {}
@@ -616,7 +485,7 @@
             copy.apply(sums.since(copy.started_ms, copy.sequence), 0.0)
             complete = sums.since(0, 0)
             assert complete.is_complete
-            assert copy.ms_by_key == complete.ms_by_key
+            assert copy.value_by_key == complete.value_by_key
 
 
 def test_sums_of_upstreams_that_are_gone_are_dropped() -> None:
@@ -628,14 +497,14 @@
         sums.put("n1", {f"u{number}": 900, "kept": 50}, math.inf)
     assert len(sums._change_by_key) <= backlog_sums._MAX_KEYS
     copy.apply(sums.since(copy.started_ms, copy.sequence), 0.0)
-    assert copy.ms_by_key == {"u9999": 900, "kept": 50}
+    assert copy.value_by_key == {"u9999": 900, "kept": 50}
 
 
 # Guards against exchanges that end because of one estimate.
 @pytest.mark.parametrize("seconds", [-1.0, 0.0, 1e7, 1e12, 1e300, math.inf])
 def test_backlog_of_any_length_is_exchanged(seconds: float) -> None:
     clock = fakes.ManualClock()
-    first, second, third = _nodes(clock, 3, 3)
+    first, second, third = load_nodes.nodes(clock, 3, 3)
     for node in (first, second):
         node.backlogs._add("u1", seconds)
         node.backlogs._add("u2", 2.0)
