--- a/src/lycheegw/measure/backlog_fleet.py
+++ b/src/lycheegw/measure/backlog_fleet.py
@@ -184,6 +184,7 @@
         cut_off: Ids of the nodes that reach no other one.
         environment: Clock and random numbers of all nodes.
         draw_attempt: Chooses prompt and upstream of a node's next attempt.
+        is_told_first: Whether nodes report an attempt before they send it.
     """
 
     def __init__(self, nodes: int, upstreams: int, zones: int, seed: int):
@@ -216,6 +217,7 @@
             f"zone-{zone}": self._upstreams[zone::zones]
             for zone in range(zones)
         }
+        self.is_told_first = False
         self.draw_attempt: Callable[[Node], Attempt] = self._draw_attempt
         self._backlog_s_by_id: collections.Counter[str] = collections.Counter()
         self._history_by_id: dict[str, list[tuple[float, float]]] = {
@@ -330,6 +332,8 @@
         hold = node.backlogs.track(attempt.upstream, attempt.expected_s)
         hold.__enter__()
         self._change(attempt.upstream, attempt.expected_s)
+        if self.is_told_first:
+            self._exchange(node_id)
         self._exchange_if_due(node_id)
         self._at(
             self._now_s + attempt.head_s,
--- a/src/lycheegw/measure/balance.py
+++ b/src/lycheegw/measure/balance.py
@@ -42,6 +42,8 @@
 _TOKENS_PER_S = {_SMALL_MODEL: 214_000, _LARGE_MODEL: 21_400}
 _CACHE_TOKENS = 447_000
 _CROSS_ZONE_PENALTY_S = 0.1
+# Price of a crossing that is never worth it.
+_FAR_S = 60.0
 # Time that work takes on upstreams, relative to the usual one, by turns; and
 # how much longer it takes on some of them at a time.
 _SPEEDS = (0.7, 0.7, 1.7)
@@ -258,6 +260,8 @@
 _POLICIES: dict[str, Callable[[random.Random], selection.Policy]] = {
     "router": lambda _: selection.first_as_good,
     "router without reports": lambda _: selection.first_as_good,
+    "told first": lambda _: selection.first_as_good,
+    "own zone": lambda _: selection.first_as_good,
     "by wait": _by_wait,
     "by finish": _by_finish,
     "of few": _of_few,
@@ -280,6 +284,7 @@
             nodes, upstream_count, zones, seed
         )
         self.fleet.draw_attempt = self._draw
+        self.fleet.is_told_first = policy == "told first"
         self.sent: list[_Sent] = []
         self._policy = policy
         self._random = random.Random(seed)
@@ -467,6 +472,8 @@
                 rates,
             )
             balancer.select = _POLICIES[self._policy](self._random)
+            if self._policy == "own zone":
+                balancer.crossing_s = lambda *_: _FAR_S
             self._router_by_node[id(node)] = _Router(balancer, times, rates)
         return self._router_by_node[id(node)]
 
@@ -512,15 +519,16 @@
     figures: dict[str, float] = {}
     baseline: dict[str, float] = {}
     for size in _SIZES:
-        router, oracle, counts = (
+        router, oracle, counts, by_wait = (
             simulate(policy, size, seed, _SECONDS * scale)
-            for policy in ("router", "oracle", "least connections")
+            for policy in ("router", "oracle", "least connections", "by wait")
         )
         for name in Lateness._fields:
             figure = f"{name}_{size[0]}"
             figures[figure] = getattr(router, name)
             baseline[figure] = getattr(counts, name)
             figures[f"oracle_{figure}"] = getattr(oracle, name)
+            figures[f"by_wait_{figure}"] = getattr(by_wait, name)
         figures[f"late_of_largest_to_oracle_{size[0]}"] = (
             router.late_share_of_largest + 0.001
         ) / (oracle.late_share_of_largest + 0.001)
