Speeds: times of work weigh a quarter of reports; equal upstreams stay equal

Change: the time of work weighs a quarter of what an upstream reports; weights of homes have steps of a fifth; application upstreams whose costs differ by less than a tenth are equal, and the own zone and chance decide.

--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -38,6 +38,9 @@
 _CROSS_ZONE_PENALTY_S = 0.1
 # The same for services without a model, as a share of an upstream's slots.
 _CROSS_ZONE_LOAD = 0.1
+# Shares of an upstream's slots that differ by less are equal: estimates of
+# speeds and loads aren't better, and one request of a few slots is more.
+_EQUAL_LOAD = 0.1
 # Duration of a response that is assumed of a service without any samples.
 _UNKNOWN_DURATION_S = 0.05
 
@@ -404,12 +407,12 @@
         """Returns the upstreams, the likeliest to cache the prefix first."""
         key, shared = affinity_key(work.traits)
         by_id = {each.entry.host_id: each for each in options}
-        factors = self._speeds.learnt_by_id()
-        weights = {each: 1 / factors.get(each, 1.0) for each in by_id}
+        weights = self._speeds.weights(options)
         order = [
             by_id[each]
             for each in rendezvous.weighted_order(
-                f"{model or ''} {key or work.traits.request_id}", weights
+                f"{model or ''} {key or work.traits.request_id}",
+                dict(zip(by_id, weights, strict=True)),
             )
         ]
         if shared < _CROSS_ZONE_AFFINITY_TOKENS:
@@ -491,15 +494,19 @@
                 speeds_by_rank, told_s, options, strict=True
             )
         ]
+        is_remote = [not self._is_local(each) for each in options]
+        costs_s = [
+            wait_s + speed * duration_s + far * _CROSS_ZONE_LOAD * duration_s
+            for wait_s, speed, far in zip(
+                waits_s, speeds_by_rank, is_remote, strict=True
+            )
+        ]
+        bound_s = min(costs_s) + _EQUAL_LOAD * duration_s
         random = self._state.environment.random.random
-
-        def cost_s(rank: int) -> tuple[float, float]:
-            is_local = self._is_local(options[rank])
-            crossing_s = 0.0 if is_local else _CROSS_ZONE_LOAD * duration_s
-            running_s = speeds_by_rank[rank] * duration_s
-            return waits_s[rank] + running_s + crossing_s, random()
-
-        rank = min(range(len(options)), key=cost_s)
+        rank = min(
+            (rank for rank, cost_s in enumerate(costs_s) if cost_s <= bound_s),
+            key=lambda each: (is_remote[each], random()),
+        )
         return Choice(
             options[rank],
             service,
--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -25,9 +25,13 @@
 # Bounds on one sample and on a factor; a response that stalls says little about
 # the speed of the machine.
 _MIN_FACTOR, _MAX_FACTOR = 0.25, 4.0
-# Samples at the usual speed that are assumed of each upstream: the pace of a
-# stream follows what else runs there, so few samples say little.
+# Samples at the usual speed that are assumed of each upstream.
 _PRIOR_SAMPLES = 5.0
+# Weight of the time of work, which follows what else runs there, relative to
+# that of what an upstream reports.
+_WORK_WEIGHT = 0.25
+# Steps of a share of work for each doubling.
+_STEPS = 4
 # Interval at which factors are computed from the samples.
 _REFRESH_INTERVAL_S = 0.25
 # Figures are whole thousandths.
@@ -109,7 +113,11 @@
         return self._factor_by_id
 
     def note(
-        self, upstream: upstreams.Upstream, expected_s: float, actual_s: float
+        self,
+        upstream: upstreams.Upstream,
+        expected_s: float,
+        actual_s: float,
+        weight: float = 1.0,
     ) -> None:
         """Records how long work took, and how long it takes usually."""
         ratio = actual_s / expected_s if expected_s > 0 else math.nan
@@ -123,9 +131,23 @@
         )
         number, rates, _ = former.decayed(now_s)
         self._samples_by_id[host_id] = _SpeedSamples(
-            number + 1.0, rates + 1 / _bounded(ratio), now_s
+            number + weight, rates + weight / _bounded(ratio), now_s
         )
 
+    def weights(self, order: Sequence[upstreams.Upstream]) -> list[float]:
+        """Returns the shares of work of several upstreams, in the same order.
+
+        They are reciprocals of the learnt factors, in steps, so that upstreams
+        that are equally fast have equal shares.
+        """
+        learnt = self.learnt_by_id()
+        return [
+            2.0 ** (-round(_STEPS * math.log2(factor)) / _STEPS)
+            for factor in (
+                learnt.get(each.entry.host_id, 1.0) for each in order
+            )
+        ]
+
     def note_work(
         self,
         upstream: upstreams.Upstream,
@@ -146,7 +168,7 @@
         mean_s = self._mean_s_by_work.setdefault((service, model), actual_s)
         change_s = _MEAN_WEIGHT * (min(actual_s, _MAX_FACTOR * mean_s) - mean_s)
         self._mean_s_by_work[service, model] = mean_s + change_s
-        self.note(upstream, mean_s, actual_s)
+        self.note(upstream, mean_s, actual_s, _WORK_WEIGHT)
 
     def own_figures(self) -> dict[backlog_sums.Key, int]:
         """Returns the samples of this node; those of lost upstreams end."""
