--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -80,6 +80,7 @@
         self._samples_by_id: dict[str, _SpeedSamples] = {}
         self._mean_s_by_work: dict[tuple[str, str | None], float] = {}
         self._factor_by_id: dict[str, float] = {}
+        self._weight_by_id: dict[str, float] = {}
         # Mean time of a pool's samples, relative to what they were expected.
         self._mean_by_pool: dict[str, float] = {}
         self._refreshed_s = -math.inf
@@ -91,7 +92,8 @@
     def factors(self, order: Sequence[upstreams.Upstream]) -> list[float]:
         """Returns the factors of several upstreams, in the same order."""
         now_s = self._state.environment.monotonic_s()
-        learnt = self.learnt_by_id()
+        self._refresh_if_due()
+        learnt = self._factor_by_id
         factors = [learnt.get(each.entry.host_id, 1.0) for each in order]
         for rank, upstream in enumerate(order):
             report = upstream.report
@@ -104,13 +106,11 @@
                 factors[rank] += weight * (told - factors[rank])
         return factors
 
-    def learnt_by_id(self) -> Mapping[str, float]:
-        """Returns what responses of all nodes told, by upstream id."""
+    def _refresh_if_due(self) -> None:
         now_s = self._state.environment.monotonic_s()
         if now_s - self._refreshed_s >= _REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
             self._refresh()
-        return self._factor_by_id
 
     def note(
         self,
@@ -140,12 +140,9 @@
         They are reciprocals of the learnt factors, in steps, so that upstreams
         that are equally fast have equal shares.
         """
-        learnt = self.learnt_by_id()
+        self._refresh_if_due()
         return [
-            2.0 ** (-round(_STEPS * math.log2(factor)) / _STEPS)
-            for factor in (
-                learnt.get(each.entry.host_id, 1.0) for each in order
-            )
+            self._weight_by_id.get(each.entry.host_id, 1.0) for each in order
         ]
 
     def note_work(
@@ -206,6 +203,10 @@
             self._mean_by_pool[pool] = mean
             for host_id, (number, rate) in samples_by_id.items():
                 self._factor_by_id[host_id] = _bounded(number / rate / mean)
+        self._weight_by_id = {
+            host_id: 2.0 ** (-round(_STEPS * math.log2(factor)) / _STEPS)
+            for host_id, factor in self._factor_by_id.items()
+        }
 
 
 def _samples(
