--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -25,9 +25,13 @@
 # Bounds on one sample and on a factor; a response that stalls says little about
 # the speed of the machine.
 _MIN_FACTOR, _MAX_FACTOR = 0.25, 4.0
-# Samples at the usual speed that are assumed of each upstream: the pace of a
-# stream follows what else runs there, so few samples say little.
+# Samples at the usual speed that are assumed of each upstream.
 _PRIOR_SAMPLES = 5.0
+# Weight of the time of work, which follows what else runs there, relative to
+# that of what an upstream reports.
+_WORK_WEIGHT = 0.25
+# Steps of a share of work for each doubling.
+_STEPS = 4
 # Interval at which factors are computed from the samples.
 _REFRESH_INTERVAL_S = 0.25
 # Figures are whole thousandths.
@@ -76,6 +80,7 @@
         self._samples_by_id: dict[str, _SpeedSamples] = {}
         self._mean_s_by_work: dict[tuple[str, str | None], float] = {}
         self._factor_by_id: dict[str, float] = {}
+        self._weight_by_id: dict[str, float] = {}
         # Mean time of a pool's samples, relative to what they were expected.
         self._mean_by_pool: dict[str, float] = {}
         self._refreshed_s = -math.inf
@@ -87,7 +92,8 @@
     def factors(self, order: Sequence[upstreams.Upstream]) -> list[float]:
         """Returns the factors of several upstreams, in the same order."""
         now_s = self._state.environment.monotonic_s()
-        learnt = self.learnt_by_id()
+        self._refresh_if_due()
+        learnt = self._factor_by_id
         factors = [learnt.get(each.entry.host_id, 1.0) for each in order]
         for rank, upstream in enumerate(order):
             report = upstream.report
@@ -100,16 +106,18 @@
                 factors[rank] += weight * (told - factors[rank])
         return factors
 
-    def learnt_by_id(self) -> Mapping[str, float]:
-        """Returns what responses of all nodes told, by upstream id."""
+    def _refresh_if_due(self) -> None:
         now_s = self._state.environment.monotonic_s()
         if now_s - self._refreshed_s >= _REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
             self._refresh()
-        return self._factor_by_id
 
     def note(
-        self, upstream: upstreams.Upstream, expected_s: float, actual_s: float
+        self,
+        upstream: upstreams.Upstream,
+        expected_s: float,
+        actual_s: float,
+        weight: float = 1.0,
     ) -> None:
         """Records how long work took, and how long it takes usually."""
         ratio = actual_s / expected_s if expected_s > 0 else math.nan
@@ -123,9 +131,20 @@
         )
         number, rates, _ = former.decayed(now_s)
         self._samples_by_id[host_id] = _SpeedSamples(
-            number + 1.0, rates + 1 / _bounded(ratio), now_s
+            number + weight, rates + weight / _bounded(ratio), now_s
         )
 
+    def weights(self, order: Sequence[upstreams.Upstream]) -> list[float]:
+        """Returns the shares of work of several upstreams, in the same order.
+
+        They are reciprocals of the learnt factors, in steps, so that upstreams
+        that are equally fast have equal shares.
+        """
+        self._refresh_if_due()
+        return [
+            self._weight_by_id.get(each.entry.host_id, 1.0) for each in order
+        ]
+
     def note_work(
         self,
         upstream: upstreams.Upstream,
@@ -146,7 +165,7 @@
         mean_s = self._mean_s_by_work.setdefault((service, model), actual_s)
         change_s = _MEAN_WEIGHT * (min(actual_s, _MAX_FACTOR * mean_s) - mean_s)
         self._mean_s_by_work[service, model] = mean_s + change_s
-        self.note(upstream, mean_s, actual_s)
+        self.note(upstream, mean_s, actual_s, _WORK_WEIGHT)
 
     def own_figures(self) -> dict[backlog_sums.Key, int]:
         """Returns the samples of this node; those of lost upstreams end."""
@@ -184,6 +203,10 @@
             self._mean_by_pool[pool] = mean
             for host_id, (number, rate) in samples_by_id.items():
                 self._factor_by_id[host_id] = _bounded(number / rate / mean)
+        self._weight_by_id = {
+            host_id: 2.0 ** (-round(_STEPS * math.log2(factor)) / _STEPS)
+            for host_id, factor in self._factor_by_id.items()
+        }
 
 
 def _samples(
