Balancing: what a call to another zone is worth is a seam too

Cause: calls to services without a model weighed zones by a constant. Change: Balancer.call_crossing_s, beside crossing_s; the constant is its default.

--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -129,8 +129,10 @@
             prefix of a prompt first.
         cached_tokens: Returns the shared tokens of a prompt that upstreams in
             this order have cached.
-        crossing_s: Returns the wait that is worth as much as sending work to
-            another zone.
+        crossing_s: Returns the wait that is worth as much as sending a prompt
+            to another zone.
+        call_crossing_s: The same of a call to a service without a model, which
+            usually takes a time in seconds.
         select: Returns the rank of the upstream to take.
     """
 
@@ -150,6 +152,7 @@
         self.affinity_order = self._rendezvous_order
         self.cached_tokens = self._assume_first_cached
         self.crossing_s = self._crossing_s
+        self.call_crossing_s = _call_crossing_s
         self.select: selection.Policy = selection.first_as_good
         self._speeds = upstream_speeds
         self._state = state
@@ -342,7 +345,7 @@
         affinity order.
         """
         if service.engine is None:
-            return self._pick_by_requests(service, options)
+            return self._pick_by_requests(work, service, options)
         name = model or work.traits.model
         order = self.affinity_order(work, name, options)
         estimates = self._estimates(work, service, name, order)
@@ -469,6 +472,7 @@
 
     def _pick_by_requests(
         self,
+        work: forwarded_requests.ForwardedWork,
         service: routing.Service,
         options: Sequence[upstreams.Upstream],
     ) -> Choice:
@@ -495,10 +499,16 @@
             )
         ]
         is_remote = [not self._is_local(each) for each in options]
+        crossings_s = [
+            self.call_crossing_s(work, each.entry.zone, duration_s)
+            if is_far
+            else 0.0
+            for each, is_far in zip(options, is_remote, strict=True)
+        ]
         costs_s = [
-            wait_s + speed * duration_s + far * _CROSS_ZONE_LOAD * duration_s
-            for wait_s, speed, far in zip(
-                waits_s, speeds_by_rank, is_remote, strict=True
+            wait_s + speed * duration_s + crossing_s
+            for wait_s, speed, crossing_s in zip(
+                waits_s, speeds_by_rank, crossings_s, strict=True
             )
         ]
         bound_s = min(costs_s) + _EQUAL_LOAD * duration_s
@@ -517,6 +527,14 @@
         )
 
 
+def _call_crossing_s(
+    work: forwarded_requests.ForwardedWork, zone: str, duration_s: float
+) -> float:
+    """Returns the wait that is worth as much as crossing to a zone."""
+    del work, zone
+    return _CROSS_ZONE_LOAD * duration_s
+
+
 def affinity_key(
     traits: forwarded_requests.RequestTraits,
 ) -> tuple[str | None, int]:
