--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -40,7 +40,7 @@
 _CROSS_ZONE_LOAD = 0.1
 # Shares of an upstream's slots that differ by less are equal: estimates of
 # speeds and loads aren't better, and one request of a few slots is more.
-_EQUAL_LOAD = 0.1
+_EQUAL_LOAD = 0.05
 # Duration of a response that is assumed of a service without any samples.
 _UNKNOWN_DURATION_S = 0.05
 
