--- a/src/lycheegw/coordination/load/backlog_aggregator.py
+++ b/src/lycheegw/coordination/load/backlog_aggregator.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+import math
 from typing import NamedTuple
 
 from absl import logging
@@ -35,6 +36,9 @@
 EXPIRE_AFTER_S = 3.0
 # The same for its samples of speeds, which decay anyway.
 _SPEEDS_EXPIRE_AFTER_S = 12.0
+# Interval at which samples are added up, in seconds.
+_SPEEDS_INTERVAL_S = 2.0
+_SPEEDS_SOURCE = "speeds"
 # Nodes of which the version of the last report is kept.
 _MAX_NODES = 2_000
 # Interval at which the sums of other zones are read, in seconds.
@@ -88,6 +92,18 @@
     decode_sums: Callable[[bytes], backlog_sums.Sums]
 
 
+class _Speeds(NamedTuple):
+    """Samples of speeds that a node or a zone told.
+
+    Attributes:
+        value_by_key: Their numbers and sums.
+        expires_s: Monotonic second from which on they don't count.
+    """
+
+    value_by_key: Mapping[backlog_sums.Key, int]
+    expires_s: float
+
+
 class BacklogAggregator:
     """Answers the questions of nodes that take this one as an aggregator."""
 
@@ -110,6 +126,9 @@
             collections.OrderedDict()
         )
         self._copy_by_zone: dict[str, backlog_sums.SumsCopy] = {}
+        self._speeds_by_node: dict[str, _Speeds] = {}
+        self._speeds_by_zone: dict[str, _Speeds] = {}
+        self._speeds_added_s = -math.inf
         self._asked = asyncio.Event()
         self._read_until_s = 0.0
         peers.on_call(TOPIC, self._handle_query)
@@ -124,6 +143,7 @@
         now_s = self._now_s()
         self._zone_sums.expire(now_s)
         self._fleet_sums.expire(now_s)
+        self._add_speeds(now_s)
         sums = self._zone_sums
         if query.report is not None:
             self._put(query.report, now_s)
@@ -144,12 +164,33 @@
         expires_s = now_s + EXPIRE_AFTER_S
         for sums in (self._zone_sums, self._fleet_sums):
             sums.put(report.node_id, report.value_by_key, expires_s)
-            if report.speeds is not None:
-                sums.put(
-                    f"speeds of {report.node_id}",
-                    report.speeds,
-                    now_s + _SPEEDS_EXPIRE_AFTER_S,
-                )
+        if report.speeds is not None:
+            self._speeds_by_node[report.node_id] = _Speeds(
+                report.speeds, now_s + _SPEEDS_EXPIRE_AFTER_S
+            )
+
+    def _add_speeds(self, now_s: float) -> None:
+        """Adds up the samples of speeds, at intervals.
+
+        Samples decay, so all of them change with each report of a node.
+        """
+        if now_s < self._speeds_added_s + _SPEEDS_INTERVAL_S:
+            return
+        self._speeds_added_s = now_s
+        for by_source in (self._speeds_by_node, self._speeds_by_zone):
+            for source, speeds in list(by_source.items()):
+                if speeds.expires_s <= now_s:
+                    del by_source[source]
+        expires_s = now_s + _SPEEDS_EXPIRE_AFTER_S
+        zone_speeds: collections.Counter[backlog_sums.Key] = (
+            collections.Counter()
+        )
+        for each in self._speeds_by_node.values():
+            zone_speeds.update(each.value_by_key)
+        self._zone_sums.put(_SPEEDS_SOURCE, dict(zone_speeds), expires_s)
+        for each in self._speeds_by_zone.values():
+            zone_speeds.update(each.value_by_key)
+        self._fleet_sums.put(_SPEEDS_SOURCE, dict(zone_speeds), expires_s)
 
     async def run(self) -> None:
         """Reads the sums of the other zones until cancelled."""
@@ -195,9 +236,14 @@
             return
         now_s = self._now_s()
         copy.apply(sums, now_s)
-        self._fleet_sums.put(
-            f"zone {zone}", dict(copy.value_by_key), now_s + EXPIRE_AFTER_S
-        )
+        work: dict[backlog_sums.Key, int] = {}
+        speeds: dict[backlog_sums.Key, int] = {}
+        for key, value in copy.value_by_key.items():
+            is_speed = isinstance(key, backlog_sums.SpeedKey)
+            (speeds if is_speed else work)[key] = value
+        expires_s = now_s + EXPIRE_AFTER_S
+        self._fleet_sums.put(f"zone {zone}", work, expires_s)
+        self._speeds_by_zone[zone] = _Speeds(speeds, expires_s)
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -34,8 +34,9 @@
 _STEPS = 4
 # Interval at which factors are computed from the samples.
 _REFRESH_INTERVAL_S = 0.25
-# Figures are whole thousandths.
+# Figures are whole thousandths; fewer samples aren't reported.
 _UNITS = 1000
+_MIN_NUMBER = 50
 # Half-life of the weight of what an upstream reported last, in seconds; it
 # changes many times a second.
 _REPORT_HALF_LIFE_S = 0.3
@@ -179,7 +180,7 @@
         for host_id, samples in self._samples_by_id.items():
             number = round(samples.number * _UNITS)
             rates = round(samples.rates * _UNITS)
-            if number and rates:
+            if number >= _MIN_NUMBER:
                 figures[backlog_sums.SpeedKey(host_id, False)] = number
                 figures[backlog_sums.SpeedKey(host_id, True)] = rates
         return figures
