--- a/src/lycheegw/coordination/attempt_records.py
+++ b/src/lycheegw/coordination/attempt_records.py
@@ -99,6 +99,7 @@
             load_age_s=round(load_age_s, 2),
             wait_s=round(choice.wait_s, 2),
             wait_age_s=round(wait_age_s, 2),
+            speed=round(choice.speed, 2),
             left_s=round(self._limits.left_s(accepted.request), 3),
             last_event=progress.last_event,
         )
@@ -147,17 +148,25 @@
                 upstream.entry.started_ms / 1000,
                 0,
                 now_s,
+                head.slowness,
             )
         )
+        if head.slowness is not None:
+            self._dependencies.speeds.note(upstream, 1.0, head.slowness)
 
     def note_answer(
         self,
         accepted: accepted_requests.AcceptedRequest,
-        version: str,
+        choice: balancing.Choice,
         larger: str | None,
     ) -> None:
         """Records the response head, and whether another model is asked."""
         progress, service = accepted.progress, accepted.service.name
+        version = choice.upstream.entry.version
+        if choice.service.engine is None and progress.status < 300:
+            self._dependencies.speeds.note_work(
+                choice.upstream, service, None, progress.head_s
+            )
         tokens = accepted.work.traits.prompt_tokens
         self._response_times.note_first_byte(
             service, progress.model, tokens, progress.head_s
@@ -180,15 +189,20 @@
             )
 
     def note_pace(
-        self, accepted: accepted_requests.AcceptedRequest, version: str
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
     ) -> None:
         """Records the time between the first events of a stream."""
-        progress = accepted.progress
+        progress, service = accepted.progress, accepted.service.name
         passed_s = self._now_s() - progress.attempt_start_s - progress.head_s
+        pace_s = passed_s / (answer_delivery.PACE_EVENTS - 1)
+        upstream = choice.upstream
         self._dependencies.rollouts.note_pace(
-            accepted.service.name,
-            version,
-            passed_s / (answer_delivery.PACE_EVENTS - 1),
+            service, upstream.entry.version, pace_s
+        )
+        self._dependencies.speeds.note_work(
+            upstream, service, progress.model, pace_s
         )
 
     def note_stream_end(
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -283,13 +283,12 @@
             errors.UpstreamError: The attempt failed.
         """
         progress = accepted.progress
-        version = choice.upstream.entry.version
         self._records.note_attempt(accepted, choice)
         call: interfaces.ForwardCall | None = None
         try:
             with self._dependencies.backlogs.track(
                 choice.upstream.entry.host_id,
-                choice.prefill_s,
+                choice.work_s,
                 accepted.service.name,
                 accepted.request.organisation,
             ):
@@ -322,7 +321,7 @@
                     )
                 progress.held_answer.drop()
             larger = self._larger_model(accepted)
-            self._records.note_answer(accepted, version, larger)
+            self._records.note_answer(accepted, choice, larger)
             answer = held_answers.Answer(
                 call,
                 head,
@@ -361,7 +360,7 @@
                 answer.call,
                 answer.head,
                 version,
-                lambda: self._records.note_pace(accepted, version),
+                lambda: self._records.note_pace(accepted, answer.choice),
                 lambda: self._may_try_elsewhere(accepted, answer.choice),
             )
             answer.call.finish()
--- a/src/lycheegw/coordination/forward_dependencies.py
+++ b/src/lycheegw/coordination/forward_dependencies.py
@@ -17,6 +17,7 @@
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import speeds
 
 __all__ = ["Dependencies"]
 
@@ -29,6 +30,7 @@
         balancer: Selects upstreams.
         timings: Expected response times.
         backlogs: Outstanding prefill work of upstreams.
+        speeds: How fast each upstream is.
         rates: Rate limits of upstreams that all nodes share.
         budgets: Limits retries.
         rollouts: Selects the version of a request.
@@ -54,6 +56,7 @@
     balancer: balancing.Balancer
     timings: response_times.ResponseTimes
     backlogs: backlogs.Backlogs
+    speeds: speeds.Speeds
     rates: shared_rates.SharedRates
     budgets: retry_budgets.RetryBudgets
     rollouts: canary_rollouts.CanaryRollouts
--- a/src/lycheegw/coordination/load/backlogs.py
+++ b/src/lycheegw/coordination/load/backlogs.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import heapq
 import math
@@ -41,6 +43,8 @@
 # Organisations of which a node reports the work; those with little work are
 # left out beyond.
 _MAX_ORGANISATIONS = 200
+# Interval at which a report has the samples of speeds, in seconds.
+_SPEEDS_INTERVAL_S = 2.0
 
 
 class Backlogs:
@@ -48,6 +52,10 @@
 
     The estimate combines the node's own outstanding requests with the sums
     that the aggregator of its zone sent last.
+
+    Attributes:
+        own_speeds: Returns this node's samples of the speeds of upstreams,
+            which go with its reports.
     """
 
     def __init__(
@@ -63,6 +71,8 @@
         self._aggregators = aggregators
         self._started_ms = int(state.environment.wall_s() * 1000)
         self._sequence = 0
+        self.own_speeds: Callable[[], Mapping[backlog_sums.Key, int]] = dict
+        self._speeds_reported_s = -math.inf
         self._own_s_by_key: dict[backlog_sums.Key, float] = {}
         self._copy = backlog_sums.SumsCopy()
         # The own report that is contained in the copy.
@@ -100,41 +110,69 @@
 
     def wait_s(self, upstream_id: str) -> float:
         """Returns the outstanding prefill time at an upstream, of all nodes."""
-        return self._seconds(upstream_id)
+        return self._seconds([upstream_id])[0]
+
+    def waits_s(self, upstream_ids: Sequence[str]) -> list[float]:
+        """Returns these times of several upstreams, in the same order."""
+        return self._seconds(upstream_ids)
 
     def organisations(self, service: str) -> Mapping[str, float]:
         """Returns the outstanding prefill time at a service by organisation.
 
         It is that of all nodes, in seconds.
         """
-        keys = self._own_s_by_key.keys() | self._copy.ms_by_key.keys()
-        found = {
-            key.organisation: self._seconds(key)
+        keys = self._own_s_by_key.keys() | self._copy.value_by_key.keys()
+        found = [
+            key
             for key in keys
             if isinstance(key, backlog_sums.OrganisationKey)
             and key.service == service
+        ]
+        return {
+            key.organisation: seconds
+            for key, seconds in zip(found, self._seconds(found), strict=True)
+            if seconds
         }
-        return {name: seconds for name, seconds in found.items() if seconds}
 
-    def _seconds(self, key: backlog_sums.Key) -> float:
-        """Returns a figure of all nodes, with this node's own part of now."""
-        own_s = self._own_s_by_key.get(key, 0.0)
+    def known_sums(self) -> Mapping[backlog_sums.Key, int]:
+        """Returns the sums that the aggregator sent, none if too old."""
         if self.age_s() > backlog_aggregator.EXPIRE_AFTER_S:
-            return own_s
-        others_ms = self._copy.ms_by_key.get(key, 0) - self._reported_ms.get(
-            key, 0
-        )
-        return own_s + max(0, others_ms) / 1000
+            return {}
+        return self._copy.value_by_key
+
+    def _seconds(self, keys: Sequence[backlog_sums.Key]) -> list[float]:
+        """Returns figures of all nodes, with this node's own part of now."""
+        own = self._own_s_by_key
+        sums, reported = self.known_sums(), self._reported_ms
+        if not sums:
+            return [own.get(key, 0.0) for key in keys]
+        return [
+            own.get(key, 0.0)
+            + max(0, sums.get(key, 0) - reported.get(key, 0)) / 1000
+            for key in keys
+        ]
 
     def longest_s(self) -> float:
         """Returns the longest backlog of all listed upstreams."""
         ids = self._state.upstreams.by_id
-        return max((self.wait_s(each) for each in ids), default=0.0)
+        return max(self.waits_s(list(ids)), default=0.0)
+
+    def busiest_to_mean(self) -> float:
+        """Returns the longest backlog over the mean one, 1 without any."""
+        ids = self._state.upstreams.by_id
+        backlogs_s = self.waits_s(list(ids))
+        total_s = sum(backlogs_s)
+        return max(backlogs_s) * len(ids) / total_s if total_s else 1.0
 
     def age_s(self) -> float:
         """Returns the age of what is known of the other nodes' backlogs."""
         return self._now_s() - self._copy.updated_s
 
+    def age_used_s(self) -> float:
+        """Returns the age of the figures in use, 0 if they are all its own."""
+        age_s = self.age_s()
+        return age_s if age_s <= backlog_aggregator.EXPIRE_AFTER_S else 0.0
+
     def _add(self, key: backlog_sums.Key, seconds: float) -> None:
         total_s = self._own_s_by_key.get(key, 0.0) + seconds
         if total_s < 1e-6:
@@ -219,11 +257,15 @@
         if aggregator is None:
             return
         self._sequence += 1
+        is_speeds_due = (
+            self._exchanged_s >= self._speeds_reported_s + _SPEEDS_INTERVAL_S
+        )
         report = backlog_aggregator.Report(
             self._state.identity.node_id,
             self._started_ms,
             self._sequence,
             self._own_figures(),
+            self.own_speeds() if is_speeds_due else None,
         )
         query = backlog_aggregator.Query(
             report, self._copy.started_ms, self._copy.sequence
@@ -243,9 +285,13 @@
             self._state.counters.add("backlogs.unread")
             logging.warning("sums of backlogs: %s", error)
             self._aggregators.note_no_reply(aggregator)
+            # The next one asked may have none of this node's samples.
+            self._speeds_reported_s = -math.inf
             return
         self._copy.apply(sums, self._now_s())
-        self._reported_ms = report.ms_by_key
+        if is_speeds_due:
+            self._speeds_reported_s = self._exchanged_s
+        self._reported_ms = report.value_by_key
 
     def _own_figures(self) -> dict[backlog_sums.Key, int]:
         """Returns what this node reports."""
--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import operator
 from typing import NamedTuple
 
 from lycheegw.coordination import canary_rollouts
@@ -17,6 +18,8 @@
 from lycheegw.coordination import zone_reachability
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import selection
+from lycheegw.coordination.load import speeds
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
 from lycheegw.state import requests
@@ -33,6 +36,13 @@
 _WAIT_S_PER_REQUEST = 0.01
 # Wait added for an upstream in another zone, since cross-zone traffic costs.
 _CROSS_ZONE_PENALTY_S = 0.1
+# The same for services without a model, as a share of an upstream's slots.
+_CROSS_ZONE_LOAD = 0.1
+# Shares of an upstream's slots that differ by less are equal: estimates of
+# speeds and loads aren't better, and one request of a few slots is more.
+_EQUAL_LOAD = 0.05
+# Duration of a response that is assumed of a service without any samples.
+_UNKNOWN_DURATION_S = 0.05
 
 
 class Choice(NamedTuple):
@@ -46,6 +56,8 @@
         wait_s: Expected wait for the requests queued before it.
         objections: What spoke against the upstream when it was selected, as a
             last resort; see `Balancer.objections`.
+        speed: Time that work takes there, relative to the service's mean; the
+            times above include it.
     """
 
     upstream: upstreams.Upstream
@@ -54,6 +66,12 @@
     prefill_s: float = 0.0
     wait_s: float = 0.0
     objections: frozenset[str] = frozenset()
+    speed: float = 1.0
+
+    @property
+    def work_s(self) -> float:
+        """Expected prefill time of the request at the usual speed."""
+        return self.prefill_s / self.speed
 
 
 class NoUpstream(NamedTuple):
@@ -74,8 +92,49 @@
     is_limit_announced: bool = False
 
 
+class _Estimates(NamedTuple):
+    """What is expected of each of several upstreams, in the same order.
+
+    Attributes:
+        waits_s: Waits for the requests queued before.
+        prefills_s: Prefill times of the request.
+        misses_s: Parts of these that an upstream with the prefix saves.
+        crossings_s: Waits that are worth as much as crossing zones.
+        speeds: Time that work takes, relative to the service's mean. Waits and
+            prefill times include it.
+    """
+
+    waits_s: list[float]
+    prefills_s: list[float]
+    misses_s: list[float]
+    crossings_s: list[float]
+    speeds: list[float]
+
+    def costs_s(self) -> list[float]:
+        """Returns the times to the first byte, with what crossing is worth."""
+        return list(
+            map(
+                operator.add,
+                map(operator.add, self.waits_s, self.prefills_s),
+                self.crossings_s,
+            )
+        )
+
+
 class Balancer:
-    """Selects upstreams by health, version, cold limits, affinity and load."""
+    """Selects upstreams by health, version, cold limits, affinity and load.
+
+    Attributes:
+        affinity_order: Returns upstreams of a model, the likeliest to cache the
+            prefix of a prompt first.
+        cached_tokens: Returns the shared tokens of a prompt that upstreams in
+            this order have cached.
+        crossing_s: Returns the wait that is worth as much as sending a prompt
+            to another zone.
+        call_crossing_s: The same of a call to a service without a model, which
+            usually takes a time in seconds.
+        select: Returns the rank of the upstream to take.
+    """
 
     def __init__(
         self,
@@ -88,7 +147,14 @@
         reachability: zone_reachability.ZoneReachability,
         timings: response_times.ResponseTimes,
         prefill_backlogs: backlogs.Backlogs,
+        upstream_speeds: speeds.Speeds,
     ):
+        self.affinity_order = self._rendezvous_order
+        self.cached_tokens = self._assume_first_cached
+        self.crossing_s = self._crossing_s
+        self.call_crossing_s = _call_crossing_s
+        self.select: selection.Policy = selection.first_as_good
+        self._speeds = upstream_speeds
         self._state = state
         self._response_times = timings
         self._backlogs = prefill_backlogs
@@ -273,88 +339,200 @@
         model: str | None,
         options: list[upstreams.Upstream],
     ) -> Choice:
-        """Returns the first upstream in affinity order with a tolerable wait.
+        """Returns the upstream at which the response is expected soonest.
 
-        The wait is tolerable if it exceeds the shortest one by no more than
-        the time to prefill the shared prefix on another upstream.
+        Among those that are as good, by what is known, it is the first in
+        affinity order.
         """
         if service.engine is None:
-            upstream = self._pick_least_loaded(options)
-            return Choice(upstream, service, "least loaded")
-        traits = work.traits
-        key, shared = affinity_key(traits)
-        name = model or traits.model
-        tokens = traits.prompt_tokens
-        prefill_s = self._response_times.prefill_s(service.name, name, tokens)
-        miss_penalty_s = self._response_times.miss_penalty_s(
-            service.name, name, tokens, shared
-        )
-        is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
-        wait_s_by_id = self._weighted_waits(options, is_zone_bound)
-        max_wait_s = min(wait_s_by_id.values()) + miss_penalty_s
-        order = self._affinity_order(
-            f"{name or ''} {key}", options, is_zone_bound
-        )
-        rank, upstream = next(
-            (rank, each)
-            for rank, each in enumerate(order)
-            if wait_s_by_id[each.entry.host_id] <= max_wait_s
+            return self._pick_by_requests(work, service, options)
+        name = model or work.traits.model
+        order = self.affinity_order(work, name, options)
+        estimates = self._estimates(work, service, name, order)
+        rank = self.select(
+            estimates.costs_s(), estimates.misses_s, self._backlogs.age_used_s()
         )
+        is_home = rank == 0 and affinity_key(work.traits)[0] is not None
         return Choice(
-            upstream,
+            order[rank],
             service,
-            "affinity" if rank == 0 and key is not None else "shorter wait",
-            prefill_s + (miss_penalty_s if rank else 0.0),
-            self._wait_s(upstream),
+            "affinity" if is_home else "shorter wait",
+            estimates.prefills_s[rank],
+            estimates.waits_s[rank],
+            speed=estimates.speeds[rank],
         )
 
-    def _weighted_waits(
-        self, options: Sequence[upstreams.Upstream], is_zone_bound: bool
-    ) -> dict[str, float]:
-        """Returns the wait at each upstream, plus a penalty for other zones."""
-        penalty_s = _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
-        return {
-            each.entry.host_id: self._wait_s(each)
-            + (0.0 if self._is_local(each) else penalty_s)
-            for each in options
-        }
+    def _estimates(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        service: routing.Service,
+        model: str | None,
+        order: Sequence[upstreams.Upstream],
+    ) -> _Estimates:
+        """Returns what is expected of each upstream, in the same order."""
+        tokens = work.traits.prompt_tokens
+        shared = affinity_key(work.traits)[1]
+        prefill_s = self._response_times.prefill_s(service.name, model, tokens)
+        miss_penalty_s = self._response_times.miss_penalty_s(
+            service.name, model, tokens, shared
+        )
+        missing_shares = [
+            1 - cached / shared if shared else 0.0
+            for cached in self.cached_tokens(work, model, order)
+        ]
+        speeds_by_rank = self._speeds.factors(order)
+        misses_s = [
+            speed * miss_penalty_s * share
+            for speed, share in zip(speeds_by_rank, missing_shares, strict=True)
+        ]
+        return _Estimates(
+            [
+                speed * wait_s
+                for speed, wait_s in zip(
+                    speeds_by_rank, self._waits_s(order), strict=True
+                )
+            ],
+            [
+                speed * prefill_s + miss_s
+                for speed, miss_s in zip(speeds_by_rank, misses_s, strict=True)
+            ],
+            misses_s,
+            self._crossings_s(work, order),
+            speeds_by_rank,
+        )
 
-    def _affinity_order(
+    def _rendezvous_order(
         self,
-        key: str,
+        work: forwarded_requests.ForwardedWork,
+        model: str | None,
         options: Sequence[upstreams.Upstream],
-        is_zone_bound: bool,
     ) -> list[upstreams.Upstream]:
         """Returns the upstreams, the likeliest to cache the prefix first."""
+        key, shared = affinity_key(work.traits)
         by_id = {each.entry.host_id: each for each in options}
-        order = [by_id[each] for each in rendezvous.order(key, by_id)]
-        if is_zone_bound:
-            order.sort(key=lambda each: not self._is_local(each))
+        weights = self._speeds.weights(options)
+        order = [
+            by_id[each]
+            for each in rendezvous.weighted_order(
+                f"{model or ''} {key or work.traits.request_id}",
+                dict(zip(by_id, weights, strict=True)),
+            )
+        ]
+        if shared < _CROSS_ZONE_AFFINITY_TOKENS:
+            own_zone = self._state.identity.zone
+            order.sort(key=lambda each: each.entry.zone != own_zone)
         return order
 
-    def _wait_s(self, upstream: upstreams.Upstream) -> float:
-        """Returns the expected wait of a new request at an upstream."""
+    def _assume_first_cached(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        model: str | None,
+        order: Sequence[upstreams.Upstream],
+    ) -> list[int]:
+        """Returns the cached tokens if the first has the whole prefix."""
+        del model
+        return [affinity_key(work.traits)[1]] + [0] * (len(order) - 1)
+
+    def _crossings_s(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        order: Sequence[upstreams.Upstream],
+    ) -> list[float]:
+        """Returns what the crossing to each upstream's zone is worth."""
+        zones = [each.entry.zone for each in order]
+        own_zone = self._state.identity.zone
+        by_zone = {
+            zone: 0.0 if zone == own_zone else self.crossing_s(work, zone)
+            for zone in set(zones)
+        }
+        return [by_zone[zone] for zone in zones]
+
+    def _crossing_s(
+        self, work: forwarded_requests.ForwardedWork, zone: str
+    ) -> float:
+        """Returns the wait that is worth as much as crossing to a zone."""
+        del zone
+        _, shared = affinity_key(work.traits)
+        is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
+        return _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
+
+    def _waits_s(self, order: Sequence[upstreams.Upstream]) -> list[float]:
+        """Returns the expected waits of a new request, at the usual speed."""
         now_s = self._state.environment.monotonic_s()
-        backlog_s = self._backlogs.wait_s(upstream.entry.host_id)
-        return backlog_s + _WAIT_S_PER_REQUEST * upstream.estimated_load(now_s)
+        backlogs_s = self._backlogs.waits_s(
+            [each.entry.host_id for each in order]
+        )
+        return [
+            backlog_s + _WAIT_S_PER_REQUEST * each.estimated_load(now_s)
+            for backlog_s, each in zip(backlogs_s, order, strict=True)
+        ]
 
     def _is_local(self, upstream: upstreams.Upstream) -> bool:
         return upstream.entry.zone == self._state.identity.zone
 
-    def _pick_least_loaded(
-        self, options: Sequence[upstreams.Upstream]
-    ) -> upstreams.Upstream:
-        """Returns the least loaded upstream; ties go to this node's zone."""
+    def _pick_by_requests(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        service: routing.Service,
+        options: Sequence[upstreams.Upstream],
+    ) -> Choice:
+        """Returns the upstream that answers soonest by requests in flight.
+
+        Those of all nodes count, by what they told the aggregator, and at least
+        those that the upstream reported and that this node has sent.
+        """
         now_s = self._state.environment.monotonic_s()
-        zone = self._state.identity.zone
+        usual_s = self._response_times.expected_first_byte_s(
+            service.name, None, 0
+        )
+        duration_s = usual_s or _UNKNOWN_DURATION_S
+        speeds_by_rank = self._speeds.factors(options)
+        told_s = self._backlogs.waits_s(
+            [each.entry.host_id for each in options]
+        )
+        waits_s = [
+            speed
+            * max(backlog_s, duration_s * each.estimated_load(now_s))
+            / max(1, each.entry.slots)
+            for speed, backlog_s, each in zip(
+                speeds_by_rank, told_s, options, strict=True
+            )
+        ]
+        is_remote = [not self._is_local(each) for each in options]
+        crossings_s = [
+            self.call_crossing_s(work, each.entry.zone, duration_s)
+            if is_far
+            else 0.0
+            for each, is_far in zip(options, is_remote, strict=True)
+        ]
+        costs_s = [
+            wait_s + speed * duration_s + crossing_s
+            for wait_s, speed, crossing_s in zip(
+                waits_s, speeds_by_rank, crossings_s, strict=True
+            )
+        ]
+        bound_s = min(costs_s) + _EQUAL_LOAD * duration_s
+        random = self._state.environment.random.random
+        rank = min(
+            (rank for rank, cost_s in enumerate(costs_s) if cost_s <= bound_s),
+            key=lambda each: (is_remote[each], random()),
+        )
+        return Choice(
+            options[rank],
+            service,
+            "least loaded",
+            speeds_by_rank[rank] * duration_s,
+            waits_s[rank],
+            speed=speeds_by_rank[rank],
+        )
 
-        def rank(upstream: upstreams.Upstream) -> tuple[float, bool, float]:
-            slots = max(1, upstream.entry.slots)
-            load = round(upstream.estimated_load(now_s) / slots, 1)
-            is_remote = upstream.entry.zone != zone
-            return load, is_remote, self._state.environment.random.random()
 
-        return min(options, key=rank)
+def _call_crossing_s(
+    work: forwarded_requests.ForwardedWork, zone: str, duration_s: float
+) -> float:
+    """Returns the wait that is worth as much as crossing to a zone."""
+    del work, zone
+    return _CROSS_ZONE_LOAD * duration_s
 
 
 def affinity_key(
--- a/src/lycheegw/protocol/backlog_codec.py
+++ b/src/lycheegw/protocol/backlog_codec.py
@@ -12,29 +12,38 @@
 __all__ = ["CODEC"]
 
 
-# Longest backlog in a message, in milliseconds; the field has 32 bits. A sum
-# may exceed it.
-_MAX_BACKLOG_MS = 2**32 - 1
+# Largest figure in a message, of 32 bits. A sum may exceed it.
+_MAX_VALUE = 2**32 - 1
 
 
 def _encode_figures(
-    ms_by_key: Mapping[backlog_sums.Key, int],
+    value_by_key: Mapping[backlog_sums.Key, int],
     message: backlogs_pb2.Report | backlogs_pb2.Sums,
 ) -> None:
     """Adds figures to a message."""
-    for key, milliseconds in ms_by_key.items():
-        bounded_ms = min(milliseconds, _MAX_BACKLOG_MS)
+    speed_by_upstream: dict[str, backlogs_pb2.Speed] = {}
+    for key, value in value_by_key.items():
+        bounded = min(value, _MAX_VALUE)
         if isinstance(key, str):
-            message.backlogs.add(upstream=key, milliseconds=bounded_ms)
-        else:
+            message.backlogs.add(upstream=key, milliseconds=bounded)
+        elif isinstance(key, backlog_sums.OrganisationKey):
             message.organisations.add(
                 service=key.service,
                 organisation=key.organisation,
-                milliseconds=bounded_ms,
+                milliseconds=bounded,
+            )
+        else:
+            speed = speed_by_upstream.setdefault(
+                key.upstream, backlogs_pb2.Speed(upstream=key.upstream)
             )
+            if key.is_rate:
+                speed.rates = bounded
+            else:
+                speed.number = bounded
+    message.speeds.extend(speed_by_upstream.values())
 
 
-def _decode_figures(
+def _decode_work(
     message: backlogs_pb2.Report | backlogs_pb2.Sums,
 ) -> dict[backlog_sums.Key, int]:
     figures: dict[backlog_sums.Key, int] = {
@@ -46,6 +55,20 @@
     return figures
 
 
+def _decode_speeds(
+    message: backlogs_pb2.Report | backlogs_pb2.Sums,
+) -> dict[backlog_sums.Key, int]:
+    figures: dict[backlog_sums.Key, int] = {}
+    for each in message.speeds:
+        if each.HasField("number"):
+            key = backlog_sums.SpeedKey(each.upstream, False)
+            figures[key] = each.number
+        if each.HasField("rates"):
+            key = backlog_sums.SpeedKey(each.upstream, True)
+            figures[key] = each.rates
+    return figures
+
+
 def _encode_query(query: backlog_aggregator.Query) -> bytes:
     report = query.report
     message = backlogs_pb2.Query(
@@ -57,7 +80,10 @@
         message.report.node_id = report.node_id
         message.report.started_ms = report.started_ms
         message.report.sequence = report.sequence
-        _encode_figures(report.ms_by_key, message.report)
+        message.report.has_speeds = report.speeds is not None
+        _encode_figures(
+            {**report.value_by_key, **(report.speeds or {})}, message.report
+        )
     return bytes(message.SerializeToString())
 
 
@@ -72,7 +98,10 @@
             message.report.node_id,
             message.report.started_ms,
             message.report.sequence,
-            _decode_figures(message.report),
+            _decode_work(message.report),
+            _decode_speeds(message.report)
+            if message.report.has_speeds
+            else None,
         )
     return backlog_aggregator.Query(
         report, message.known_started_ms, message.known_sequence
@@ -85,7 +114,7 @@
         sequence=sums.sequence,
         is_complete=sums.is_complete,
     )
-    _encode_figures(sums.ms_by_key, message)
+    _encode_figures(sums.value_by_key, message)
     return bytes(message.SerializeToString())
 
 
@@ -98,7 +127,7 @@
         message.started_ms,
         message.sequence,
         message.is_complete,
-        _decode_figures(message),
+        {**_decode_work(message), **_decode_speeds(message)},
     )
 
 
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -66,6 +66,8 @@
         started_at_s: Wall-clock second at which it started, as reported.
         completed_total: Requests completed since it started.
         received_s: Monotonic second of receipt at this node.
+        slowness: How long work takes there at the moment, 1 is usual; None if
+            it doesn't tell.
     """
 
     versions: frozenset[str]
@@ -74,6 +76,7 @@
     started_at_s: float
     completed_total: int
     received_s: float
+    slowness: float | None = None
 
 
 class Upstream:
@@ -154,14 +157,14 @@
         The weight of the report decays with its age. The requests that this
         node has sent since, and those it has in flight, are known exactly.
         """
-        if self.report is None:
+        report = self.report
+        if report is None:
             return float(self.in_flight)
-        weight = 0.5 ** (self.report_age_s(now_s) / _LOAD_HALF_LIFE_S)
-        reported = self.report.running + self.report.queued
-        return max(
-            float(self.in_flight),
-            weight * reported + self._sent_since_report,
+        weight = 0.5 ** ((now_s - report.received_s) / _LOAD_HALF_LIFE_S)
+        load = (
+            weight * (report.running + report.queued) + self._sent_since_report
         )
+        return load if load > self.in_flight else float(self.in_flight)
 
     def end_connect_failure(self, now_s: float, cold_s: float) -> None:
         """Records that a response ended a failure to connect.
