Bytes between zones are counted by purpose; gossip between zones on fewer links

Cause: all gossip crossed eight links of each pair of zones, and each new link began with complete copies of the store's topics. Change: counters and a log line of bytes between zones by purpose; four links a pair, of which two pass gossip on at once; a new neighbour gets announcements, and fetches what it lacks; a fetch that failed is tried again.

--- a/src/lycheegw/coordination/neighbours.py
+++ b/src/lycheegw/coordination/neighbours.py
@@ -2,7 +2,8 @@
 
 In its own zone a node links to the next node and to two more distant ones on a
 ring. Including the links that others open it has six, and gossip reaches 93
-nodes in at most five hops. A few nodes of each zone link to every other zone.
+nodes in at most five hops. A few links join each pair of zones, of which two
+pass gossip on at once; all of it crosses each of them.
 """
 
 from collections.abc import Mapping
@@ -10,11 +11,14 @@
 
 from lycheegw.coordination import rendezvous
 
-__all__ = ["choose"]
+__all__ = ["choose", "slow_neighbours"]
 
 # Up to this number of nodes in a zone, each links to all others.
 _MAX_FULL_MESH_NODES = 7
-_GATEWAYS_PER_ZONE = 4
+# Links between two zones, and those of them that pass gossip on at once. The
+# others pass it on at intervals, in case that both of these fail.
+_LINKS_PER_ZONE_PAIR = 4
+_PROMPT_LINKS_PER_ZONE_PAIR = 2
 
 
 def _choose_in_own_zone(
@@ -34,20 +38,40 @@
     ]
 
 
-def _choose_in_other_zone(
-    own_id: str,
-    zone: str,
-    own_zone_ids: Sequence[str],
-    other_zone_ids: Sequence[str],
-) -> list[str]:
-    """Returns the node of another zone to which to open a stream, if any."""
-    gateways = rendezvous.order(f"to {zone}", own_zone_ids)[:_GATEWAYS_PER_ZONE]
-    if own_id not in gateways or not other_zone_ids:
+def _links_between(
+    zone: str, other_zone: str, ids_by_zone: Mapping[str, Sequence[str]]
+) -> list[tuple[str, str]]:
+    """Returns the links between two zones, the most important one first.
+
+    The first node of each is of the first zone by name, and opens it.
+    """
+    first, second = sorted((zone, other_zone))
+    openers = rendezvous.order(f"to {second}", ids_by_zone[first])
+    targets = rendezvous.order(f"to {first}", ids_by_zone[second])
+    targets = targets[:_LINKS_PER_ZONE_PAIR]
+    if not targets:
         return []
-    targets = rendezvous.order(f"in {zone}", other_zone_ids)[
-        :_GATEWAYS_PER_ZONE
+    return [
+        (opener, targets[rank % len(targets)])
+        for rank, opener in enumerate(openers[:_LINKS_PER_ZONE_PAIR])
     ]
-    return [targets[gateways.index(own_id) % len(targets)]]
+
+
+def slow_neighbours(
+    own_id: str, own_zone: str, ids_by_zone: Mapping[str, Sequence[str]]
+) -> set[str]:
+    """Returns the nodes of other zones that get gossip at intervals only.
+
+    The arguments are those of `choose`.
+    """
+    found = set()
+    for zone in ids_by_zone:
+        if zone != own_zone:
+            links = _links_between(own_zone, zone, ids_by_zone)
+            for link in links[_PROMPT_LINKS_PER_ZONE_PAIR:]:
+                if own_id in link:
+                    found |= set(link) - {own_id}
+    return found
 
 
 def choose(
@@ -62,9 +86,13 @@
     """
     own_zone_ids = ids_by_zone[own_zone]
     chosen = _choose_in_own_zone(own_id, own_zone, own_zone_ids)
-    for zone, other_zone_ids in sorted(ids_by_zone.items()):
-        if zone != own_zone:
-            chosen += _choose_in_other_zone(
-                own_id, zone, own_zone_ids, other_zone_ids
-            )
+    for zone in sorted(ids_by_zone):
+        if zone > own_zone:
+            chosen += [
+                target
+                for opener, target in _links_between(
+                    own_zone, zone, ids_by_zone
+                )
+                if opener == own_id
+            ]
     return [each for each in dict.fromkeys(chosen) if each != own_id]
--- a/src/lycheegw/coordination/topic_exchange.py
+++ b/src/lycheegw/coordination/topic_exchange.py
@@ -3,7 +3,8 @@
 A neighbour receives the records that it may lack, and the time at which the
 store last confirmed the topic. Changes of long values are sent as patches.
 What is too long for a message is only announced: a neighbour that lacks it
-finds a gap, and fetches it from one of those that announced it.
+finds a gap, and fetches it from one of those that announced it. So is what a
+new neighbour probably has from others.
 """
 
 from collections.abc import Callable
@@ -30,6 +31,9 @@
 # Size of the records in one message. A link of 5 Mbit/s passes it in 0.1 s, and
 # it is well below what a link accepts.
 _MAX_PUSHED_BYTES = 64 * 1024
+# Size of the records up to which a new neighbour gets them without asking; a
+# request for what it lacks takes about as much.
+_MAX_FIRST_BYTES = 512
 # How long an announcement counts, in seconds. A neighbour repeats it each time
 # the store confirms the topic, in 1.5 s or so.
 _ANNOUNCEMENT_VALID_S = 4.0
@@ -214,7 +218,8 @@
             sent[topic] = _Sent(topic_state.position, topic_state.confirmed_s)
             update = self.update_since(topic_state, last.end)
             size = _update_bytes(update)
-            if size > left_bytes:
+            is_new = last is _NOTHING_SENT
+            if size > (_MAX_FIRST_BYTES if is_new else left_bytes):
                 self._state.counters.add("topics.announced")
                 update = update._replace(
                     from_offset=update.end_offset, records=(), patched=()
--- a/src/lycheegw/coordination/topic_fetcher.py
+++ b/src/lycheegw/coordination/topic_fetcher.py
@@ -30,6 +30,10 @@
 _MAX_CACHED_UPDATES = 4
 # Minimum time between two fetches of a topic.
 _MIN_INTERVAL_S = 0.05
+# Time after which a peer whose fetch failed is asked again, and how many times
+# it is. What it has is announced only once while the store is down.
+_RETRY_S = 0.5
+_MAX_RETRIES = 3
 # Updates that were fetched but left a gap, after which a fetch is given up.
 _MAX_ROUNDS = 4
 
@@ -119,6 +123,7 @@
         self._wanted_by_topic = {
             topic: asyncio.Event() for topic in topics.Topic
         }
+        self._retries_by_topic = dict.fromkeys(topics.Topic, 0)
         exchange.on_gap = self.request
         peers.on_call(_TOPIC, self._handle_call)
 
@@ -127,6 +132,7 @@
     ) -> None:
         """Requests what a peer has of a topic and this node lacks."""
         self._end_by_peer[topic][peer] = end
+        self._retries_by_topic[topic] = _MAX_RETRIES
         self._wanted_by_topic[topic].set()
 
     async def run(self) -> None:
@@ -139,13 +145,18 @@
             self._wanted_by_topic[topic].clear()
             await self._fetch_until_current(topic)
             await self._state.environment.sleep(_MIN_INTERVAL_S)
+            if self._end_by_peer[topic]:
+                await self._state.environment.sleep(_RETRY_S)
+                self._wanted_by_topic[topic].set()
 
     async def _fetch_until_current(self, topic: topics.Topic) -> None:
         """Asks the peers that have more, the most current first."""
+        failed: dict[str, topics.Position] = {}
         for _ in range(_MAX_ROUNDS):
-            peer = self._next_peer(topic)
-            if peer is None:
-                return
+            found = self._next_peer(topic)
+            if found is None:
+                break
+            peer, end = found
             try:
                 await self._fetch(topic, peer)
             except (
@@ -159,9 +170,15 @@
                     peer,
                     error,
                 )
-
-    def _next_peer(self, topic: topics.Topic) -> str | None:
-        """Returns the peer to ask, None if no one has more than this node."""
+                failed[peer] = end
+        if failed and self._retries_by_topic[topic]:
+            self._retries_by_topic[topic] -= 1
+            self._end_by_peer[topic] = failed | self._end_by_peer[topic]
+
+    def _next_peer(
+        self, topic: topics.Topic
+    ) -> tuple[str, topics.Position] | None:
+        """Returns the peer to ask and what it has, None if no one has more."""
         end_by_peer = self._end_by_peer[topic]
         position = self._exchange.state_by_topic[topic].position
         for peer, end in list(end_by_peer.items()):
@@ -171,8 +188,7 @@
             return None
         peer = max(end_by_peer, key=end_by_peer.__getitem__)
         # It is asked again once it announces more.
-        del end_by_peer[peer]
-        return peer
+        return peer, end_by_peer.pop(peer)
 
     async def _fetch(self, topic: topics.Topic, peer: str) -> None:
         """Fetches an update and applies it.
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -80,6 +80,8 @@
 # Retry-after time of a request whose body can't be held. Long bodies are held
 # for as long as their requests run, which is mostly less than a second.
 _MEMORY_RETRY_AFTER_S = 0.5
+# Interval of the lines about bytes between zones.
+_TRAFFIC_INTERVAL_S = 10.0
 # Lag of the event loop above which a line is logged.
 _MIN_LOGGED_LAG_S = 0.2
 _SETTINGS_POLL_INTERVAL_S = 1.0
@@ -328,7 +330,9 @@
         self.peers.on_connect(self.topic_exchange.forget_neighbour)
         self.peers.on_connect(self.canary_rollouts.forget_neighbour)
         self.forward_client = forward_client.ForwardClient(
-            self.upstream_pool, self._adapter.upstream_codec
+            self.upstream_pool,
+            self._adapter.upstream_codec,
+            self.state.zone_traffic,
         )
         self.suspects = suspects.Suspects(
             self.state,
@@ -385,6 +389,7 @@
             self.peers,
             self.state.environment.monotonic_s,
             self.budgets.requests,
+            self.state.zone_traffic,
         )
         timings = response_times.ResponseTimes()
         self._build_backlogs()
@@ -587,7 +592,10 @@
 
     async def _handle_metrics(self, exchange: ingress.Exchange) -> None:
         page = metrics_page.render(
-            self.state.counters, self.histograms, self._gauges
+            self.state.counters,
+            self.histograms,
+            self._gauges,
+            self.state.zone_traffic,
         )
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         await exchange.send(
@@ -617,6 +625,8 @@
 
     async def _run_housekeeping(self) -> None:
         """Removes expired connections and upstreams until cancelled."""
+        traffic_due_s = self.state.environment.monotonic_s()
+        traffic_due_s += _TRAFFIC_INTERVAL_S
         while True:
             due_s = self.state.environment.monotonic_s()
             due_s += _HOUSEKEEPING_INTERVAL_S
@@ -628,8 +638,17 @@
             self.relay_client.close_idle()
             self._update_reachability()
             self._note_refused_memory()
+            if self.state.environment.monotonic_s() >= traffic_due_s:
+                traffic_due_s += _TRAFFIC_INTERVAL_S
+                self._note_zone_traffic()
             self._log.flush()
 
+    def _note_zone_traffic(self) -> None:
+        """Logs the bytes between zones since the last line, by purpose."""
+        size_by_purpose = self.state.zone_traffic.take_increase()
+        if size_by_purpose:
+            self._log.note("zone_traffic", bytes=size_by_purpose)
+
     def _note_refused_memory(self) -> None:
         """Records the reservations that were refused since the last call."""
         for name, budget in self.budgets._asdict().items():
@@ -779,6 +798,7 @@
     async def stop(self) -> None:
         """Drains, then stops all components."""
         await self.drain()
+        self._note_zone_traffic()
         self._log.note("stop", running=self._running_requests())
         self.upstream_pool.close()
         self._store_pool.close()
--- a/src/lycheegw/state/node_state.py
+++ b/src/lycheegw/state/node_state.py
@@ -9,6 +9,7 @@
 from lycheegw.state import sessions
 from lycheegw.state import traces
 from lycheegw.state import upstreams
+from lycheegw.state import zone_traffic
 
 __all__ = ["Identity", "NodeState", "create"]
 
@@ -32,6 +33,7 @@
     pins: sessions.SessionPins
     counters: counters.Counters
     traces: traces.Traces
+    zone_traffic: zone_traffic.ZoneTraffic
 
     def trace(self, request_id: str, name: str, **details: object) -> None:
         """Adds an event to the trace of a request."""
@@ -54,4 +56,5 @@
         sessions.SessionPins(),
         counters.Counters(),
         traces.Traces(),
+        zone_traffic.ZoneTraffic(identity.zone),
     )
--- a/src/lycheegw/transport/connection_pool.py
+++ b/src/lycheegw/transport/connection_pool.py
@@ -69,6 +69,12 @@
 _MAX_FETCHED_BYTES = 1024 * 1024
 # Longest body that `fetch_head` reads, so that the connection can be reused.
 _MAX_DROPPED_BYTES = 64 * 1024
+# Bytes of a request line without method and target, with the empty line that
+# ends a head; of a status line with a short reason; and of a header line
+# without its name and value.
+_START_LINE_BYTES = 14
+_STATUS_LINE_BYTES = 19
+_HEADER_LINE_BYTES = 4
 # SO_LINGER with a timeout of 0 s: closing sends a reset.
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -84,6 +90,14 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
+    def size(self) -> int:
+        """Returns the bytes that it takes on a connection."""
+        return (
+            _line_bytes(self.method, self.target)
+            + _head_bytes(self.headers)
+            + len(self.body)
+        )
+
 
 class RawResponseHead(NamedTuple):
     """A response head.
@@ -98,6 +112,10 @@
     headers: tuple[tuple[bytes, bytes], ...]
     raw_headers: tuple[tuple[bytes, bytes], ...]
 
+    def size(self) -> int:
+        """Returns about how many bytes it took on the connection."""
+        return _STATUS_LINE_BYTES + _head_bytes(self.raw_headers)
+
     def value(self, name: bytes) -> bytes | None:
         """Returns the value of a header, by its name in lower case."""
         for each, value in self.headers:
@@ -106,6 +124,16 @@
         return None
 
 
+def _line_bytes(method: bytes, target: bytes) -> int:
+    return len(method) + len(target) + _START_LINE_BYTES
+
+
+def _head_bytes(headers: tuple[tuple[bytes, bytes], ...]) -> int:
+    return sum(
+        len(name) + len(value) + _HEADER_LINE_BYTES for name, value in headers
+    )
+
+
 def _connection_lost_error(
     message: str, is_timeout: bool = False
 ) -> errors.UpstreamError:
--- a/src/lycheegw/transport/forward_client.py
+++ b/src/lycheegw/transport/forward_client.py
@@ -14,6 +14,7 @@
 from lycheegw.state import routing
 from lycheegw.state import upstreams
 from lycheegw.state import verdicts
+from lycheegw.state import zone_traffic
 from lycheegw.transport import connection_pool
 
 __all__ = ["Codec", "ForwardClient", "HealthReportClient", "connection_key"]
@@ -60,8 +61,19 @@
         codec: Codec,
         request_id: str,
         note_answered: Callable[[], None],
+        count: Callable[[str, int], None],
     ):
+        """Creates a call.
+
+        Args:
+            call: The request on its connection.
+            codec: Decodes the head.
+            request_id: Id that the response must repeat.
+            note_answered: Called once the response is complete.
+            count: Counts bytes for a purpose.
+        """
         self._call = call
+        self._count = count
         self._codec = codec
         self._request_id = request_id
         self._note_answered = note_answered
@@ -70,7 +82,9 @@
     async def head(self) -> forwarded_requests.ResponseHead:
         """Returns the response head; raises errors.UpstreamError."""
         while True:
-            head = self._codec.decode_response_head(await self._call.head())
+            raw_head = await self._call.head()
+            self._count("response", raw_head.size())
+            head = self._codec.decode_response_head(raw_head)
             if head.echoed_ids == {self._request_id}:
                 self._call.note_idle_timeout(head.keep_alive_s)
                 return head
@@ -88,7 +102,10 @@
 
     async def read(self) -> bytes | None:
         """Returns the next bytes of the body, None at its end."""
-        return await self._call.read()
+        data = await self._call.read()
+        if data:
+            self._count("response", len(data))
+        return data
 
     @property
     def trailing_data(self) -> bytes:
@@ -108,9 +125,15 @@
 class ForwardClient:
     """Forwards requests to upstreams over a connection pool."""
 
-    def __init__(self, pool: connection_pool.ConnectionPool, codec: Codec):
+    def __init__(
+        self,
+        pool: connection_pool.ConnectionPool,
+        codec: Codec,
+        traffic: zone_traffic.ZoneTraffic,
+    ):
         self._pool = pool
         self._codec = codec
+        self._traffic = traffic
 
     def has_capacity(self, entry: upstreams.HostEntry, limit: int) -> bool:
         """Returns whether a request needs no more than `limit` connections."""
@@ -134,12 +157,14 @@
         def build_request() -> connection_pool.ClientRequest | None:
             if not attempt.may_send():
                 return None
-            return connection_pool.ClientRequest(
+            request = connection_pool.ClientRequest(
                 incoming.method,
                 incoming.target,
                 self._codec.encode_attempt(attempt),
                 incoming.body,
             )
+            self._traffic.add(entry.zone, "request", request.size())
+            return request
 
         # Any used connection may bring another copy of the first response, with
         # the id of this request.
@@ -161,6 +186,7 @@
             self._codec,
             attempt.work.traits.request_id,
             lambda: attempt.answered.add(key),
+            lambda purpose, size: self._traffic.add(entry.zone, purpose, size),
         )
 
     async def connect(self, entry: upstreams.HostEntry) -> None:
@@ -175,13 +201,16 @@
         Raises:
             errors.UpstreamError: No response was received in time.
         """
+        request = self._codec.encode_health_check(path.encode(), entry.address)
+        self._traffic.add(entry.zone, "health_check", request.size())
         head = await connection_pool.fetch_head(
             self._pool,
             connection_key(entry),
             entry.address,
-            self._codec.encode_health_check(path.encode(), entry.address),
+            request,
             min(timeout_s, _HEALTH_TIMEOUT_S),
         )
+        self._traffic.add(entry.zone, "health_check", head.size())
         return self._codec.decode_response_head(head)
 
 
--- a/src/lycheegw/transport/metrics_page.py
+++ b/src/lycheegw/transport/metrics_page.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from lycheegw.state import counters
+from lycheegw.state import zone_traffic
 
 __all__ = ["Histograms", "render"]
 
@@ -74,12 +75,17 @@
     source: counters.Counters,
     histograms: Histograms,
     gauges: Callable[[], Mapping[str, float]],
+    traffic: zone_traffic.ZoneTraffic,
 ) -> bytes:
     """Returns the metrics page as UTF-8 text."""
     lines = [
         f'lycheegw_events_total{{event="{name}"}} {count}'
         for name, count in sorted(source.by_name.items())
     ]
+    lines += [
+        f'lycheegw_zone_bytes_total{{purpose="{purpose}"}} {size}'
+        for purpose, size in sorted(traffic.bytes_by_purpose.items())
+    ]
     lines += [
         f"lycheegw_{name} {value:g}" for name, value in sorted(gauges().items())
     ]
--- a/src/lycheegw/transport/peer_bus.py
+++ b/src/lycheegw/transport/peer_bus.py
@@ -48,6 +48,13 @@
 _MAX_CALL_LINK_IDLE_S = 3.0
 _REPLACED_LINK_CLOSE_DELAY_S = 1.0
 _NOT_LIVE_RETRY_INTERVAL_S = 2.0
+# Minimum time between two heartbeats with deltas on the links between zones
+# that back others up. A gateway that fails is replaced after the time-out of
+# heartbeats.
+_SLOW_DELTA_INTERVAL_S = 2.0
+# About how many bytes either end sends until a stream is open.
+_OPENING_BYTES = 430
+_ACCEPTING_BYTES = 240
 _LIVENESS_TOPIC = "liveness"
 
 ConnectListener = Callable[[str], None]
@@ -101,7 +108,11 @@
             self._note_heartbeat,
             self._heartbeat_interval_s,
         )
+        self.link_callbacks.min_delta_interval_s = self._min_delta_interval_s
         self._next_not_live_retry_s = 0.0
+        # The live nodes by which the slow neighbours were chosen.
+        self._live_by_zone: Mapping[str, Sequence[str]] = {}
+        self._slow_neighbours: set[str] = set()
         self._is_stopping = False
         self.address = listen
         self.choose_neighbours = neighbours.choose
@@ -395,6 +406,11 @@
             is_neighbour,
             is_opener,
         )
+        self._state.zone_traffic.add(
+            peer.zone,
+            "link",
+            _OPENING_BYTES if is_opener else _ACCEPTING_BYTES,
+        )
         former = self._link_by_id.get(peer.node_id)
         if former is None or self._is_better(link, former):
             self._link_by_id[peer.node_id] = link
@@ -497,6 +513,17 @@
                 exc_info=task.exception(),
             )
 
+    def _min_delta_interval_s(self, node_id: str) -> float:
+        live_by_zone = self.liveness.live_by_zone()
+        if live_by_zone is not self._live_by_zone:
+            self._live_by_zone = live_by_zone
+            identity = self._state.identity
+            self._slow_neighbours = neighbours.slow_neighbours(
+                identity.node_id, identity.zone, live_by_zone
+            )
+        is_slow = node_id in self._slow_neighbours
+        return _SLOW_DELTA_INTERVAL_S if is_slow else 0.0
+
     def _heartbeat_interval_s(self) -> float:
         interval_s = _HEARTBEAT_S_PER_LINK * len(self._link_by_id)
         return min(_MAX_HEARTBEAT_S, max(_MIN_HEARTBEAT_S, interval_s))
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -34,6 +34,8 @@
 _MAX_QUEUED_FRAMES = 256
 _MAX_CONCURRENT_CALLS = 64
 _HEARTBEAT_JITTER = 0.2
+# Bytes that HTTP/2 and gRPC add to a message.
+_MESSAGE_HEADER_BYTES = 14
 # Minimum time between two heartbeats that were requested early.
 _MIN_EARLY_HEARTBEAT_S = 0.1
 
@@ -55,6 +57,8 @@
         handle_call: Handles a call; returns the reply frame.
         note_heartbeat: Records that a frame was received from a peer.
         heartbeat_interval_s: Returns the heartbeat interval in seconds.
+        min_delta_interval_s: Returns the minimum time between two heartbeats
+            with deltas to a neighbour, by its id; 0 for no minimum.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         self.merge_delta = merge_delta
         self.handle_call = handle_call
         self.note_heartbeat = note_heartbeat
+        self.min_delta_interval_s: Callable[[str], float] = lambda _: 0.0
 
 
 def limit_message_size(stream: Any) -> None:
@@ -136,6 +141,7 @@
         self._wake_s = math.inf
         self._is_early_requested = False
         self._earliest_heartbeat_s = 0.0
+        self._deltas_sent_s = -math.inf
         # The send that lasts, if any, and how many checks it has outlasted.
         self._is_sending = False
         self._blocked_checks = 0
@@ -201,10 +207,10 @@
         call_id = self._last_call_id
         reply = asyncio.get_running_loop().create_future()
         self._reply_by_call_id[call_id] = reply
-        self._queue.put_nowait(
-            peer_pb2.Frame(call_id=call_id, topic=topic, payload=payload)
+        self._put(
+            peer_pb2.Frame(call_id=call_id, topic=topic, payload=payload),
+            f"call.{topic}",
         )
-        self._wake_writer_by(0.0)
         try:
             return await reply
         finally:
@@ -222,10 +228,13 @@
                 self._earliest_heartbeat_s = (
                     self._now_s() + _MIN_EARLY_HEARTBEAT_S
                 )
-                frames = self._heartbeat_frames()
+                frames = [peer_pb2.Frame()]
+                if self._may_send_deltas():
+                    frames = self._heartbeat_frames()
                 # An early heartbeat is of use only for its deltas.
                 if is_regular or frames[0].deltas:
                     for frame in frames:
+                        self._count_deltas(frame)
                         await self._send(frame)
                     heartbeat_s = self._next_heartbeat_s()
             until_s = heartbeat_s
@@ -240,6 +249,14 @@
             and self._now_s() >= self._earliest_heartbeat_s
         )
 
+    def _may_send_deltas(self) -> bool:
+        """Returns whether deltas may be sent now, and counts them as sent."""
+        interval_s = self._callbacks.min_delta_interval_s(self.peer.node_id)
+        if self._now_s() - self._deltas_sent_s < interval_s:
+            return False
+        self._deltas_sent_s = self._now_s()
+        return True
+
     async def _check_silence(self) -> bool:
         if self._silence_s() <= liveness.HEARTBEAT_TIMEOUT_S:
             return False
@@ -341,6 +358,25 @@
             elif frame.call_id:
                 self._handle_call(frame)
 
+    def _put(self, frame: Any, purpose: str) -> None:
+        """Queues a frame; the writer sends it at once."""
+        self._state.zone_traffic.add(
+            self.peer.zone, purpose, frame.ByteSize() + _MESSAGE_HEADER_BYTES
+        )
+        self._queue.put_nowait(frame)
+        self._wake_writer_by(0.0)
+
+    def _count_deltas(self, frame: Any) -> None:
+        """Counts a heartbeat and its deltas, if they leave the zone."""
+        traffic = self._state.zone_traffic
+        if not traffic.is_crossing(self.peer.zone):
+            return
+        for delta in frame.deltas:
+            traffic.add(
+                self.peer.zone, f"delta.{delta.topic}", delta.ByteSize()
+            )
+        traffic.add(self.peer.zone, "heartbeat", _MESSAGE_HEADER_BYTES)
+
     def _count(self, frame: Any) -> None:
         self.frames_transferred += 1
         self.bytes_transferred += frame.ByteSize()
@@ -360,10 +396,10 @@
         """Handles a call in a separate task, so that reading continues."""
         if len(frame.payload) > MAX_PAYLOAD_BYTES:
             self._state.counters.add("peers.oversized")
-            self._reply(peer_pb2.Frame(call_id=frame.call_id, is_error=True))
+            self._reply(frame, peer_pb2.Frame(is_error=True))
         elif len(self._call_tasks) >= _MAX_CONCURRENT_CALLS:
             self._state.counters.add("peers.calls_refused")
-            self._reply(peer_pb2.Frame(call_id=frame.call_id, is_error=True))
+            self._reply(frame, peer_pb2.Frame(is_error=True))
         else:
             task = asyncio.get_running_loop().create_task(
                 self._run_handler(frame)
@@ -373,15 +409,17 @@
 
     async def _run_handler(self, frame: Any) -> None:
         self.last_call_s = self._now_s()
-        self._reply(await self._callbacks.handle_call(self.peer.node_id, frame))
+        self._reply(
+            frame, await self._callbacks.handle_call(self.peer.node_id, frame)
+        )
 
-    def _reply(self, frame: Any) -> None:
+    def _reply(self, call: Any, frame: Any) -> None:
+        frame.call_id = call.call_id
         frame.is_reply = True
         if self._queue.full():
             self._state.counters.add("peers.replies_dropped")
             return
-        self._queue.put_nowait(frame)
-        self._wake_writer_by(0.0)
+        self._put(frame, f"reply.{call.topic}")
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
--- a/src/lycheegw/transport/peer_relay.py
+++ b/src/lycheegw/transport/peer_relay.py
@@ -23,6 +23,7 @@
 from lycheegw.state import forwarded_requests
 from lycheegw.state import memory_budget
 from lycheegw.state import silence_timeouts
+from lycheegw.state import zone_traffic
 from lycheegw.transport import ingress
 from lycheegw.transport import peer_bus
 from lycheegw.transport import peer_link
@@ -65,8 +66,10 @@
         bus: peer_bus.GrpcPeerBus,
         now_s: Callable[[], float],
         budget: memory_budget.MemoryBudget,
+        traffic: zone_traffic.ZoneTraffic,
     ):
         self._bus = bus
+        self._traffic = traffic
         self._now_s = now_s
         self._budget = budget
         self._connection_by_address: dict[str, _PeerConnection] = {}
@@ -107,14 +110,15 @@
                     raise ConnectionError(f"{peer.address} is not {node_id}")
                 peer_link.limit_message_size(stream)
                 is_sent = True
-                await stream.send_message(
-                    relay_codec.encode_request(incoming, time_left_s), end=True
-                )
+                request = relay_codec.encode_request(incoming, time_left_s)
+                self._traffic.add(peer.zone, "relay", request.ByteSize())
+                await stream.send_message(request, end=True)
                 while (message := await stream.recv_message()) is not None:
                     if not held.resize(request_size + len(message.data)):
                         raise errors.PeerLostError(
                             f"no memory left for the response of {node_id}"
                         )
+                    self._traffic.add(peer.zone, "relay", message.ByteSize())
                     yield relay_codec.decode_part(message)
         except peer_link.LINK_ERRORS as error:
             if not connection.running > 1:
