Balancing: what crossing to another zone costs is a setting, by bytes

Cause: crossing counted 0.1 s of wait whatever crossed, nothing for prompts that share 8,000 tokens, and calls of services without a model crossed as soon as one request ran in the own zone. Change: load.crossing_ms and load.crossing_ms_per_mb; a prompt's home in another zone counts if reading the prefix again costs more than crossing; calls stay in the zone while half of an upstream's slots are free.

--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -17,6 +17,8 @@
 from lycheegw.coordination import zone_reachability
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import response_times
+from lycheegw.coordination.load import zone_costs
+from lycheegw.state import edge_settings
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
 from lycheegw.state import requests
@@ -25,14 +27,12 @@
 
 __all__ = ["Balancer", "Choice", "NoUpstream", "affinity_key"]
 
-# From this many shared tokens, a cached prefix is worth crossing zones for:
-# prefilling it again takes longer and costs more than the cross-zone traffic.
-_CROSS_ZONE_AFFINITY_TOKENS = 8000
 # Wait added for each running request, since each lengthens the decode steps of
 # the others in its batch.
 _WAIT_S_PER_REQUEST = 0.01
-# Wait added for an upstream in another zone, since cross-zone traffic costs.
-_CROSS_ZONE_PENALTY_S = 0.1
+# Share of its slots up to which an upstream without an engine counts as free.
+# The rest is for what other nodes have sent there meanwhile.
+_FREE_SHARE = 0.5
 
 
 class Choice(NamedTuple):
@@ -75,7 +75,12 @@
 
 
 class Balancer:
-    """Selects upstreams by health, version, cold limits, affinity and load."""
+    """Selects upstreams by health, version, cold limits, affinity and load.
+
+    Attributes:
+        crossing_s: Returns the wait that is worth as much as sending work to a
+            zone.
+    """
 
     def __init__(
         self,
@@ -92,6 +97,10 @@
         self._state = state
         self._response_times = timings
         self._backlogs = prefill_backlogs
+        costs = zone_costs.ZoneCosts(
+            state.identity.zone, edge_settings.LoadSettings()
+        )
+        self.crossing_s = costs.work_crossing_s
         self._directory = fleet_directory
         self._rollouts = rollouts
         self._rates = rates
@@ -279,7 +288,7 @@
         the time to prefill the shared prefix on another upstream.
         """
         if service.engine is None:
-            upstream = self._pick_least_loaded(options)
+            upstream = self._pick_least_loaded(work, options)
             return Choice(upstream, service, "least loaded")
         traits = work.traits
         key, shared = affinity_key(traits)
@@ -289,11 +298,19 @@
         miss_penalty_s = self._response_times.miss_penalty_s(
             service.name, name, tokens, shared
         )
-        is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
-        wait_s_by_id = self._weighted_waits(options, is_zone_bound)
+        crossing_s_by_zone = self._crossing_s_by_zone(work, options)
+        wait_s_by_id = {
+            each.entry.host_id: self._wait_s(each)
+            + crossing_s_by_zone[each.entry.zone]
+            for each in options
+        }
         max_wait_s = min(wait_s_by_id.values()) + miss_penalty_s
-        order = self._affinity_order(
-            f"{name or ''} {key}", options, is_zone_bound
+        order = self._affinity_order(f"{name or ''} {key}", options)
+        # Crossing to these zones costs more than reading the prefix again.
+        order.sort(
+            key=lambda each: (
+                crossing_s_by_zone[each.entry.zone] > miss_penalty_s
+            )
         )
         rank, upstream = next(
             (rank, each)
@@ -308,29 +325,25 @@
             self._wait_s(upstream),
         )
 
-    def _weighted_waits(
-        self, options: Sequence[upstreams.Upstream], is_zone_bound: bool
-    ) -> dict[str, float]:
-        """Returns the wait at each upstream, plus a penalty for other zones."""
-        penalty_s = _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
-        return {
-            each.entry.host_id: self._wait_s(each)
-            + (0.0 if self._is_local(each) else penalty_s)
-            for each in options
-        }
-
     def _affinity_order(
         self,
         key: str,
         options: Sequence[upstreams.Upstream],
-        is_zone_bound: bool,
     ) -> list[upstreams.Upstream]:
         """Returns the upstreams, the likeliest to cache the prefix first."""
         by_id = {each.entry.host_id: each for each in options}
-        order = [by_id[each] for each in rendezvous.order(key, by_id)]
-        if is_zone_bound:
-            order.sort(key=lambda each: not self._is_local(each))
-        return order
+        return [by_id[each] for each in rendezvous.order(key, by_id)]
+
+    def _crossing_s_by_zone(
+        self,
+        work: forwarded_requests.ForwardedWork,
+        options: Sequence[upstreams.Upstream],
+    ) -> dict[str, float]:
+        """Returns the wait that crossing to each zone is worth."""
+        return {
+            zone: self.crossing_s(work, zone)
+            for zone in {each.entry.zone for each in options}
+        }
 
     def _wait_s(self, upstream: upstreams.Upstream) -> float:
         """Returns the expected wait of a new request at an upstream."""
@@ -338,21 +351,28 @@
         backlog_s = self._backlogs.wait_s(upstream.entry.host_id)
         return backlog_s + _WAIT_S_PER_REQUEST * upstream.estimated_load(now_s)
 
-    def _is_local(self, upstream: upstreams.Upstream) -> bool:
-        return upstream.entry.zone == self._state.identity.zone
-
     def _pick_least_loaded(
-        self, options: Sequence[upstreams.Upstream]
+        self,
+        work: forwarded_requests.ForwardedWork,
+        options: Sequence[upstreams.Upstream],
     ) -> upstreams.Upstream:
-        """Returns the least loaded upstream; ties go to this node's zone."""
+        """Returns the least loaded upstream.
+
+        Those of this node's zone are preferred while they have free slots, as
+        the request doesn't wait there, and if the loads are equal.
+        """
         now_s = self._state.environment.monotonic_s()
-        zone = self._state.identity.zone
+        crossing_s_by_zone = self._crossing_s_by_zone(work, options)
 
-        def rank(upstream: upstreams.Upstream) -> tuple[float, bool, float]:
+        def rank(
+            upstream: upstreams.Upstream,
+        ) -> tuple[bool, float, float, float]:
             slots = max(1, upstream.entry.slots)
             load = round(upstream.estimated_load(now_s) / slots, 1)
-            is_remote = upstream.entry.zone != zone
-            return load, is_remote, self._state.environment.random.random()
+            crossing_s = crossing_s_by_zone[upstream.entry.zone]
+            is_free = crossing_s == 0 and load <= _FREE_SHARE
+            random = self._state.environment.random.random()
+            return not is_free, load, crossing_s, random
 
         return min(options, key=rank)
 
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -36,6 +36,7 @@
 from lycheegw.coordination.load import balancing
 from lycheegw.coordination.load import response_times
 from lycheegw.coordination.load import zone_aggregators
+from lycheegw.coordination.load import zone_costs
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol import notice_codec
 from lycheegw.protocol import reach_codec
@@ -404,6 +405,8 @@
             timings,
             self.backlogs,
         )
+        costs = zone_costs.ZoneCosts(self.settings.zone, self.settings.load)
+        self.balancer.crossing_s = costs.work_crossing_s
         self.forwarder = forwarding.Forwarder(
             self.state,
             self._adapter.caller_codec,
--- a/src/lycheegw/platform/settings_file.py
+++ b/src/lycheegw/platform/settings_file.py
@@ -14,6 +14,10 @@
 
 ENVIRONMENT_VARIABLE = "LYCHEEGW_BOOT"
 
+# Settings of load, which the deployment writes itself; others may be newer ones
+# of the platform.
+_LOAD_FIELDS = frozenset({"load.crossing_ms", "load.crossing_ms_per_mb"})
+
 _Value = TypeVar("_Value")
 
 
@@ -53,6 +57,7 @@
         heartbeat_s=fields.get("heartbeat_ms", _parse_milliseconds, "1200"),
         memory_mb=fields.get("limits.memory_mb", _parse_memory, "300"),
         service_levels=_parse_bounds(fields),
+        load=_parse_load(fields),
     )
     if high < low:
         fields.faults.append(
@@ -87,6 +92,16 @@
     )
 
 
+def _parse_load(fields: "_Fields") -> edge_settings.LoadSettings:
+    fields.check_known("load.", _LOAD_FIELDS)
+    return edge_settings.LoadSettings(
+        crossing_s=fields.get("load.crossing_ms", _parse_wait, "100"),
+        crossing_s_per_mb=fields.get(
+            "load.crossing_ms_per_mb", _parse_wait, "2000"
+        ),
+    )
+
+
 def _parse_lines(text: str) -> dict[str, str]:
     value_by_name = {}
     for line in text.splitlines():
@@ -103,6 +118,14 @@
         self.faults: list[str] = []
         self._value_by_name = value_by_name
 
+    def check_known(self, prefix: str, known: frozenset[str]) -> None:
+        """Records a fault for each other field with a prefix."""
+        self.faults += [
+            f"{name}: is no known setting"
+            for name in sorted(self._value_by_name)
+            if name.startswith(prefix) and name not in known
+        ]
+
     def get(
         self,
         name: str,
@@ -138,6 +161,13 @@
     return megabytes
 
 
+def _parse_wait(text: str) -> float:
+    milliseconds = float(text)
+    if not 0 <= milliseconds < math.inf:
+        raise ValueError(f"{text!r} is not a number of milliseconds from 0 on")
+    return milliseconds / 1000
+
+
 def _parse_milliseconds(text: str) -> float:
     return float(text) / 1000
 
--- a/src/lycheegw/state/edge_settings.py
+++ b/src/lycheegw/state/edge_settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["METRICS_PORT", "EdgeSettings", "ServiceLevels"]
+__all__ = ["METRICS_PORT", "EdgeSettings", "LoadSettings", "ServiceLevels"]
 
 # Port of the metrics page; deploy/system.toml names the same one.
 METRICS_PORT = 9464
@@ -44,6 +44,19 @@
     session_s: float
 
 
+class LoadSettings(NamedTuple):
+    """What decisions under load go by.
+
+    Attributes:
+        crossing_s: Wait in seconds that a request may have in its own zone
+            before it goes to another one.
+        crossing_s_per_mb: The same for each megabyte of its body, in addition.
+    """
+
+    crossing_s: float = 0.1
+    crossing_s_per_mb: float = 2.0
+
+
 class EdgeSettings(NamedTuple):
     """Settings of one node; addresses are "ip:port".
 
@@ -61,6 +74,7 @@
         heartbeat_s: Interval at which an upstream renews its entry.
         memory_mb: Megabytes that the process may use.
         service_levels: Service levels of the deployment.
+        load: What decisions under load go by.
     """
 
     node_id: str
@@ -76,3 +90,4 @@
     heartbeat_s: float
     memory_mb: float
     service_levels: ServiceLevels
+    load: LoadSettings = LoadSettings()
