--- a/src/lycheegw/coordination/neighbours.py
+++ b/src/lycheegw/coordination/neighbours.py
@@ -41,19 +41,19 @@
 def _links_between(
     zone: str, other_zone: str, ids_by_zone: Mapping[str, Sequence[str]]
 ) -> list[tuple[str, str]]:
-    """Returns the links between two zones, the most important one first.
+    """Returns the ends of the links between two zones, the prompt ones first.
 
-    The first node of each is of the first zone by name, and opens it.
+    Either end opens its links: the others may not know a node that is new.
     """
     first, second = sorted((zone, other_zone))
-    openers = rendezvous.order(f"to {second}", ids_by_zone[first])
-    targets = rendezvous.order(f"to {first}", ids_by_zone[second])
-    targets = targets[:_LINKS_PER_ZONE_PAIR]
-    if not targets:
+    nodes = rendezvous.order(f"to {second}", ids_by_zone[first])
+    others = rendezvous.order(f"to {first}", ids_by_zone[second])
+    if not nodes or not others:
         return []
+    count = min(_LINKS_PER_ZONE_PAIR, max(len(nodes), len(others)))
     return [
-        (opener, targets[rank % len(targets)])
-        for rank, opener in enumerate(openers[:_LINKS_PER_ZONE_PAIR])
+        (nodes[rank % len(nodes)], others[rank % len(others)])
+        for rank in range(count)
     ]
 
 
@@ -87,12 +87,8 @@
     own_zone_ids = ids_by_zone[own_zone]
     chosen = _choose_in_own_zone(own_id, own_zone, own_zone_ids)
     for zone in sorted(ids_by_zone):
-        if zone > own_zone:
-            chosen += [
-                target
-                for opener, target in _links_between(
-                    own_zone, zone, ids_by_zone
-                )
-                if opener == own_id
-            ]
+        if zone != own_zone:
+            for link in _links_between(own_zone, zone, ids_by_zone):
+                if own_id in link:
+                    chosen += link
     return [each for each in dict.fromkeys(chosen) if each != own_id]
--- a/tests/test_zone_traffic.py
+++ b/tests/test_zone_traffic.py
@@ -39,15 +39,17 @@
     ids_by_zone: Mapping[str, Sequence[str]], with_slow: bool
 ) -> collections.Counter[tuple[str, str]]:
     """Returns the links between each two zones that gossip at once, or all."""
-    found: collections.Counter[tuple[str, str]] = collections.Counter()
+    found = set()
     for zone, ids in ids_by_zone.items():
         for own_id in ids:
             slow = neighbours.slow_neighbours(own_id, zone, ids_by_zone)
             for other in neighbours.choose(own_id, zone, ids_by_zone):
-                other_zone = other.partition("-")[0]
-                if other_zone != zone and (with_slow or other not in slow):
-                    found[min(zone, other_zone), max(zone, other_zone)] += 1
-    return found
+                crosses = not other.startswith(f"{zone}-")
+                if crosses and (with_slow or other not in slow):
+                    found.add((min(own_id, other), max(own_id, other)))
+    return collections.Counter(
+        (one.partition("-")[0], other.partition("-")[0]) for one, other in found
+    )
 
 
 # Gossip of small and large fleets: what crosses grows with the links.
@@ -80,6 +82,13 @@
     assert set(links.values()) == {2}
 
 
+# A node that starts knows the others before any of them knows it.
+@pytest.mark.parametrize("zone", ["y", "zz"])
+def test_first_node_of_a_zone_opens_links_itself(zone: str) -> None:
+    ids_by_zone = {"z": [f"z-{each}" for each in range(8)], zone: ["new"]}
+    assert len(neighbours.choose("new", zone, ids_by_zone)) == 4
+
+
 def test_both_ends_agree_on_which_links_are_slow() -> None:
     ids_by_zone = _fleet(79, 4)
     slow_by_id = {
