--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -27,6 +28,9 @@
 
 __all__ = ["Balancer", "Choice", "NoUpstream", "affinity_key"]
 
+# From this many shared tokens, a prefix has one home in all zones, since
+# reading it again in each zone takes longer than crossing.
+_CROSS_ZONE_AFFINITY_TOKENS = 8000
 # Wait added for each running request, since each lengthens the decode steps of
 # the others in its batch.
 _WAIT_S_PER_REQUEST = 0.01
@@ -305,12 +309,8 @@
             for each in options
         }
         max_wait_s = min(wait_s_by_id.values()) + miss_penalty_s
-        order = self._affinity_order(f"{name or ''} {key}", options)
-        # Crossing to these zones costs more than reading the prefix again.
-        order.sort(
-            key=lambda each: (
-                crossing_s_by_zone[each.entry.zone] > miss_penalty_s
-            )
+        order = self._affinity_order(
+            f"{name or ''} {key}", options, shared, crossing_s_by_zone
         )
         rank, upstream = next(
             (rank, each)
@@ -329,10 +329,20 @@
         self,
         key: str,
         options: Sequence[upstreams.Upstream],
+        shared: int,
+        crossing_s_by_zone: Mapping[str, float],
     ) -> list[upstreams.Upstream]:
-        """Returns the upstreams, the likeliest to cache the prefix first."""
+        """Returns the upstreams, the likeliest to cache the prefix first.
+
+        A short prefix has a home in each zone, a long one a single home. The
+        others are as likely to cache it, so near ones come first.
+        """
         by_id = {each.entry.host_id: each for each in options}
-        return [by_id[each] for each in rendezvous.order(key, by_id)]
+        order = [by_id[each] for each in rendezvous.order(key, by_id)]
+        homes = order[: shared >= _CROSS_ZONE_AFFINITY_TOKENS]
+        others = order[len(homes) :]
+        others.sort(key=lambda each: crossing_s_by_zone[each.entry.zone])
+        return homes + others
 
     def _crossing_s_by_zone(
         self,
