--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -20,6 +20,8 @@
 from lycheegw.coordination.load import response_times
 from lycheegw.coordination.load import selection
 from lycheegw.coordination.load import speeds
+from lycheegw.coordination.load import zone_costs
+from lycheegw.state import edge_settings
 from lycheegw.state import forwarded_requests
 from lycheegw.state import node_state
 from lycheegw.state import requests
@@ -28,16 +30,15 @@
 
 __all__ = ["Balancer", "Choice", "NoUpstream", "affinity_key"]
 
-# From this many shared tokens, a cached prefix is worth crossing zones for:
-# prefilling it again takes longer and costs more than the cross-zone traffic.
+# From this many shared tokens, a prefix has a single home in all zones: reading
+# it again takes longer and costs more than the cross-zone traffic.
 _CROSS_ZONE_AFFINITY_TOKENS = 8000
 # Wait added for each running request, since each lengthens the decode steps of
 # the others in its batch.
 _WAIT_S_PER_REQUEST = 0.01
-# Wait added for an upstream in another zone, since cross-zone traffic costs.
-_CROSS_ZONE_PENALTY_S = 0.1
-# The same for services without a model, as a share of an upstream's slots.
-_CROSS_ZONE_LOAD = 0.1
+# Share of its slots up to which an upstream without an engine counts as free.
+# The rest is for what other nodes have sent there meanwhile.
+_FREE_SHARE = 0.5
 # Shares of an upstream's slots that differ by less are equal: estimates of
 # speeds and loads aren't better, and one request of a few slots is more.
 _EQUAL_LOAD = 0.05
@@ -129,10 +130,8 @@
             prefix of a prompt first.
         cached_tokens: Returns the shared tokens of a prompt that upstreams in
             this order have cached.
-        crossing_s: Returns the wait that is worth as much as sending a prompt
-            to another zone.
-        call_crossing_s: The same of a call to a service without a model, which
-            usually takes a time in seconds.
+        crossing_s: Returns the wait that is worth as much as sending work to a
+            zone.
         select: Returns the rank of the upstream to take.
     """
 
@@ -151,8 +150,10 @@
     ):
         self.affinity_order = self._rendezvous_order
         self.cached_tokens = self._assume_first_cached
-        self.crossing_s = self._crossing_s
-        self.call_crossing_s = _call_crossing_s
+        costs = zone_costs.ZoneCosts(
+            state.identity.zone, edge_settings.LoadSettings()
+        )
+        self.crossing_s = costs.work_crossing_s
         self.select: selection.Policy = selection.first_as_good
         self._speeds = upstream_speeds
         self._state = state
@@ -418,10 +419,11 @@
                 dict(zip(by_id, weights, strict=True)),
             )
         ]
-        if shared < _CROSS_ZONE_AFFINITY_TOKENS:
-            own_zone = self._state.identity.zone
-            order.sort(key=lambda each: each.entry.zone != own_zone)
-        return order
+        # The others are as likely to cache it, so near ones come first.
+        homes = order[: shared >= _CROSS_ZONE_AFFINITY_TOKENS]
+        others = order[len(homes) :]
+        others.sort(key=lambda each: not self._is_local(each))
+        return homes + others
 
     def _assume_first_cached(
         self,
@@ -440,22 +442,9 @@
     ) -> list[float]:
         """Returns what the crossing to each upstream's zone is worth."""
         zones = [each.entry.zone for each in order]
-        own_zone = self._state.identity.zone
-        by_zone = {
-            zone: 0.0 if zone == own_zone else self.crossing_s(work, zone)
-            for zone in set(zones)
-        }
+        by_zone = {zone: self.crossing_s(work, zone) for zone in set(zones)}
         return [by_zone[zone] for zone in zones]
 
-    def _crossing_s(
-        self, work: forwarded_requests.ForwardedWork, zone: str
-    ) -> float:
-        """Returns the wait that is worth as much as crossing to a zone."""
-        del zone
-        _, shared = affinity_key(work.traits)
-        is_zone_bound = shared < _CROSS_ZONE_AFFINITY_TOKENS
-        return _CROSS_ZONE_PENALTY_S if is_zone_bound else 0.0
-
     def _waits_s(self, order: Sequence[upstreams.Upstream]) -> list[float]:
         """Returns the expected waits of a new request, at the usual speed."""
         now_s = self._state.environment.monotonic_s()
@@ -490,51 +479,41 @@
         told_s = self._backlogs.waits_s(
             [each.entry.host_id for each in options]
         )
-        waits_s = [
-            speed
-            * max(backlog_s, duration_s * each.estimated_load(now_s))
+        shares = [
+            max(backlog_s / duration_s, each.estimated_load(now_s))
             / max(1, each.entry.slots)
-            for speed, backlog_s, each in zip(
-                speeds_by_rank, told_s, options, strict=True
-            )
-        ]
-        is_remote = [not self._is_local(each) for each in options]
-        crossings_s = [
-            self.call_crossing_s(work, each.entry.zone, duration_s)
-            if is_far
-            else 0.0
-            for each, is_far in zip(options, is_remote, strict=True)
+            for backlog_s, each in zip(told_s, options, strict=True)
         ]
         costs_s = [
-            wait_s + speed * duration_s + crossing_s
-            for wait_s, speed, crossing_s in zip(
-                waits_s, speeds_by_rank, crossings_s, strict=True
-            )
+            speed * duration_s * (1 + share)
+            for speed, share in zip(speeds_by_rank, shares, strict=True)
+        ]
+        free = [
+            rank
+            for rank, each in enumerate(options)
+            if self._is_local(each) and shares[rank] <= _FREE_SHARE
         ]
-        bound_s = min(costs_s) + _EQUAL_LOAD * duration_s
+        # Nothing waits at a free upstream, so that crossing gains nothing.
+        ranks = free or range(len(options))
+        crossings_s = self._crossings_s(work, options)
+        bound_s = _EQUAL_LOAD * duration_s + min(
+            costs_s[each] for each in ranks
+        )
         random = self._state.environment.random.random
         rank = min(
-            (rank for rank, cost_s in enumerate(costs_s) if cost_s <= bound_s),
-            key=lambda each: (is_remote[each], random()),
+            (each for each in ranks if costs_s[each] <= bound_s),
+            key=lambda each: (crossings_s[each], random()),
         )
         return Choice(
             options[rank],
             service,
             "least loaded",
             speeds_by_rank[rank] * duration_s,
-            waits_s[rank],
+            costs_s[rank] - speeds_by_rank[rank] * duration_s,
             speed=speeds_by_rank[rank],
         )
 
 
-def _call_crossing_s(
-    work: forwarded_requests.ForwardedWork, zone: str, duration_s: float
-) -> float:
-    """Returns the wait that is worth as much as crossing to a zone."""
-    del work, zone
-    return _CROSS_ZONE_LOAD * duration_s
-
-
 def affinity_key(
     traits: forwarded_requests.RequestTraits,
 ) -> tuple[str | None, int]:
--- a/tests/test_backlogs.py
+++ b/tests/test_backlogs.py
@@ -21,8 +21,10 @@
 from lycheegw.coordination.load import backlog_aggregator
 from lycheegw.coordination.load import backlog_sums
 from lycheegw.coordination.load import backlogs
+from lycheegw.coordination.load import zone_costs
 from lycheegw.protocol import backlog_codec
 from lycheegw.protocol.pb import backlogs_pb2
+from lycheegw.state import edge_settings
 from tests import fakes
 from tests import load_nodes
 
@@ -165,14 +167,25 @@
 def test_prompt_goes_to_its_cached_prefix_unless_the_wait_is_longer() -> None:
     clock = fakes.ManualClock()
     (node,) = load_nodes.nodes(clock, 1, 6)
-    home = node.choose(1, LONG_TOKENS).upstream.entry.host_id
+    # The home is in another zone, so that a longer wait has to outweigh less.
+    subject, home = next(
+        (number, choice.upstream.entry.host_id)
+        for number in range(load_nodes.SUBJECT_COUNT)
+        if (choice := node.choose(number, LONG_TOKENS)).upstream.entry.zone
+        == "y"
+    )
     miss_penalty_s = node.times.miss_penalty_s(
         "m", "m", LONG_TOKENS, LONG_TOKENS // 2
     )
-    with node.backlogs.track(home, 0.9 * miss_penalty_s):
-        assert node.choose(1, LONG_TOKENS).upstream.entry.host_id == home
+    crossing_s = zone_costs.ZoneCosts(
+        "z", edge_settings.LoadSettings()
+    ).crossing_s("y", 0)
+    with node.backlogs.track(home, 0.9 * (miss_penalty_s - crossing_s)):
+        assert node.choose(subject, LONG_TOKENS).upstream.entry.host_id == home
+    with node.backlogs.track(home, miss_penalty_s - 0.5 * crossing_s):
+        assert node.choose(subject, LONG_TOKENS).upstream.entry.host_id != home
     with node.backlogs.track(home, 1.5 * miss_penalty_s):
-        choice = node.choose(1, LONG_TOKENS)
+        choice = node.choose(subject, LONG_TOKENS)
         assert choice.upstream.entry.host_id != home
         assert choice.prefill_s > node.times.prefill_s("m", "m", LONG_TOKENS)
 
