--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -165,3 +165,20 @@
         node.speeds.note(upstream, 1.0, ratio)
     for upstream in node.state.upstreams.by_id.values():
         assert 0.25 <= node.speeds.factor(upstream) <= 4.0
+
+
+# Guards against exchanges that hold all speeds, since samples decay.
+def test_speeds_are_told_every_two_seconds_only() -> None:
+    clock = fakes.ManualClock()
+    nodes = load_nodes.nodes(clock, 4, 40)
+    _learn(nodes, "u1", 12)
+    _exchange(clock, nodes)
+    sizes = []
+    for _ in range(40):
+        clock.now_s += 0.1
+        before = sum(node.bus.bytes_sent for node in nodes)
+        for node in nodes:
+            node.exchange()
+        sizes.append(sum(node.bus.bytes_sent for node in nodes) - before)
+    # A report and a reply of each node have no speeds, as a rule.
+    assert sum(size < 4 * 120 for size in sizes) >= 30
