Admission: requests to models are sent, held or refused by the load (first part)

Cause: each request got an upstream, whatever the wait there; urgency at the upstream ignored the route's priority; the larger model was asked by a running mean of its times. Change: request_admission judges a choice by the expected wait, prefill and time left; head_estimates learns how far estimates are off; less urgent requests are held back; what can't end before its limit is refused unrun. Not measured yet.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -90,6 +90,7 @@
         version: Version of the upstream that began the stream.
         upstream: Id of the last attempt's upstream.
         model: Model of the last attempt.
+        urgency: Urgency of the last attempt at its upstream.
         is_error_forwarded: Whether an upstream's error response was sent.
         attempt_start_s: Monotonic time at which the last attempt began.
         send_delay_s: Seconds from `attempt_start_s` to the first byte sent.
@@ -116,6 +117,7 @@
         self.version: str | None = None
         self.upstream = ""
         self.model: str | None = None
+        self.urgency: int | None = None
         self.is_error_forwarded = False
         self.attempt_start_s = 0.0
         self.send_delay_s = 0.0
--- a/src/lycheegw/coordination/attempt_limits.py
+++ b/src/lycheegw/coordination/attempt_limits.py
@@ -17,7 +17,6 @@
     "MIN_RETRY_AFTER_S",
     "MIN_TIME_LEFT_S",
     "AttemptLimits",
-    "urgency",
 ]
 
 _NOT_RUN = verdicts.RunVerdict.NOT_RUN
@@ -48,13 +47,6 @@
 _DEFAULT_CONNECTIONS = 64
 # Part of a connection limit that all nodes together use.
 _CONNECTION_SHARE = 0.9
-# Urgency at the upstream (0 is most urgent) of requests to the smallest of
-# several models, and of requests to the others. A prompt is less urgent by one
-# level for each of these lengths that it exceeds. On the first deployment,
-# prefill of prompts of these lengths takes 0.25 s and more than 1 s.
-_SMALLEST_MODEL_URGENCY = 2
-_DEFAULT_URGENCY = 5
-_LONG_PROMPT_TOKENS = (8_000, 25_000)
 # Failures by which the listed process is not running at its address.
 ABSENT_REASONS = frozenset(
     {
@@ -91,9 +83,15 @@
         return min(max_wait_s, self.left_s(accepted.request))
 
     def head_timeout_s(
-        self, accepted: accepted_requests.AcceptedRequest
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
     ) -> float | None:
-        """Returns how long to wait for the response head, None for no limit."""
+        """Returns how long to wait for the response head, None for no limit.
+
+        Where a wait was expected, its end is awaited: another upstream would
+        have to read the prompt as well.
+        """
         route, progress = accepted.work.route, accepted.progress
         if not accepted.request.is_idempotent:
             return None
@@ -108,6 +106,11 @@
             accepted.work.traits.prompt_tokens,
         )
         timeout_s = max(min_timeout_s, _TIMEOUT_FACTOR * (estimate_s or 0.0))
+        if accepted.service.engine is not None:
+            head = self._dependencies.admission.head_estimate(
+                accepted.service.name, progress.model, choice
+            )
+            timeout_s = max(timeout_s, min_timeout_s + head.late_s)
         # A retry starts from scratch and needs the expected time again.
         if timeout_s + (estimate_s or min_timeout_s) > self.left_s(
             accepted.request
@@ -219,22 +222,3 @@
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
-
-
-def urgency(
-    work: forwarded_requests.ForwardedWork, model: str | None
-) -> int | None:
-    """Returns the urgency of an attempt at its upstream, None for the default.
-
-    Shorter prefills go first. Those of the smallest model take a tenth of the
-    time of the largest model's, so they delay others little. They go first
-    also because a low confidence must be known early for a larger model to
-    respond in time.
-    """
-    if not work.route.models:
-        return None
-    if model == work.route.models[0]:
-        return _SMALLEST_MODEL_URGENCY
-    tokens = work.traits.prompt_tokens
-    longer_than = sum(tokens > bound for bound in _LONG_PROMPT_TOKENS)
-    return _DEFAULT_URGENCY + longer_than
--- a/src/lycheegw/coordination/attempt_records.py
+++ b/src/lycheegw/coordination/attempt_records.py
@@ -64,6 +64,7 @@
         self,
         accepted: accepted_requests.AcceptedRequest,
         choice: balancing.Choice,
+        urgency: int | None,
     ) -> None:
         """Records the start of an attempt in budgets, rates, load and log."""
         upstream, service = choice.upstream, accepted.service
@@ -98,6 +99,8 @@
             load=round(upstream.estimated_load(now_s), 1),
             load_age_s=round(load_age_s, 2),
             wait_s=round(choice.wait_s, 2),
+            prefill_s=round(choice.prefill_s, 3),
+            urgency=urgency,
             wait_age_s=round(wait_age_s, 2),
             left_s=round(self._limits.left_s(accepted.request), 3),
             last_event=progress.last_event,
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 
 from lycheegw.coordination import accepted_requests
 from lycheegw.coordination import answer_delivery
@@ -15,6 +17,7 @@
 from lycheegw.coordination import interfaces
 from lycheegw.coordination import model_cascade
 from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import request_admission
 from lycheegw.coordination.load import wait_queues
 from lycheegw.state import errors
 from lycheegw.state import forwarded_requests
@@ -34,6 +37,8 @@
 _RAN = verdicts.RunVerdict.RAN
 
 WAIT_POLL_INTERVAL_S = 0.02
+# Shortest time after which a request that is held back is judged again.
+_HOLD_POLL_INTERVAL_S = 0.05
 
 
 class ForwardAttempts:
@@ -56,6 +61,7 @@
             state, dependencies, self.limits
         )
         self._wait_queue = wait_queues.WaitQueues()
+        self._held = wait_queues.WaitQueues()
 
     async def serve(self, accepted: accepted_requests.AcceptedRequest) -> None:
         """Serves a request to the end of its response.
@@ -228,7 +234,7 @@
             progress.tried.clear()
             choice = self._choose_upstream(accepted)
         if isinstance(choice, balancing.Choice):
-            return choice
+            return await self._admit(accepted, choice)
         raise self.limits.no_upstream_error(accepted, choice)
 
     async def _wait_in_queue(
@@ -248,6 +254,75 @@
                     break
         return latest
 
+    async def _admit(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> balancing.Choice:
+        """Returns the upstream of a new request once it may be sent.
+
+        Raises:
+            errors.RefusalError: It can't be served in time.
+        """
+        if accepted.service.engine is None or accepted.progress.attempt_count:
+            return choice
+        decision = self._dependencies.admission.judge(accepted, choice)
+        if decision.verdict is request_admission.Verdict.HOLD:
+            choice, decision = await self._hold(accepted, choice, decision)
+        self._state.counters.add(
+            f"admission.{decision.verdict.value}.{decision.reason.value}"
+        )
+        if decision.verdict is request_admission.Verdict.REFUSE:
+            raise errors.RefusalError(
+                reasons.RefusalReason.WAIT_TOO_LONG,
+                f"a wait of {choice.wait_s:.2f} s is expected, and"
+                f" {self.limits.left_s(accepted.request):.2f} s are left",
+                accepted.progress.runs.verdict,
+                decision.retry_after_s,
+            )
+        return choice
+
+    async def _hold(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+        decision: request_admission.Decision,
+    ) -> tuple[balancing.Choice, request_admission.Decision]:
+        """Holds a request until there is room or its time gets short."""
+        request, service = accepted.request, accepted.service
+        backlogs = self._dependencies.backlogs
+        start_s = self._now_s()
+        due_s = start_s + decision.hold_s
+        reason = decision.reason
+        self._state.counters.add(f"admission.hold.{reason.value}")
+        with self._held.wait(service.name, request.priority, due_s) as ticket:
+            while decision.verdict is request_admission.Verdict.HOLD:
+                await self._state.environment.sleep(
+                    max(_HOLD_POLL_INTERVAL_S, backlogs.interval_s())
+                )
+                if self._now_s() < due_s and not self._held.may_proceed(
+                    service.name, request.priority, ticket
+                ):
+                    continue
+                await backlogs.refresh()
+                latest = self._choose_upstream(accepted)
+                if isinstance(latest, balancing.NoUpstream):
+                    raise self.limits.no_upstream_error(accepted, latest)
+                choice = latest
+                decision = self._dependencies.admission.judge(accepted, choice)
+        held_s = self._now_s() - start_s
+        self._dependencies.observe("hold", accepted.work.route.name, held_s)
+        self._dependencies.note(
+            "request_held",
+            request_id=request.request_id,
+            why=reason.value,
+            released=decision.reason.value,
+            held_s=round(held_s, 3),
+            wait_s=round(choice.wait_s, 2),
+            left_s=round(self.limits.left_s(request), 3),
+        )
+        return choice, decision
+
     def _choose_in_turn(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -284,12 +359,13 @@
         """
         progress = accepted.progress
         version = choice.upstream.entry.version
-        self._records.note_attempt(accepted, choice)
+        progress.urgency = self._dependencies.admission.urgency(
+            accepted, choice
+        )
+        self._records.note_attempt(accepted, choice, progress.urgency)
         call: interfaces.ForwardCall | None = None
         try:
-            with self._dependencies.backlogs.track(
-                choice.upstream.entry.host_id, choice.prefill_s
-            ):
+            with self._track(accepted, choice):
                 call = await self._dependencies.client.send(
                     self._build_attempt(accepted, choice)
                 )
@@ -299,6 +375,9 @@
             progress.status = head.status
             evidence = self._records.note_evidence(accepted, head)
             progress.confidence = head.confidence
+            self._dependencies.admission.note_head(
+                accepted.service.name, progress.model, choice, progress.head_s
+            )
             self._records.note_load(choice, head)
             self._dependencies.notices.note_response(
                 choice.upstream, head, progress.attempt_start_s
@@ -344,6 +423,25 @@
         await self._deliver(accepted, answer)
         return None
 
+    @contextlib.contextmanager
+    def _track(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> Iterator[None]:
+        """Counts an attempt's prefill by upstream and by organisation."""
+        with (
+            self._dependencies.backlogs.track(
+                choice.upstream.entry.host_id, choice.prefill_s
+            ),
+            self._dependencies.outstanding.track(
+                accepted.service.name,
+                accepted.request.organisation,
+                choice.prefill_s,
+            ),
+        ):
+            yield
+
     async def _deliver(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -448,7 +546,7 @@
             progress.model,
             lambda: self.limits.left_s(accepted.request),
             progress.last_event if progress.event_count else None,
-            attempt_limits.urgency(accepted.work, progress.model),
+            progress.urgency,
             self.limits.connection_limit(accepted.service),
             lambda: self._may_send(accepted, choice),
             progress.answered,
@@ -487,7 +585,7 @@
         choice: balancing.Choice,
     ) -> forwarded_requests.ResponseHead:
         """Returns the response head; raises UpstreamError on a timeout."""
-        timeout_s = self.limits.head_timeout_s(accepted)
+        timeout_s = self.limits.head_timeout_s(accepted, choice)
         if timeout_s is None:
             return await call.head()
         try:
@@ -555,6 +653,37 @@
             )
         return is_option
 
+    def _outlook(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> model_cascade.Outlook | None:
+        """Returns what the load means for an answer of the largest model.
+
+        The upstream is the one that would be chosen now.
+        """
+        confidence = accepted.progress.confidence
+        if confidence is None or not model_cascade.is_low(confidence):
+            return None
+        if not model_cascade.may_choose_model(accepted.work):
+            return None
+        admission = self._dependencies.admission
+        largest = accepted.work.route.models[-1]
+        choice = self._dependencies.balancer.choose(
+            accepted.request,
+            accepted.work,
+            accepted.service,
+            largest,
+            set(),
+            accepted.progress.version,
+        )
+        if isinstance(choice, balancing.NoUpstream):
+            return None
+        facts = admission.facts(accepted, choice, largest)
+        return model_cascade.Outlook(
+            facts.head.chance_within(facts.target_left_s),
+            self._dependencies.late_worth,
+            facts.is_room_short,
+        )
+
     def _larger_model(
         self, accepted: accepted_requests.AcceptedRequest
     ) -> str | None:
@@ -571,6 +700,7 @@
             progress.confidence,
             self.limits.time_left(accepted),
             self.limits.duration_estimate(accepted),
+            self._outlook(accepted),
         )
         if larger is None or not self._dependencies.budgets.allows_attempt(
             service.name
--- a/src/lycheegw/coordination/forward_dependencies.py
+++ b/src/lycheegw/coordination/forward_dependencies.py
@@ -16,6 +16,8 @@
 from lycheegw.coordination import zone_reachability
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import fair_shares
+from lycheegw.coordination.load import request_admission
 from lycheegw.coordination.load import response_times
 
 __all__ = ["Dependencies"]
@@ -29,6 +31,9 @@
         balancer: Selects upstreams.
         timings: Expected response times.
         backlogs: Outstanding prefill work of upstreams.
+        admission: Judges requests to model services by the load.
+        late_worth: Worth of a late answer, as a part of one in time.
+        outstanding: This node's outstanding work by organisation.
         rates: Rate limits of upstreams that all nodes share.
         budgets: Limits retries.
         rollouts: Selects the version of a request.
@@ -54,6 +59,9 @@
     balancer: balancing.Balancer
     timings: response_times.ResponseTimes
     backlogs: backlogs.Backlogs
+    admission: request_admission.RequestAdmission
+    late_worth: float
+    outstanding: fair_shares.OutstandingWork
     rates: shared_rates.SharedRates
     budgets: retry_budgets.RetryBudgets
     rollouts: canary_rollouts.CanaryRollouts
--- /dev/null
+++ b/src/lycheegw/coordination/load/fair_shares.py
@@ -0,0 +1,67 @@
+"""Tells which organisations have more outstanding work than their share.
+
+A share binds only while room is short; admission decides when that is.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+
+__all__ = ["OutstandingWork", "Sums", "is_over_share"]
+
+# Times the mean of the others that an organisation may have outstanding: some
+# are larger than others, and their requests come in groups.
+_TOLERANCE = 4.0
+
+Sums = Callable[[str], Mapping[str, float]]
+
+
+class OutstandingWork:
+    """Prefill time of a node's requests without a response head.
+
+    It is summed by service and organisation.
+    """
+
+    def __init__(self) -> None:
+        self._seconds_by_service: dict[str, dict[str, float]] = {}
+
+    @contextlib.contextmanager
+    def track(
+        self, service: str, organisation: str, seconds: float
+    ) -> Iterator[None]:
+        """Counts a request's prefill time until the block ends."""
+        self._add(service, organisation, seconds)
+        try:
+            yield
+        finally:
+            self._add(service, organisation, -seconds)
+
+    def organisations(self, service: str) -> Mapping[str, float]:
+        """Returns the outstanding seconds of each organisation."""
+        return self._seconds_by_service.get(service, {})
+
+    def _add(self, service: str, organisation: str, seconds: float) -> None:
+        by_organisation = self._seconds_by_service.setdefault(service, {})
+        total_s = by_organisation.get(organisation, 0.0) + seconds
+        if total_s < 1e-6:
+            by_organisation.pop(organisation, None)
+        else:
+            by_organisation[organisation] = total_s
+        if not by_organisation:
+            self._seconds_by_service.pop(service, None)
+
+
+def is_over_share(
+    organisation: str, seconds_by_organisation: Mapping[str, float]
+) -> bool:
+    """Returns whether an organisation has far more work than the others.
+
+    An organisation that is alone takes nothing from another one.
+    """
+    own_s = seconds_by_organisation.get(organisation, 0.0)
+    others = len(seconds_by_organisation) - 1
+    if not organisation or not own_s or others < 1:
+        return False
+    others_s = sum(seconds_by_organisation.values()) - own_s
+    return own_s > _TOLERANCE * others_s / others
--- /dev/null
+++ b/src/lycheegw/coordination/load/request_admission.py
@@ -0,0 +1,353 @@
+"""Admission of requests to model services, by what callers need.
+
+A request that is chosen an upstream is sent, held back at this node, or
+refused. It is held back while the expected wait exceeds what more urgent
+requests bear, and while it can still be in time itself afterwards; so no kind
+of request starves. It is refused at once if it can't be served before its time
+limit and nobody has run it.
+"""
+
+import enum
+import math
+from typing import NamedTuple
+
+from lycheegw.coordination import accepted_requests
+from lycheegw.coordination import directory
+from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import fair_shares
+from lycheegw.coordination.load import head_estimates
+from lycheegw.coordination.load import response_times
+from lycheegw.state import forwarded_requests
+from lycheegw.state import node_state
+from lycheegw.state import routing
+from lycheegw.state import verdicts
+
+__all__ = [
+    "Decision",
+    "Facts",
+    "Reason",
+    "RequestAdmission",
+    "Verdict",
+    "judge",
+    "urgency",
+]
+
+# Share of its target latency that a request bears to wait at an upstream: a
+# second model may wait as long again, and both have to read the prompt.
+_BEARABLE_SHARE = 0.25
+# Clients honour a retry-after time up to this share of the time they have left.
+_MAX_RETRY_AFTER_SHARE = 1 / 3
+_MIN_RETRY_AFTER_S = 0.1
+# Urgency at the upstream (0 is first, 9 last) of requests to the smallest of
+# several models, and of requests to the others, where all have one priority. A
+# prompt is less urgent by one level for each of the lengths that it exceeds.
+_SMALLEST_MODEL_URGENCY = 2
+_DEFAULT_URGENCY = 5
+_LONG_PROMPT_TOKENS = (8_000, 25_000)
+# Where there are several priorities: the first levels for the smallest model,
+# since its prefill takes a tenth of the largest one's, then two levels for each
+# rank at the others, and the last ones for what gives way to all of these.
+_MAX_RANK = 2
+_FIRST_RANK_URGENCY = 3
+_OVER_SHARE_URGENCY = 7
+_LATE_URGENCY = 8
+
+
+class Verdict(enum.Enum):
+    """What happens to a request now."""
+
+    SEND = "send"
+    HOLD = "hold"
+    REFUSE = "refuse"
+
+
+class Reason(enum.Enum):
+    """Why; each verdict and reason is the name of a counter."""
+
+    ROOM = "room"
+    URGENT = "urgent"
+    NO_SLACK = "no_slack"
+    LESS_URGENT = "less_urgent"
+    OVER_SHARE = "over_share"
+    NO_TIME = "no_time"
+
+
+class Facts(NamedTuple):
+    """What a decision depends on.
+
+    Attributes:
+        head: When the response head is expected.
+        rest_s: Expected seconds from there to the end of the answer.
+        target_left_s: Seconds until the target latency has passed.
+        left_s: Seconds until the time limit.
+        bearable_s: Longest wait that all more urgent requests bear, infinity
+            without such requests.
+        own_bearable_s: Longest wait that the request itself bears.
+        is_over_share: Whether its organisation exceeds its fair share.
+        may_refuse: Whether nobody has run it.
+    """
+
+    head: head_estimates.HeadEstimate
+    rest_s: float
+    target_left_s: float
+    left_s: float
+    bearable_s: float = math.inf
+    own_bearable_s: float = math.inf
+    is_over_share: bool = False
+    may_refuse: bool = True
+
+    @property
+    def slack_s(self) -> float:
+        """Seconds for which the request can wait and still be in time."""
+        return self.target_left_s - self.head.late_s
+
+    @property
+    def is_room_short(self) -> bool:
+        """Whether the wait is longer than other requests bear."""
+        return self.head.wait_s > self.bearable_s or (
+            self.is_over_share and self.head.wait_s > self.own_bearable_s
+        )
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the head can hardly be in time any more."""
+        return self.head.early_s > self.target_left_s
+
+
+class Decision(NamedTuple):
+    """What happens to a request, and why.
+
+    Attributes:
+        verdict: What happens.
+        reason: Why.
+        retry_after_s: Seconds after which a refused client may retry.
+        hold_s: Longest further time to hold the request.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    retry_after_s: float = 0.0
+    hold_s: float = 0.0
+
+
+def judge(facts: Facts) -> Decision:
+    """Decides whether a request is sent, held back or refused."""
+    if facts.may_refuse and _is_hopeless(facts):
+        retry_after_s = min(
+            max(_MIN_RETRY_AFTER_S, facts.head.wait_s),
+            _MAX_RETRY_AFTER_SHARE * facts.left_s,
+        )
+        return Decision(Verdict.REFUSE, Reason.NO_TIME, retry_after_s)
+    wait_s = facts.head.wait_s
+    if not facts.is_room_short:
+        is_urgent = wait_s > facts.own_bearable_s
+        reason = Reason.URGENT if is_urgent else Reason.ROOM
+        return Decision(Verdict.SEND, reason)
+    if facts.slack_s <= 0:
+        return Decision(Verdict.SEND, Reason.NO_SLACK)
+    is_less_urgent = wait_s > facts.bearable_s
+    reason = Reason.LESS_URGENT if is_less_urgent else Reason.OVER_SHARE
+    return Decision(Verdict.HOLD, reason, hold_s=facts.slack_s)
+
+
+def _is_hopeless(facts: Facts) -> bool:
+    """Returns whether even a fast answer would exceed the time limit."""
+    margin = facts.head.early_s / max(facts.head.expected_s, 1e-6)
+    return facts.head.early_s + margin * facts.rest_s > facts.left_s
+
+
+def urgency(
+    work: forwarded_requests.ForwardedWork,
+    model: str | None,
+    rank: int | None,
+    facts: Facts | None,
+) -> int | None:
+    """Returns the urgency of an attempt at its upstream, None for the default.
+
+    Args:
+        work: The request.
+        model: Model that is asked.
+        rank: Rank of its priority among those of the service, 0 for the first;
+            None if the service has only one.
+        facts: What is known when the attempt is chosen, None for a stream that
+            goes on.
+    """
+    if not work.route.models:
+        return None
+    is_smallest = model == work.route.models[0]
+    if rank is None:
+        if is_smallest:
+            return _SMALLEST_MODEL_URGENCY
+        tokens = work.traits.prompt_tokens
+        return _DEFAULT_URGENCY + sum(
+            tokens > bound for bound in _LONG_PROMPT_TOKENS
+        )
+    if facts is not None and facts.is_late:
+        return _LATE_URGENCY
+    if facts is not None and facts.is_over_share:
+        return _OVER_SHARE_URGENCY
+    rank = min(rank, _MAX_RANK)
+    if is_smallest:
+        return rank
+    has_slack = (
+        facts is not None and facts.slack_s > work.route.target_latency_s / 2
+    )
+    return min(_FIRST_RANK_URGENCY + 2 * rank + has_slack, _OVER_SHARE_URGENCY)
+
+
+class _Targets(NamedTuple):
+    """The shortest target latency of each priority of a service."""
+
+    target_s_by_priority: dict[int, float]
+
+    def bearable_s(self, priority: int) -> float:
+        """Returns the wait that all more urgent requests bear."""
+        return min(
+            (
+                _BEARABLE_SHARE * target_s
+                for each, target_s in self.target_s_by_priority.items()
+                if each < priority
+            ),
+            default=math.inf,
+        )
+
+    def rank(self, priority: int) -> int | None:
+        """Returns the rank of a priority, None without a choice of ranks."""
+        if len(self.target_s_by_priority) < 2:
+            return None
+        return sum(each < priority for each in self.target_s_by_priority)
+
+
+class RequestAdmission:
+    """Judges requests by the load that this node knows of."""
+
+    def __init__(
+        self,
+        state: node_state.NodeState,
+        fleet_directory: directory.Directory,
+        timings: response_times.ResponseTimes,
+        organisation_sums: fair_shares.Sums,
+    ):
+        """Initializes the admission.
+
+        Args:
+            state: The node's state.
+            fleet_directory: The manifest in force.
+            timings: Expected response times.
+            organisation_sums: Returns the outstanding prefill seconds of each
+                organisation at a service, over all nodes that are heard of.
+        """
+        self._state = state
+        self._directory = fleet_directory
+        self._response_times = timings
+        self._organisation_sums = organisation_sums
+        self._estimates = head_estimates.HeadEstimates()
+        self._manifest: routing.Manifest | None = None
+        self._targets_by_service: dict[str, _Targets] = {}
+
+    def judge(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> Decision:
+        """Decides what happens to a request for which an upstream is chosen."""
+        if accepted.service.engine is None:
+            return Decision(Verdict.SEND, Reason.ROOM)
+        return judge(self.facts(accepted, choice, accepted.progress.model))
+
+    def facts(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+        model: str | None,
+    ) -> Facts:
+        """Returns what a decision about an attempt depends on."""
+        progress, route = accepted.progress, accepted.work.route
+        service, now_s = accepted.service.name, self._now_s()
+        targets = self._targets(service)
+        passed_s = now_s - accepted.work.incoming.received_s
+        is_held = progress.held_answer is not None
+        return Facts(
+            self.head_estimate(service, model, choice),
+            self._response_times.expected_rest_s(
+                service, model, accepted.work.traits.max_tokens
+            ),
+            route.target_latency_s - passed_s,
+            accepted.request.deadline_s - now_s,
+            targets.bearable_s(accepted.request.priority),
+            _BEARABLE_SHARE * route.target_latency_s,
+            fair_shares.is_over_share(
+                accepted.request.organisation, self._organisation_sums(service)
+            ),
+            progress.runs.verdict is verdicts.RunVerdict.NOT_RUN
+            and not is_held
+            and not accepted.sink.is_started,
+        )
+
+    def head_estimate(
+        self, service: str, model: str | None, choice: balancing.Choice
+    ) -> head_estimates.HeadEstimate:
+        """Returns when the response head of a chosen attempt is expected."""
+        return self._estimates.estimate(
+            service, model, choice.wait_s, choice.prefill_s
+        )
+
+    def note_head(
+        self,
+        service: str,
+        model: str | None,
+        choice: balancing.Choice,
+        head_s: float,
+    ) -> None:
+        """Records after how many seconds a response head arrived."""
+        self._estimates.note(
+            service, model, choice.wait_s, choice.prefill_s, head_s
+        )
+
+    def urgency(
+        self,
+        accepted: accepted_requests.AcceptedRequest,
+        choice: balancing.Choice,
+    ) -> int | None:
+        """Returns the urgency of an attempt at its upstream."""
+        if not accepted.work.route.models:
+            return None
+        progress = accepted.progress
+        rank = self._targets(accepted.service.name).rank(
+            accepted.request.priority
+        )
+        facts = None
+        if rank is not None and not progress.event_count:
+            facts = self.facts(accepted, choice, progress.model)
+        return urgency(accepted.work, progress.model, rank, facts)
+
+    def _targets(self, service: str) -> _Targets:
+        """Returns the targets of the routes to a service."""
+        manifest = self._directory.manifest
+        if manifest is not self._manifest:
+            self._manifest = manifest
+            self._targets_by_service = _index_targets(manifest)
+        return self._targets_by_service.get(service) or _Targets({})
+
+    def _now_s(self) -> float:
+        return self._state.environment.monotonic_s()
+
+
+def _index_targets(
+    manifest: routing.Manifest | None,
+) -> dict[str, _Targets]:
+    """Returns the targets of the routes on which the node chooses models."""
+    targets_by_service: dict[str, _Targets] = {}
+    if manifest is None:
+        return targets_by_service
+    for routes in manifest.routes_by_host.values():
+        for route in routes.route_by_prefix.values():
+            for backend in route.backends if route.models else ():
+                by_priority = targets_by_service.setdefault(
+                    backend.service, _Targets({})
+                ).target_s_by_priority
+                by_priority[route.priority] = min(
+                    route.target_latency_s,
+                    by_priority.get(route.priority, math.inf),
+                )
+    return targets_by_service
--- a/src/lycheegw/coordination/load/wait_queues.py
+++ b/src/lycheegw/coordination/load/wait_queues.py
@@ -1,12 +1,14 @@
 """Wait queues of overloaded services: which request may run next.
 
-Requests go by priority, then in the order of arrival.
+Requests go by priority, then by the time by which they have to be sent, then in
+the order of arrival.
 """
 
 import bisect
 from collections.abc import Iterator
 import contextlib
 import itertools
+import math
 from typing import NamedTuple
 
 __all__ = ["Ticket", "WaitQueues"]
@@ -17,10 +19,12 @@
 
     Attributes:
         priority: 0 (first) upwards.
+        due_s: Monotonic second by which it has to be sent, or infinity.
         number: Sequence number of the arrival.
     """
 
     priority: int
+    due_s: float
     number: int
 
 
@@ -32,10 +36,12 @@
         self._tickets_by_service: dict[str, list[Ticket]] = {}
 
     @contextlib.contextmanager
-    def wait(self, service: str, priority: int) -> Iterator[Ticket]:
+    def wait(
+        self, service: str, priority: int, due_s: float = math.inf
+    ) -> Iterator[Ticket]:
         """Queues a request until the context ends."""
         queue = self._tickets_by_service.setdefault(service, [])
-        ticket = Ticket(priority, next(self._next_number))
+        ticket = Ticket(priority, due_s, next(self._next_number))
         bisect.insort(queue, ticket)
         try:
             yield ticket
--- a/src/lycheegw/coordination/model_cascade.py
+++ b/src/lycheegw/coordination/model_cascade.py
@@ -4,7 +4,8 @@
 decides whether the largest one is asked instead; the middle ones are skipped,
 since they are seldom right where the smallest is not. The largest model is
 only asked if its answer is expected in time: a long prompt or answer takes it
-many seconds and delays the requests that run beside it.
+many seconds and delays the requests that run beside it. The less likely that
+is by the load now, the lower the confidence at which it is asked.
 """
 
 from collections.abc import Callable
@@ -14,10 +15,14 @@
 from lycheegw.state import routing
 
 __all__ = [
+    "DEFAULT_LATE_WORTH",
     "AnswerDuration",
+    "Outlook",
     "TimeLeft",
     "first_model",
+    "is_low",
     "larger_model",
+    "may_choose_model",
     "model_after_failure",
 ]
 
@@ -25,9 +30,10 @@
 # two deployments the mean value of answers was best at 50, and 0.03 to 0.07
 # lower at 30 and at 70.
 _MIN_CONFIDENCE = 50.0
-# Confidence below which even a late answer of the largest model has a higher
-# value; late answers have 0.3 of the full value on both deployments.
-_MIN_CONFIDENCE_LATE = 30.0
+# Part of this confidence that counts while more urgent requests lack room.
+_SHORTAGE_FACTOR = 0.5
+# Worth of a late answer without a setting, as a part of one in time.
+DEFAULT_LATE_WORTH = 0.6
 # Share of the time left that the expected time to the first byte may take; the
 # rest is for the events and for errors of the estimate.
 _MAX_HEAD_SHARE = 0.5
@@ -47,6 +53,20 @@
     rest_s: float
 
 
+class Outlook(NamedTuple):
+    """What the load means for an answer of the largest model.
+
+    Attributes:
+        chance_in_time: Probability that its first byte is in time.
+        late_worth: Worth of a late answer, as a part of one in time.
+        is_room_short: Whether more urgent requests need the room.
+    """
+
+    chance_in_time: float
+    late_worth: float
+    is_room_short: bool = False
+
+
 DurationEstimator = Callable[[str], AnswerDuration]
 
 
@@ -62,13 +82,14 @@
     left_s: float
 
 
-def _may_choose_model(work: forwarded_requests.ForwardedWork) -> bool:
+def may_choose_model(work: forwarded_requests.ForwardedWork) -> bool:
+    """Returns whether the router chooses the model of a request."""
     return work.traits.is_model_open and bool(work.route.models)
 
 
 def first_model(work: forwarded_requests.ForwardedWork) -> str | None:
     """Returns the first model to ask, None if the client named one."""
-    if not _may_choose_model(work):
+    if not may_choose_model(work):
         return None
     if work.traits.last_event is not None or not _may_run_again(work):
         # A resumed stream was begun by a model whose answer was kept, and a
@@ -91,6 +112,7 @@
     confidence: float | None,
     time_left: TimeLeft,
     estimate: DurationEstimator,
+    outlook: Outlook | None = None,
 ) -> str | None:
     """Returns the model to ask instead, None to keep the answer.
 
@@ -100,8 +122,10 @@
         confidence: Its confidence in the answer (0 to 100).
         time_left: Time that the request has left.
         estimate: Returns the expected duration of a model's answer.
+        outlook: What the load means for the largest model's answer; without
+            it, the answer is in time if that is usual.
     """
-    if model is None or confidence is None or not _may_choose_model(work):
+    if model is None or confidence is None or not may_choose_model(work):
         return None
     largest = work.route.models[-1]
     if model == largest or confidence >= _MIN_CONFIDENCE:
@@ -111,15 +135,28 @@
     duration = estimate(largest)
     if duration.head_s + duration.rest_s > _MAX_ANSWER_SHARE * time_left.left_s:
         return None
-    if duration.head_s <= time_left.target_left_s:
-        return largest
-    if confidence >= _MIN_CONFIDENCE_LATE:
+    if outlook is None:
+        is_in_time = duration.head_s <= time_left.target_left_s
+        outlook = Outlook(float(is_in_time), DEFAULT_LATE_WORTH)
+    if confidence >= _min_confidence(outlook):
         return None
-    return (
-        largest
-        if duration.head_s <= _MAX_HEAD_SHARE * time_left.left_s
-        else None
-    )
+    is_late = duration.head_s > time_left.target_left_s
+    if is_late and duration.head_s > _MAX_HEAD_SHARE * time_left.left_s:
+        return None
+    return largest
+
+
+def is_low(confidence: float) -> bool:
+    """Returns whether another model may be asked at a confidence."""
+    return confidence < _MIN_CONFIDENCE
+
+
+def _min_confidence(outlook: Outlook) -> float:
+    """Returns the confidence from which an answer is kept."""
+    chance = outlook.chance_in_time
+    worth = chance + (1 - chance) * outlook.late_worth
+    shortage = _SHORTAGE_FACTOR if outlook.is_room_short else 1.0
+    return _MIN_CONFIDENCE * worth * shortage
 
 
 def model_after_failure(
@@ -129,7 +166,7 @@
     estimate: DurationEstimator,
 ) -> str | None:
     """Returns the model for the next attempt after a failed one."""
-    if model is None or not _may_choose_model(work):
+    if model is None or not may_choose_model(work):
         return model
     duration = estimate(model)
     is_whole_in_time = (
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -34,6 +34,8 @@
 from lycheegw.coordination.load import backlog_aggregator
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import fair_shares
+from lycheegw.coordination.load import request_admission
 from lycheegw.coordination.load import response_times
 from lycheegw.coordination.load import zone_aggregators
 from lycheegw.protocol import backlog_codec
@@ -399,6 +401,7 @@
             timings,
             self.backlogs,
         )
+        outstanding = fair_shares.OutstandingWork()
         self.forwarder = forwarding.Forwarder(
             self.state,
             self._adapter.caller_codec,
@@ -407,6 +410,14 @@
                 self.balancer,
                 timings,
                 self.backlogs,
+                request_admission.RequestAdmission(
+                    self.state,
+                    self.directory,
+                    timings,
+                    outstanding.organisations,
+                ),
+                self.settings.load.late_worth,
+                outstanding,
                 rates,
                 retry_budgets.RetryBudgets(
                     self.state,
--- a/src/lycheegw/platform/settings_file.py
+++ b/src/lycheegw/platform/settings_file.py
@@ -53,6 +53,9 @@
         heartbeat_s=fields.get("heartbeat_ms", _parse_milliseconds, "1200"),
         memory_mb=fields.get("limits.memory_mb", _parse_memory, "300"),
         service_levels=_parse_bounds(fields),
+        load=edge_settings.LoadSettings(
+            late_worth=fields.get("load.late_worth", _parse_share, "0.6")
+        ),
     )
     if high < low:
         fields.faults.append(
@@ -138,6 +141,13 @@
     return megabytes
 
 
+def _parse_share(text: str) -> float:
+    share = float(text)
+    if not 0 <= share <= 1:
+        raise ValueError(f"{text!r} is not a number from 0 to 1")
+    return share
+
+
 def _parse_milliseconds(text: str) -> float:
     return float(text) / 1000
 
--- a/src/lycheegw/state/edge_settings.py
+++ b/src/lycheegw/state/edge_settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["METRICS_PORT", "EdgeSettings", "ServiceLevels"]
+__all__ = ["METRICS_PORT", "EdgeSettings", "LoadSettings", "ServiceLevels"]
 
 # Port of the metrics page; deploy/system.toml names the same one.
 METRICS_PORT = 9464
@@ -44,6 +44,17 @@
     session_s: float
 
 
+class LoadSettings(NamedTuple):
+    """What decisions under load go by.
+
+    Attributes:
+        late_worth: Worth of a late answer to its caller, as a part of one in
+            time (0 to 1).
+    """
+
+    late_worth: float = 0.6
+
+
 class EdgeSettings(NamedTuple):
     """Settings of one node; addresses are "ip:port".
 
@@ -61,6 +72,7 @@
         heartbeat_s: Interval at which an upstream renews its entry.
         memory_mb: Megabytes that the process may use.
         service_levels: Service levels of the deployment.
+        load: What decisions under load go by.
     """
 
     node_id: str
@@ -76,3 +88,4 @@
     heartbeat_s: float
     memory_mb: float
     service_levels: ServiceLevels
+    load: LoadSettings = LoadSettings()
--- a/src/lycheegw/state/reasons.py
+++ b/src/lycheegw/state/reasons.py
@@ -25,6 +25,7 @@
     COLD_LIMIT = "cold_limit"
     UPSTREAM_LIMIT = "upstream_limit"
     UPSTREAMS_PAUSED = "upstreams_paused"
+    WAIT_TOO_LONG = "wait_too_long"
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"
     MAY_HAVE_RUN = "may_have_run"
