Admission: gentle ranks, bounded holds; tests, note and settings

Cause: a strict order of priorities at the upstream starved the second priority in a long overload, and requests with a long target were held for seconds.

--- a/src/lycheegw/coordination/attempt_limits.py
+++ b/src/lycheegw/coordination/attempt_limits.py
@@ -110,7 +110,7 @@
             head = self._dependencies.admission.head_estimate(
                 accepted.service.name, progress.model, choice
             )
-            timeout_s = max(timeout_s, min_timeout_s + head.late_s)
+            timeout_s = max(timeout_s, head.late_s)
         # A retry starts from scratch and needs the expected time again.
         if timeout_s + (estimate_s or min_timeout_s) > self.left_s(
             accepted.request
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -309,7 +309,9 @@
                 if isinstance(latest, balancing.NoUpstream):
                     raise self.limits.no_upstream_error(accepted, latest)
                 choice = latest
-                decision = self._dependencies.admission.judge(accepted, choice)
+                decision = self._dependencies.admission.judge(
+                    accepted, choice, self._now_s() - start_s
+                )
         held_s = self._now_s() - start_s
         self._dependencies.observe("hold", accepted.work.route.name, held_s)
         self._dependencies.note(
--- a/src/lycheegw/coordination/load/head_estimates.py
+++ b/src/lycheegw/coordination/load/head_estimates.py
@@ -24,6 +24,8 @@
 # Added to both times before they are compared, in seconds: a few hundredths
 # matter to nobody.
 _TOLERANCE_S = 0.1
+# Shortest time that is told from none, in seconds.
+_MIN_TIME_S = 1e-3
 # Standard deviations from the mean to the quantiles at 5 and 84 in 100.
 _EARLY_DEVIATIONS = 1.64
 _LATE_DEVIATIONS = 1.0
@@ -54,9 +56,9 @@
 
     def chance_within(self, seconds: float) -> float:
         """Returns the probability that the head arrives within some time."""
-        if seconds <= 0:
+        if seconds < _MIN_TIME_S:
             return 0.0
-        deviations = math.log(seconds / max(self.expected_s, 1e-3))
+        deviations = math.log(seconds / max(self.expected_s, _MIN_TIME_S))
         return 0.5 * (1 + math.erf(deviations / (self.spread * math.sqrt(2))))
 
 
--- a/src/lycheegw/coordination/load/request_admission.py
+++ b/src/lycheegw/coordination/load/request_admission.py
@@ -39,18 +39,19 @@
 _MAX_RETRY_AFTER_SHARE = 1 / 3
 _MIN_RETRY_AFTER_S = 0.1
 # Urgency at the upstream (0 is first, 9 last) of requests to the smallest of
-# several models, and of requests to the others, where all have one priority. A
-# prompt is less urgent by one level for each of the lengths that it exceeds.
+# several models, whose prefill takes a tenth of the largest one's, and of
+# requests to the others, where all have one priority. A prompt is less urgent
+# by one level for each of the lengths that it exceeds.
 _SMALLEST_MODEL_URGENCY = 2
 _DEFAULT_URGENCY = 5
 _LONG_PROMPT_TOKENS = (8_000, 25_000)
-# Where there are several priorities: the first levels for the smallest model,
-# since its prefill takes a tenth of the largest one's, then two levels for each
-# rank at the others, and the last ones for what gives way to all of these.
+# Where there are several priorities, the first one gains a level, and each rank
+# loses one, so that long prompts of the first don't keep out all others.
+_FIRST_RANK_URGENCY = 4
 _MAX_RANK = 2
-_FIRST_RANK_URGENCY = 3
-_OVER_SHARE_URGENCY = 7
-_LATE_URGENCY = 8
+# Urgency of what gives way to all of these.
+_OVER_SHARE_URGENCY = 8
+_LATE_URGENCY = 9
 
 
 class Verdict(enum.Enum):
@@ -85,6 +86,7 @@
         own_bearable_s: Longest wait that the request itself bears.
         is_over_share: Whether its organisation exceeds its fair share.
         may_refuse: Whether nobody has run it.
+        held_s: Seconds for which it has been held back.
     """
 
     head: head_estimates.HeadEstimate
@@ -95,6 +97,7 @@
     own_bearable_s: float = math.inf
     is_over_share: bool = False
     may_refuse: bool = True
+    held_s: float = 0.0
 
     @property
     def slack_s(self) -> float:
@@ -143,11 +146,12 @@
         is_urgent = wait_s > facts.own_bearable_s
         reason = Reason.URGENT if is_urgent else Reason.ROOM
         return Decision(Verdict.SEND, reason)
-    if facts.slack_s <= 0:
+    hold_s = min(facts.slack_s, facts.own_bearable_s - facts.held_s)
+    if hold_s <= 0:
         return Decision(Verdict.SEND, Reason.NO_SLACK)
     is_less_urgent = wait_s > facts.bearable_s
     reason = Reason.LESS_URGENT if is_less_urgent else Reason.OVER_SHARE
-    return Decision(Verdict.HOLD, reason, hold_s=facts.slack_s)
+    return Decision(Verdict.HOLD, reason, hold_s=hold_s)
 
 
 def _is_hopeless(facts: Facts) -> bool:
@@ -174,25 +178,19 @@
     """
     if not work.route.models:
         return None
-    is_smallest = model == work.route.models[0]
-    if rank is None:
-        if is_smallest:
-            return _SMALLEST_MODEL_URGENCY
-        tokens = work.traits.prompt_tokens
-        return _DEFAULT_URGENCY + sum(
-            tokens > bound for bound in _LONG_PROMPT_TOKENS
-        )
-    if facts is not None and facts.is_late:
-        return _LATE_URGENCY
-    if facts is not None and facts.is_over_share:
-        return _OVER_SHARE_URGENCY
-    rank = min(rank, _MAX_RANK)
-    if is_smallest:
-        return rank
-    has_slack = (
-        facts is not None and facts.slack_s > work.route.target_latency_s / 2
-    )
-    return min(_FIRST_RANK_URGENCY + 2 * rank + has_slack, _OVER_SHARE_URGENCY)
+    if facts is not None and rank is not None:
+        if facts.is_late:
+            return _LATE_URGENCY
+        if facts.is_over_share:
+            return _OVER_SHARE_URGENCY
+    if model == work.route.models[0]:
+        return _SMALLEST_MODEL_URGENCY - (rank == 0)
+    first = _DEFAULT_URGENCY
+    if rank is not None:
+        first = _FIRST_RANK_URGENCY + min(rank, _MAX_RANK)
+    tokens = work.traits.prompt_tokens
+    longer_than = sum(tokens > bound for bound in _LONG_PROMPT_TOKENS)
+    return min(first + longer_than, _OVER_SHARE_URGENCY - 1)
 
 
 class _Targets(NamedTuple):
@@ -249,11 +247,19 @@
         self,
         accepted: accepted_requests.AcceptedRequest,
         choice: balancing.Choice,
+        held_s: float = 0.0,
     ) -> Decision:
-        """Decides what happens to a request for which an upstream is chosen."""
+        """Decides what happens to a request for which an upstream is chosen.
+
+        Args:
+            accepted: The request.
+            choice: The upstream.
+            held_s: Seconds for which the request has been held back.
+        """
         if accepted.service.engine is None:
             return Decision(Verdict.SEND, Reason.ROOM)
-        return judge(self.facts(accepted, choice, accepted.progress.model))
+        facts = self.facts(accepted, choice, accepted.progress.model)
+        return judge(facts._replace(held_s=held_s))
 
     def facts(
         self,
--- a/src/lycheegw/request_explanation.py
+++ b/src/lycheegw/request_explanation.py
@@ -48,6 +48,8 @@
     " of which they announced: see upstream_notice",
     reasons.RefusalReason.UPSTREAMS_PAUSED: "all upstreams had asked for a"
     " pause: see upstream_notice",
+    reasons.RefusalReason.WAIT_TOO_LONG: "no upstream was expected to end it"
+    " within its time limit: see wait_s of attempt lines at that time",
     reasons.RefusalReason.COLD_LIMIT: "all upstreams were cold and at their"
     " limit: see upstream with cold_s, and zones_closed",
     reasons.RefusalReason.SHED: "upstreams rejected it: see attempt_failed",
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -136,6 +136,17 @@
             settings_file.parse(f"{text}\nlimits.memory_mb={wrong}")
 
 
+# Guards against a node that decides under load by a worth that can't be.
+def test_settings_check_the_worth_of_late_answers() -> None:
+    text = fleet_harness.settings_text("10.0.0.9:70")
+    assert settings_file.parse(text).load.late_worth == 0.6
+    given = f"{text}\nload.late_worth=0.1"
+    assert settings_file.parse(given).load.late_worth == 0.1
+    for wrong in ("-0.1", "1.5", "nan", "little"):
+        with pytest.raises(errors.SettingsError, match="late_worth"):
+            settings_file.parse(f"{text}\nload.late_worth={wrong}")
+
+
 def test_settings_errors_list_every_fault() -> None:
     text = fleet_harness.settings_text("10.0.0.9")
     text = text.replace("bounds.grace_s=8", "bounds.grace_s=soon")
--- a/tests/test_model_cascade.py
+++ b/tests/test_model_cascade.py
@@ -179,3 +179,28 @@
         lambda _: model_cascade.AnswerDuration(0.1, 0.1),
     )
     assert larger is None
+
+
+# Load: a burst after quiet times; running means still say that there is time.
+def test_larger_model_is_asked_less_often_where_it_would_be_late() -> None:
+    def is_asked(confidence: float, outlook: model_cascade.Outlook) -> bool:
+        times = _learned_times()
+        return bool(
+            model_cascade.larger_model(
+                _work(9000),
+                "small",
+                confidence,
+                model_cascade.TimeLeft(2.5, 11.0),
+                lambda model: _duration(times, model, 9000, 100),
+                outlook,
+            )
+        )
+
+    assert is_asked(49, model_cascade.Outlook(1.0, 0.6))
+    assert not is_asked(35, model_cascade.Outlook(0.0, 0.6))
+    assert is_asked(29, model_cascade.Outlook(0.0, 0.6))
+    # Where callers have no use of a late answer, none is asked for.
+    assert not is_asked(1, model_cascade.Outlook(0.0, 0.0))
+    # Less urgent routes keep the small model's answer first.
+    assert not is_asked(40, model_cascade.Outlook(1.0, 0.6, True))
+    assert is_asked(20, model_cascade.Outlook(1.0, 0.6, True))
