--- a/src/lycheegw/coordination/attempt_limits.py
+++ b/src/lycheegw/coordination/attempt_limits.py
@@ -83,15 +83,9 @@
         return min(max_wait_s, self.left_s(accepted.request))
 
     def head_timeout_s(
-        self,
-        accepted: accepted_requests.AcceptedRequest,
-        choice: balancing.Choice,
+        self, accepted: accepted_requests.AcceptedRequest
     ) -> float | None:
-        """Returns how long to wait for the response head, None for no limit.
-
-        Where a wait was expected, its end is awaited: another upstream would
-        have to read the prompt as well.
-        """
+        """Returns how long to wait for the response head, None for no limit."""
         route, progress = accepted.work.route, accepted.progress
         if not accepted.request.is_idempotent:
             return None
@@ -106,11 +100,6 @@
             accepted.work.traits.prompt_tokens,
         )
         timeout_s = max(min_timeout_s, _TIMEOUT_FACTOR * (estimate_s or 0.0))
-        if accepted.service.engine is not None:
-            head = self._dependencies.admission.head_estimate(
-                accepted.service.name, progress.model, choice
-            )
-            timeout_s = max(timeout_s, head.late_s)
         # A retry starts from scratch and needs the expected time again.
         if timeout_s + (estimate_s or min_timeout_s) > self.left_s(
             accepted.request
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -295,13 +295,14 @@
         due_s = start_s + decision.hold_s
         reason = decision.reason
         self._state.counters.add(f"admission.hold.{reason.value}")
-        with self._held.wait(service.name, request.priority, due_s) as ticket:
+        position = self._dependencies.admission.position(accepted)
+        with self._held.wait(service.name, position, due_s) as ticket:
             while decision.verdict is request_admission.Verdict.HOLD:
                 await self._state.environment.sleep(
                     max(_HOLD_POLL_INTERVAL_S, backlogs.interval_s())
                 )
                 if self._now_s() < due_s and not self._held.may_proceed(
-                    service.name, request.priority, ticket
+                    service.name, position, ticket
                 ):
                     continue
                 await backlogs.refresh()
@@ -587,7 +588,7 @@
         choice: balancing.Choice,
     ) -> forwarded_requests.ResponseHead:
         """Returns the response head; raises UpstreamError on a timeout."""
-        timeout_s = self.limits.head_timeout_s(accepted, choice)
+        timeout_s = self.limits.head_timeout_s(accepted)
         if timeout_s is None:
             return await call.head()
         try:
@@ -684,6 +685,7 @@
             facts.head.chance_within(facts.target_left_s),
             self._dependencies.late_worth,
             facts.is_room_short,
+            facts.head.wait_s > facts.own_bearable_s,
         )
 
     def _larger_model(
--- a/src/lycheegw/coordination/load/request_admission.py
+++ b/src/lycheegw/coordination/load/request_admission.py
@@ -7,7 +7,11 @@
 limit and nobody has run it.
 """
 
+import bisect
+from collections.abc import Iterator
+from collections.abc import Mapping
 import enum
+import itertools
 import math
 from typing import NamedTuple
 
@@ -113,8 +117,8 @@
 
     @property
     def is_late(self) -> bool:
-        """Whether the head can hardly be in time any more."""
-        return self.head.early_s > self.target_left_s
+        """Whether the head can't be in time any more."""
+        return self.target_left_s <= 0
 
 
 class Decision(NamedTuple):
@@ -193,27 +197,48 @@
     return min(first + longer_than, _OVER_SHARE_URGENCY - 1)
 
 
-class _Targets(NamedTuple):
-    """The shortest target latency of each priority of a service."""
+class _Priority(NamedTuple):
+    """Priority of a request; lower ones go first.
 
-    target_s_by_priority: dict[int, float]
+    Attributes:
+        own: That of the organisation if it has one, else of the route.
+        route: That of the route, which orders an organisation's requests.
+    """
+
+    own: int
+    route: int
+
+
+class _Targets:
+    """The shortest target latency of each priority at one service."""
 
-    def bearable_s(self, priority: int) -> float:
+    def __init__(self, target_s_by_priority: Mapping[_Priority, float]):
+        self._target_s_by_priority = target_s_by_priority
+        self._order = sorted(target_s_by_priority)
+
+    def bearable_s(self, priority: _Priority) -> float:
         """Returns the wait that all more urgent requests bear."""
-        return min(
-            (
-                _BEARABLE_SHARE * target_s
-                for each, target_s in self.target_s_by_priority.items()
-                if each < priority
-            ),
-            default=math.inf,
-        )
+        count = bisect.bisect_left(self._order, priority)
+        targets_s = map(self._target_s_by_priority.get, self._order[:count])
+        return _BEARABLE_SHARE * min(filter(None, targets_s), default=math.inf)
+
+    def rank(self, priority: _Priority) -> int | None:
+        """Returns 0 for the first priority up to the last rank.
 
-    def rank(self, priority: int) -> int | None:
-        """Returns the rank of a priority, None without a choice of ranks."""
-        if len(self.target_s_by_priority) < 2:
+        None means that there is no choice of priorities.
+        """
+        steps = len(self._order) - 1
+        if steps < 1:
             return None
-        return sum(each < priority for each in self.target_s_by_priority)
+        position = min(bisect.bisect_left(self._order, priority), steps)
+        return round(position * min(_MAX_RANK, steps) / steps)
+
+    def position(self, priority: _Priority) -> int:
+        """Returns the number of more urgent priorities."""
+        return bisect.bisect_left(self._order, priority)
+
+
+_NO_TARGETS = _Targets({})
 
 
 class RequestAdmission:
@@ -261,6 +286,11 @@
         facts = self.facts(accepted, choice, accepted.progress.model)
         return judge(facts._replace(held_s=held_s))
 
+    def position(self, accepted: accepted_requests.AcceptedRequest) -> int:
+        """Returns the place of a request's priority in the queue, 0 first."""
+        targets = self._targets(accepted.service.name)
+        return targets.position(_priority(accepted))
+
     def facts(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -280,7 +310,7 @@
             ),
             route.target_latency_s - passed_s,
             accepted.request.deadline_s - now_s,
-            targets.bearable_s(accepted.request.priority),
+            targets.bearable_s(_priority(accepted)),
             _BEARABLE_SHARE * route.target_latency_s,
             fair_shares.is_over_share(
                 accepted.request.organisation, self._organisation_sums(service)
@@ -319,9 +349,7 @@
         if not accepted.work.route.models:
             return None
         progress = accepted.progress
-        rank = self._targets(accepted.service.name).rank(
-            accepted.request.priority
-        )
+        rank = self._targets(accepted.service.name).rank(_priority(accepted))
         facts = None
         if rank is not None and not progress.event_count:
             facts = self.facts(accepted, choice, progress.model)
@@ -333,27 +361,43 @@
         if manifest is not self._manifest:
             self._manifest = manifest
             self._targets_by_service = _index_targets(manifest)
-        return self._targets_by_service.get(service) or _Targets({})
+        return self._targets_by_service.get(service, _NO_TARGETS)
 
     def _now_s(self) -> float:
         return self._state.environment.monotonic_s()
 
 
+def _priority(accepted: accepted_requests.AcceptedRequest) -> _Priority:
+    return _Priority(accepted.request.priority, accepted.work.route.priority)
+
+
 def _index_targets(
     manifest: routing.Manifest | None,
 ) -> dict[str, _Targets]:
     """Returns the targets of the routes on which the node chooses models."""
-    targets_by_service: dict[str, _Targets] = {}
     if manifest is None:
-        return targets_by_service
+        return {}
+    organisations = (manifest.organisation_by_key or {}).values()
+    own_priorities = {each.priority for each in organisations} or {None}
+    target_s_by_service: dict[str, dict[_Priority, float]] = {}
+    for route in _routes(manifest):
+        for backend, own in itertools.product(route.backends, own_priorities):
+            priority = _Priority(
+                route.priority if own is None else own, route.priority
+            )
+            target_s = target_s_by_service.setdefault(backend.service, {})
+            target_s[priority] = min(
+                route.target_latency_s, target_s.get(priority, math.inf)
+            )
+    return {
+        service: _Targets(target_s)
+        for service, target_s in target_s_by_service.items()
+    }
+
+
+def _routes(manifest: routing.Manifest) -> Iterator[routing.Route]:
+    """Yields the routes on which the node chooses models."""
     for routes in manifest.routes_by_host.values():
         for route in routes.route_by_prefix.values():
-            for backend in route.backends if route.models else ():
-                by_priority = targets_by_service.setdefault(
-                    backend.service, _Targets({})
-                ).target_s_by_priority
-                by_priority[route.priority] = min(
-                    route.target_latency_s,
-                    by_priority.get(route.priority, math.inf),
-                )
-    return targets_by_service
+            if route.models:
+                yield route
--- a/tests/test_model_cascade.py
+++ b/tests/test_model_cascade.py
@@ -204,3 +204,6 @@
     # Less urgent routes keep the small model's answer first.
     assert not is_asked(40, model_cascade.Outlook(1.0, 0.6, True))
     assert is_asked(20, model_cascade.Outlook(1.0, 0.6, True))
+    # A late answer takes room only while nobody else waits for it.
+    assert is_asked(25, model_cascade.Outlook(0.3, 0.6))
+    assert not is_asked(25, model_cascade.Outlook(0.3, 0.6, is_crowded=True))
