--- a/src/lycheegw/coordination/forward_dependencies.py
+++ b/src/lycheegw/coordination/forward_dependencies.py
@@ -16,6 +16,7 @@
 from lycheegw.coordination import zone_reachability
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import request_admission
 from lycheegw.coordination.load import response_times
 from lycheegw.coordination.load import speeds
 
@@ -31,6 +32,8 @@
         timings: Expected response times.
         backlogs: Outstanding prefill work of upstreams.
         speeds: How fast each upstream is.
+        admission: Judges requests to model services by the load.
+        late_worth: Worth of a late answer, as a part of one in time.
         rates: Rate limits of upstreams that all nodes share.
         budgets: Limits retries.
         rollouts: Selects the version of a request.
@@ -57,6 +60,8 @@
     timings: response_times.ResponseTimes
     backlogs: backlogs.Backlogs
     speeds: speeds.Speeds
+    admission: request_admission.RequestAdmission
+    late_worth: float
     rates: shared_rates.SharedRates
     budgets: retry_budgets.RetryBudgets
     rollouts: canary_rollouts.CanaryRollouts
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -34,6 +34,7 @@
 from lycheegw.coordination.load import backlog_aggregator
 from lycheegw.coordination.load import backlogs
 from lycheegw.coordination.load import balancing
+from lycheegw.coordination.load import request_admission
 from lycheegw.coordination.load import response_times
 from lycheegw.coordination.load import speeds
 from lycheegw.coordination.load import zone_aggregators
@@ -418,6 +419,13 @@
                 timings,
                 self.backlogs,
                 self.speeds,
+                request_admission.RequestAdmission(
+                    self.state,
+                    self.directory,
+                    timings,
+                    self.backlogs.organisations,
+                ),
+                self.settings.load.late_worth,
                 rates,
                 retry_budgets.RetryBudgets(
                     self.state,
--- a/src/lycheegw/platform/settings_file.py
+++ b/src/lycheegw/platform/settings_file.py
@@ -16,7 +16,9 @@
 
 # Settings of load, which the deployment writes itself; others may be newer ones
 # of the platform.
-_LOAD_FIELDS = frozenset({"load.crossing_ms", "load.crossing_ms_per_mb"})
+_LOAD_FIELDS = frozenset(
+    {"load.crossing_ms", "load.crossing_ms_per_mb", "load.late_worth"}
+)
 
 _Value = TypeVar("_Value")
 
@@ -99,6 +101,7 @@
         crossing_s_per_mb=fields.get(
             "load.crossing_ms_per_mb", _parse_wait, "2000"
         ),
+        late_worth=fields.get("load.late_worth", _parse_share, "0.6"),
     )
 
 
@@ -168,6 +171,13 @@
     return milliseconds / 1000
 
 
+def _parse_share(text: str) -> float:
+    share = float(text)
+    if not 0 <= share <= 1:
+        raise ValueError(f"{text!r} is not a number from 0 to 1")
+    return share
+
+
 def _parse_milliseconds(text: str) -> float:
     return float(text) / 1000
 
--- a/src/lycheegw/state/edge_settings.py
+++ b/src/lycheegw/state/edge_settings.py
@@ -51,10 +51,13 @@
         crossing_s: Wait in seconds that a request may have in its own zone
             before it goes to another one.
         crossing_s_per_mb: The same for each megabyte of its body, in addition.
+        late_worth: Worth of a late answer to its caller, as a part of one in
+            time (0 to 1).
     """
 
     crossing_s: float = 0.1
     crossing_s_per_mb: float = 2.0
+    late_worth: float = 0.6
 
 
 class EdgeSettings(NamedTuple):
