Balancing: an upstream that isn't heard of has as much to do as the others

Cause: the weight of a reported count of requests fell to nothing, so a home that had just told its load looked busier than upstreams of which nothing was known. Change: it falls in favour of the mean of the reports known.

--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -462,8 +462,12 @@
         backlogs_s = self._backlogs.waits_s(
             [each.entry.host_id for each in order]
         )
+        reports = [each.report for each in order if each.report is not None]
+        total = sum(each.running + each.queued for each in reports)
+        # An upstream that isn't heard of has as much to do as the others.
+        usual = total / len(reports) if reports else 0.0
         return [
-            backlog_s + _WAIT_S_PER_REQUEST * each.estimated_load(now_s)
+            backlog_s + _WAIT_S_PER_REQUEST * each.estimated_load(now_s, usual)
             for backlog_s, each in zip(backlogs_s, order, strict=True)
         ]
 
--- a/src/lycheegw/state/upstreams.py
+++ b/src/lycheegw/state/upstreams.py
@@ -151,18 +151,21 @@
         self.report = report
         self._sent_since_report = 0
 
-    def estimated_load(self, now_s: float) -> float:
+    def estimated_load(self, now_s: float, usual: float = 0.0) -> float:
         """Returns an estimate of the requests that run or wait there.
 
-        The weight of the report decays with its age. The requests that this
-        node has sent since, and those it has in flight, are known exactly.
+        The weight of the report decays with its age, in favour of the usual
+        load. The requests that this node has sent since, and those it has in
+        flight, are known exactly.
         """
         report = self.report
         if report is None:
-            return float(self.in_flight)
+            return max(float(self.in_flight), usual)
         weight = 0.5 ** ((now_s - report.received_s) / _LOAD_HALF_LIFE_S)
         load = (
-            weight * (report.running + report.queued) + self._sent_since_report
+            weight * (report.running + report.queued - usual)
+            + usual
+            + self._sent_since_report
         )
         return load if load > self.in_flight else float(self.in_flight)
 
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -73,6 +73,21 @@
     assert max(others) <= 1.25 * min(others)
 
 
+# Guards against a home that is left as soon as it tells its load, for others
+# of which nothing is known.
+def test_upstream_that_is_heard_of_is_no_busier_than_the_others() -> None:
+    clock = fakes.ManualClock()
+    (node,) = load_nodes.nodes(clock, 1, 6)
+    home = node.choose(1, load_nodes.SHORT_TOKENS).upstream
+    home.record_load(
+        upstreams.LoadReport(frozenset(), 40, 5, 0.0, 0, clock.now_s)
+    )
+    for age_s in (0.0, 0.5, 5.0):
+        clock.now_s += age_s
+        choice = node.choose(1, load_nodes.SHORT_TOKENS)
+        assert choice.upstream is home
+
+
 # Guards against work on a slow upstream that counts twice as a wait there.
 def test_wait_at_a_slow_upstream_is_as_long_as_its_work_takes() -> None:
     clock = fakes.ManualClock()
