--- a/src/lycheegw/coordination/neighbours.py
+++ b/src/lycheegw/coordination/neighbours.py
@@ -2,8 +2,9 @@
 
 In its own zone a node links to the next node and to two more distant ones on a
 ring. Including the links that others open it has six, and gossip reaches 93
-nodes in at most five hops. A few links join each pair of zones, of which two
-pass gossip on at once; all of it crosses each of them.
+nodes in at most five hops. A few nodes of each zone link to every other zone.
+Of these links one in each direction passes gossip on at once, since all of it
+crosses each of them; the others do so at intervals.
 """
 
 from collections.abc import Mapping
@@ -15,10 +16,13 @@
 
 # Up to this number of nodes in a zone, each links to all others.
 _MAX_FULL_MESH_NODES = 7
-# Links between two zones, and those of them that pass gossip on at once. The
-# others pass it on at intervals, in case that both of these fail.
-_LINKS_PER_ZONE_PAIR = 4
-_PROMPT_LINKS_PER_ZONE_PAIR = 2
+_GATEWAYS_PER_ZONE = 4
+# Gateways of a zone that pass gossip on at once, and the seconds between two
+# updates of the one that backs them up and of the others. Those only have to
+# notice if a zone is lost: a gateway that fails is replaced sooner.
+_PROMPT_GATEWAYS = 1
+_BACKUP_INTERVAL_S = 2.0
+_SPARE_INTERVAL_S = 10.0
 
 
 def _choose_in_own_zone(
@@ -38,40 +42,61 @@
     ]
 
 
-def _links_between(
-    zone: str, other_zone: str, ids_by_zone: Mapping[str, Sequence[str]]
-) -> list[tuple[str, str]]:
-    """Returns the ends of the links between two zones, the prompt ones first.
+def _choose_in_other_zone(
+    own_id: str,
+    zone: str,
+    own_zone_ids: Sequence[str],
+    other_zone_ids: Sequence[str],
+) -> list[str]:
+    """Returns the node of another zone to which to open a stream, if any."""
+    links = _links_to(zone, own_zone_ids, other_zone_ids)
+    return [target for gateway, target in links if gateway == own_id]
 
-    Either end opens its links: the others may not know a node that is new.
-    """
-    first, second = sorted((zone, other_zone))
-    nodes = rendezvous.order(f"to {second}", ids_by_zone[first])
-    others = rendezvous.order(f"to {first}", ids_by_zone[second])
-    if not nodes or not others:
+
+def _links_to(
+    zone: str, own_zone_ids: Sequence[str], other_zone_ids: Sequence[str]
+) -> list[tuple[str, str]]:
+    """Returns the links that a zone's gateways open, in their order."""
+    gateways = rendezvous.order(f"to {zone}", own_zone_ids)[:_GATEWAYS_PER_ZONE]
+    targets = rendezvous.order(f"in {zone}", other_zone_ids)[
+        :_GATEWAYS_PER_ZONE
+    ]
+    if not targets:
         return []
-    count = min(_LINKS_PER_ZONE_PAIR, max(len(nodes), len(others)))
     return [
-        (nodes[rank % len(nodes)], others[rank % len(others)])
-        for rank in range(count)
+        (gateway, targets[rank % len(targets)])
+        for rank, gateway in enumerate(gateways)
     ]
 
 
 def slow_neighbours(
     own_id: str, own_zone: str, ids_by_zone: Mapping[str, Sequence[str]]
-) -> set[str]:
-    """Returns the nodes of other zones that get gossip at intervals only.
+) -> dict[str, float]:
+    """Returns the seconds between updates to nodes of other zones.
 
-    The arguments are those of `choose`.
+    Nodes that get updates at once are left out. The arguments are those of
+    `choose`.
     """
-    found = set()
-    for zone in ids_by_zone:
-        if zone != own_zone:
-            links = _links_between(own_zone, zone, ids_by_zone)
-            for link in links[_PROMPT_LINKS_PER_ZONE_PAIR:]:
+    rank_by_id: dict[str, int] = {}
+    own_ids = ids_by_zone[own_zone]
+    for zone, ids in ids_by_zone.items():
+        if zone == own_zone:
+            continue
+        for links in (
+            _links_to(zone, own_ids, ids),
+            _links_to(own_zone, ids, own_ids),
+        ):
+            for rank, link in enumerate(links):
                 if own_id in link:
-                    found |= set(link) - {own_id}
-    return found
+                    other = link[own_id == link[0]]
+                    rank_by_id[other] = min(rank, rank_by_id.get(other, rank))
+    return {
+        other: _BACKUP_INTERVAL_S
+        if rank == _PROMPT_GATEWAYS
+        else _SPARE_INTERVAL_S
+        for other, rank in rank_by_id.items()
+        if rank >= _PROMPT_GATEWAYS
+    }
 
 
 def choose(
@@ -86,9 +111,9 @@
     """
     own_zone_ids = ids_by_zone[own_zone]
     chosen = _choose_in_own_zone(own_id, own_zone, own_zone_ids)
-    for zone in sorted(ids_by_zone):
+    for zone, other_zone_ids in sorted(ids_by_zone.items()):
         if zone != own_zone:
-            for link in _links_between(own_zone, zone, ids_by_zone):
-                if own_id in link:
-                    chosen += link
+            chosen += _choose_in_other_zone(
+                own_id, zone, own_zone_ids, other_zone_ids
+            )
     return [each for each in dict.fromkeys(chosen) if each != own_id]
--- a/src/lycheegw/transport/peer_bus.py
+++ b/src/lycheegw/transport/peer_bus.py
@@ -48,14 +48,6 @@
 _MAX_CALL_LINK_IDLE_S = 3.0
 _REPLACED_LINK_CLOSE_DELAY_S = 1.0
 _NOT_LIVE_RETRY_INTERVAL_S = 2.0
-# Time that the end in the later zone by name leaves the other one to open a
-# link, as each link begins with what its ends may lack. The other one may not
-# know this node.
-_OPEN_DELAY_S = liveness.HEARTBEAT_TIMEOUT_S
-# Minimum time between two heartbeats with deltas on the links between zones
-# that back others up. A gateway that fails is replaced after the time-out of
-# heartbeats.
-_SLOW_DELTA_INTERVAL_S = 2.0
 # About how many bytes either end sends until a stream is open.
 _OPENING_BYTES = 430
 _ACCEPTING_BYTES = 240
@@ -116,7 +108,7 @@
         self._next_not_live_retry_s = 0.0
         # The live nodes by which the slow neighbours were chosen.
         self._live_by_zone: Mapping[str, Sequence[str]] = {}
-        self._slow_neighbours: set[str] = set()
+        self._slow_neighbours: Mapping[str, float] = {}
         self._is_stopping = False
         self.address = listen
         self.choose_neighbours = neighbours.choose
@@ -282,18 +274,12 @@
     async def _maintain_link(self, node_id: str) -> None:
         """Keeps a link to one neighbour open until cancelled."""
         failures = 0
-        has_waited = False
         while True:
             link = self._link_by_id.get(node_id)
             if link is not None and link.is_open and link.is_neighbour:
                 failures = 0
                 await self._state.environment.sleep(_RECONCILE_INTERVAL_S)
                 continue
-            if self._waits_for(node_id) and not has_waited:
-                has_waited = True
-                await self._state.environment.sleep(_OPEN_DELAY_S)
-                continue
-            has_waited = False
             try:
                 await self._open_once(node_id, is_neighbour=True)
                 await self._state.environment.sleep(_RECONCILE_INTERVAL_S)
@@ -302,11 +288,6 @@
                 self.liveness.note_unreachable(node_id)
                 await self._back_off(failures)
 
-    def _waits_for(self, node_id: str) -> bool:
-        """Returns whether the other end of a link is to open it first."""
-        peer = self.liveness.peer(node_id)
-        return peer is not None and peer.zone < self._state.identity.zone
-
     async def _back_off(self, failures: int) -> None:
         max_delay_s = min(_MAX_BACKOFF_S, _INITIAL_BACKOFF_S * 2**failures)
         jitter = 0.5 + self._state.environment.random.random() / 2
@@ -536,8 +517,7 @@
             self._slow_neighbours = neighbours.slow_neighbours(
                 identity.node_id, identity.zone, live_by_zone
             )
-        is_slow = node_id in self._slow_neighbours
-        return _SLOW_DELTA_INTERVAL_S if is_slow else 0.0
+        return self._slow_neighbours.get(node_id, 0.0)
 
     def _heartbeat_interval_s(self) -> float:
         interval_s = _HEARTBEAT_S_PER_LINK * len(self._link_by_id)
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -141,7 +141,8 @@
         self._wake_s = math.inf
         self._is_early_requested = False
         self._earliest_heartbeat_s = 0.0
-        self._deltas_sent_s = -math.inf
+        # Deltas that may wait do so from the beginning.
+        self._deltas_sent_s = self._now_s()
         # The send that lasts, if any, and how many checks it has outlasted.
         self._is_sending = False
         self._blocked_checks = 0
@@ -252,7 +253,7 @@
     def _may_send_deltas(self) -> bool:
         """Returns whether deltas may be sent now, and counts them as sent."""
         interval_s = self._callbacks.min_delta_interval_s(self.peer.node_id)
-        if self._now_s() - self._deltas_sent_s < interval_s:
+        if interval_s and self._now_s() - self._deltas_sent_s < interval_s:
             return False
         self._deltas_sent_s = self._now_s()
         return True
