Admission: targets indexed by distinct routes; figures; limit of a hold in its line

Cause: a manifest of many routes was indexed route by route for each priority of organisations; the line of a held request lacked how long it could be held. Change: distinct priorities and targets are indexed; request_held has limit_s.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -321,6 +321,7 @@
             why=reason.value,
             released=decision.reason.value,
             held_s=round(held_s, 3),
+            limit_s=round(due_s - start_s, 3),
             wait_s=round(choice.wait_s, 2),
             left_s=round(self.limits.left_s(request), 3),
         )
--- a/src/lycheegw/coordination/load/request_admission.py
+++ b/src/lycheegw/coordination/load/request_admission.py
@@ -380,15 +380,17 @@
     organisations = (manifest.organisation_by_key or {}).values()
     own_priorities = {each.priority for each in organisations} or {None}
     target_s_by_service: dict[str, dict[_Priority, float]] = {}
-    for route in _routes(manifest):
-        for backend, own in itertools.product(route.backends, own_priorities):
-            priority = _Priority(
-                route.priority if own is None else own, route.priority
-            )
-            target_s = target_s_by_service.setdefault(backend.service, {})
-            target_s[priority] = min(
-                route.target_latency_s, target_s.get(priority, math.inf)
-            )
+    kinds = {
+        (backend.service, route.priority, route.target_latency_s)
+        for route in _routes(manifest)
+        for backend in route.backends
+    }
+    for (service, level, target_s), own in itertools.product(
+        kinds, own_priorities
+    ):
+        priority = _Priority(level if own is None else own, level)
+        targets = target_s_by_service.setdefault(service, {})
+        targets[priority] = min(target_s, targets.get(priority, math.inf))
     return {
         service: _Targets(target_s)
         for service, target_s in target_s_by_service.items()
--- a/tests/test_request_admission.py
+++ b/tests/test_request_admission.py
@@ -6,6 +6,7 @@
 import contextlib
 import math
 from typing import Any
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -14,8 +15,10 @@
 from lycheegw.coordination.load import fair_shares
 from lycheegw.coordination.load import head_estimates
 from lycheegw.coordination.load import request_admission
+from lycheegw.coordination.load import response_times
 from lycheegw.coordination.load import wait_queues
 from lycheegw.state import forwarded_requests
+from lycheegw.state import routing
 from tests import fakes
 
 ROUTE = fakes.STREAM_ROUTE._replace(models=("small", "large"))
@@ -252,3 +255,47 @@
     head = estimates.estimate("m", None, wait_s, prefill_s)
     assert 0 <= head.early_s <= head.expected_s <= head.late_s < math.inf
     assert 0 <= head.chance_within(seconds) <= 1
+
+
+# Load: organisations of one priority, whose routes differ; without the second
+# key, all of their requests would have one rank.
+def test_routes_order_the_requests_of_organisations_of_one_priority() -> None:
+    clock = fakes.ManualClock()
+    directory: Any = mock.Mock()
+    directory.manifest = routing.Manifest(
+        1,
+        routing.index_routes(
+            ROUTE._replace(prefix=f"/{priority}/", priority=priority)
+            for priority in range(3)
+        ),
+        {},
+        {"key": routing.Organisation("a", 1)},
+        routing.CallerLimits(),
+    )
+    admission = request_admission.RequestAdmission(
+        fakes.node(clock, "n"),
+        directory,
+        response_times.ResponseTimes(),
+        lambda _: {},
+    )
+    choice: Any = mock.Mock(wait_s=5.0, prefill_s=0.3)
+    verdicts = []
+    for priority in range(3):
+        accepted: Any = mock.Mock()
+        accepted.request.priority = 1
+        accepted.request.deadline_s = clock.now_s + 60
+        accepted.service.name = "m"
+        accepted.work = _work(900)._replace(
+            route=ROUTE._replace(priority=priority, target_latency_s=40.0)
+        )
+        accepted.progress.model = "small"
+        accepted.progress.held_answer = None
+        passed = accepted.work.incoming._replace(received_s=clock.now_s)
+        accepted.work = accepted.work._replace(incoming=passed)
+        assert admission.position(accepted) == priority
+        verdicts.append(admission.judge(accepted, choice).verdict)
+    assert verdicts == [
+        request_admission.Verdict.SEND,
+        request_admission.Verdict.HOLD,
+        request_admission.Verdict.HOLD,
+    ]
