Admission: holds end in time, rejections aren't heads, idle upstreams refuse nothing

Cause, by a review that read the code and called its functions: a hold went by the target alone, so that a request with a shorter time limit (2 s, target 15 s) was held for 0.8 s and then refused; each rejection counted as a fast head (six of 0.01 s: expected 2.5 s became 0.4); a long prompt of a size without samples was refused with no wait; a held request was refused at the first moment without an upstream, was held anew after each denied lease of a suspect, and went on while the process ended; the sums of organisations were scanned for each request.

Change: slack ends with the time limit, heads count after they were checked, only a wait that the request doesn't bear refuses, a held request waits for a place like a new one, its hold has one beginning and ends when the node closes, shares are looked up while room is short only, and routes without models are sent. The time to come back is spread.

Checked: two new tests fail before; the property test asserts that a hold ends before the time limit. Not mended: new requests may pass held ones when room returns, for as long as a request bears at most.

--- a/src/lycheegw/coordination/accepted_requests.py
+++ b/src/lycheegw/coordination/accepted_requests.py
@@ -91,6 +91,8 @@
         upstream: Id of the last attempt's upstream.
         model: Model of the last attempt.
         urgency: Urgency of the last attempt at its upstream.
+        hold_start_s: Monotonic time at which admission first held the request
+            back, None if it never did.
         is_error_forwarded: Whether an upstream's error response was sent.
         attempt_start_s: Monotonic time at which the last attempt began.
         send_delay_s: Seconds from `attempt_start_s` to the first byte sent.
@@ -118,6 +120,7 @@
         self.upstream = ""
         self.model: str | None = None
         self.urgency: int | None = None
+        self.hold_start_s: float | None = None
         self.is_error_forwarded = False
         self.attempt_start_s = 0.0
         self.send_delay_s = 0.0
--- a/src/lycheegw/coordination/attempt_limits.py
+++ b/src/lycheegw/coordination/attempt_limits.py
@@ -17,6 +17,7 @@
     "MIN_RETRY_AFTER_S",
     "MIN_TIME_LEFT_S",
     "AttemptLimits",
+    "shutting_down_error",
 ]
 
 _NOT_RUN = verdicts.RunVerdict.NOT_RUN
@@ -56,6 +57,16 @@
 )
 
 
+def shutting_down_error() -> errors.RefusalError:
+    """Returns the refusal of a request that the process may not outlast."""
+    return errors.RefusalError(
+        reasons.RefusalReason.SHUTTING_DOWN,
+        "the node is shutting down",
+        verdicts.RunVerdict.NOT_RUN,
+        retry_after_s=MIN_RETRY_AFTER_S,
+    )
+
+
 class AttemptLimits:
     """Time limits of attempts, and the reasons for which none follows."""
 
--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -264,7 +264,9 @@
         """
         if accepted.service.engine is None or accepted.progress.attempt_count:
             return choice
-        decision = self._dependencies.admission.judge(accepted, choice)
+        decision = self._dependencies.admission.judge(
+            accepted, choice, self._held_s(accepted)
+        )
         if decision.verdict is request_admission.Verdict.HOLD:
             choice, decision = await self._hold(accepted, choice, decision)
         self._state.counters.add(
@@ -276,40 +278,59 @@
                 f"a wait of {choice.wait_s:.2f} s is expected, and"
                 f" {self.limits.left_s(accepted.request):.2f} s are left",
                 accepted.progress.runs.verdict,
-                decision.retry_after_s,
+                # Clients return spread out.
+                decision.retry_after_s
+                * (0.75 + self._state.environment.random.random() / 4),
             )
         return choice
 
+    def _held_s(self, accepted: accepted_requests.AcceptedRequest) -> float:
+        """Returns for how long a request has been held back so far."""
+        start_s = accepted.progress.hold_start_s
+        return 0.0 if start_s is None else self._now_s() - start_s
+
     async def _hold(
         self,
         accepted: accepted_requests.AcceptedRequest,
         choice: balancing.Choice,
         decision: request_admission.Decision,
     ) -> tuple[balancing.Choice, request_admission.Decision]:
-        """Holds a request until there is room or its time gets short."""
+        """Holds a request until there is room or its time gets short.
+
+        Raises:
+            errors.RefusalError: No upstream is left, or the process is ending.
+        """
         request, service = accepted.request, accepted.service
         backlogs = self._dependencies.backlogs
         start_s = self._now_s()
+        if accepted.progress.hold_start_s is None:
+            accepted.progress.hold_start_s = start_s
         due_s = start_s + decision.hold_s
         reason = decision.reason
         self._state.counters.add(f"admission.hold.{reason.value}")
         position = self._dependencies.admission.position(accepted)
         with self._held.wait(service.name, position, due_s) as ticket:
             while decision.verdict is request_admission.Verdict.HOLD:
+                poll_s = max(_HOLD_POLL_INTERVAL_S, backlogs.interval_s())
                 await self._state.environment.sleep(
-                    max(_HOLD_POLL_INTERVAL_S, backlogs.interval_s())
+                    min(poll_s, max(0.0, due_s - self._now_s()))
                 )
+                if self._dependencies.is_closing():
+                    # Its answer could outlast the process.
+                    raise attempt_limits.shutting_down_error()
                 if self._now_s() < due_s and not self._held.may_proceed(
                     service.name, position, ticket
                 ):
                     continue
                 await backlogs.refresh()
-                latest = self._choose_upstream(accepted)
+                latest = self._choose_in_turn(accepted, None)
+                if isinstance(latest, balancing.NoUpstream):
+                    latest = await self._wait_in_queue(accepted, latest)
                 if isinstance(latest, balancing.NoUpstream):
                     raise self.limits.no_upstream_error(accepted, latest)
                 choice = latest
                 decision = self._dependencies.admission.judge(
-                    accepted, choice, self._now_s() - start_s
+                    accepted, choice, self._held_s(accepted)
                 )
         held_s = self._now_s() - start_s
         self._dependencies.observe("hold", accepted.work.route.name, held_s)
@@ -381,9 +402,6 @@
             progress.status = head.status
             evidence = self._records.note_evidence(accepted, head)
             progress.confidence = head.confidence
-            self._dependencies.admission.note_head(
-                accepted.service.name, progress.model, choice, progress.head_s
-            )
             self._records.note_load(choice, head)
             self._dependencies.notices.note_response(
                 choice.upstream, head, progress.attempt_start_s
@@ -395,6 +413,10 @@
                 accepted.sink.is_started,
                 accepted.sink.memory,
             )
+            # A rejection comes sooner than any head of an answer.
+            self._dependencies.admission.note_head(
+                accepted.service.name, progress.model, choice, progress.head_s
+            )
             if progress.held_answer is not None:
                 if head.status >= 300 and progress.held_answer.model:
                     raise errors.UpstreamError(
@@ -663,13 +685,14 @@
             accepted.progress.version,
         )
         if isinstance(choice, balancing.NoUpstream):
+            # The answer that would be given up may have the last connection.
             return None
         facts = admission.facts(accepted, choice, largest)
         return model_cascade.Outlook(
             facts.head.chance_within(facts.target_left_s),
             self._dependencies.late_worth,
             facts.is_room_short,
-            facts.head.wait_s > facts.own_bearable_s,
+            facts.is_crowded,
         )
 
     def _larger_model(
--- a/src/lycheegw/coordination/forwarding.py
+++ b/src/lycheegw/coordination/forwarding.py
@@ -24,7 +24,7 @@
 from lycheegw.state import topics
 from lycheegw.state import verdicts
 
-__all__ = ["Codec", "Forwarder", "shutting_down_error"]
+__all__ = ["Codec", "Forwarder"]
 
 _STREAM = routing.RequestKind.STREAM
 
@@ -60,16 +60,6 @@
     promises_not_run: Callable[[int], bool]
 
 
-def shutting_down_error() -> errors.RefusalError:
-    """Returns the refusal of a request that the process may not outlast."""
-    return errors.RefusalError(
-        reasons.RefusalReason.SHUTTING_DOWN,
-        "the node is shutting down",
-        verdicts.RunVerdict.NOT_RUN,
-        retry_after_s=attempt_limits.MIN_RETRY_AFTER_S,
-    )
-
-
 class Forwarder:
     """Serves the requests of clients.
 
@@ -202,7 +192,7 @@
             > self._dependencies.time_to_stop_s()
         ):
             # The response could outlast the process.
-            raise shutting_down_error()
+            raise attempt_limits.shutting_down_error()
         return accepted_requests.AcceptedRequest(
             request,
             work,
@@ -284,7 +274,7 @@
                 await self.attempts.serve(accepted)
         except TimeoutError:
             if self._dependencies.time_to_stop_s() <= _MIN_TIME_TO_STOP_S:
-                raise shutting_down_error() from None
+                raise attempt_limits.shutting_down_error() from None
             raise errors.RefusalError(
                 reasons.RefusalReason.DEADLINE_PASSED,
                 f"no complete response within {left_s:.2f} s",
--- a/src/lycheegw/coordination/load/request_admission.py
+++ b/src/lycheegw/coordination/load/request_admission.py
@@ -106,7 +106,8 @@
     @property
     def slack_s(self) -> float:
         """Seconds for which the request can wait and still be in time."""
-        return self.target_left_s - self.head.late_s
+        left_s = min(self.target_left_s, self.left_s - self.rest_s)
+        return left_s - self.head.late_s
 
     @property
     def is_room_short(self) -> bool:
@@ -115,6 +116,11 @@
             self.is_over_share and self.head.wait_s > self.own_bearable_s
         )
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether the wait is longer than the request itself bears."""
+        return self.head.wait_s > self.own_bearable_s
+
     @property
     def is_late(self) -> bool:
         """Whether the head can't be in time any more."""
@@ -139,7 +145,7 @@
 
 def judge(facts: Facts) -> Decision:
     """Decides whether a request is sent, held back or refused."""
-    if facts.may_refuse and _is_hopeless(facts):
+    if facts.may_refuse and facts.is_crowded and _is_hopeless(facts):
         retry_after_s = min(
             max(_MIN_RETRY_AFTER_S, facts.head.wait_s),
             _MAX_RETRY_AFTER_SHARE * facts.left_s,
@@ -281,7 +287,7 @@
             choice: The upstream.
             held_s: Seconds for which the request has been held back.
         """
-        if accepted.service.engine is None:
+        if accepted.service.engine is None or not accepted.work.route.models:
             return Decision(Verdict.SEND, Reason.ROOM)
         facts = self.facts(accepted, choice, accepted.progress.model)
         return judge(facts._replace(held_s=held_s))
@@ -303,18 +309,25 @@
         targets = self._targets(service)
         passed_s = now_s - accepted.work.incoming.received_s
         is_held = progress.held_answer is not None
+        head = self.head_estimate(service, model, choice)
+        own_bearable_s = _BEARABLE_SHARE * route.target_latency_s
+        # A share binds only while room is short.
+        is_over_share = (
+            head.wait_s > own_bearable_s
+            and fair_shares.is_over_share(
+                accepted.request.organisation, self._organisation_sums(service)
+            )
+        )
         return Facts(
-            self.head_estimate(service, model, choice),
+            head,
             self._response_times.expected_rest_s(
                 service, model, accepted.work.traits.max_tokens
             ),
             route.target_latency_s - passed_s,
             accepted.request.deadline_s - now_s,
             targets.bearable_s(_priority(accepted)),
-            _BEARABLE_SHARE * route.target_latency_s,
-            fair_shares.is_over_share(
-                accepted.request.organisation, self._organisation_sums(service)
-            ),
+            own_bearable_s,
+            is_over_share,
             progress.runs.verdict is verdicts.RunVerdict.NOT_RUN
             and not is_held
             and not accepted.sink.is_started,
--- a/src/lycheegw/edge_app.py
+++ b/src/lycheegw/edge_app.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from lycheegw import lifecycle
+from lycheegw.coordination import attempt_limits
 from lycheegw.coordination import block_records
 from lycheegw.coordination import canary_rollouts
 from lycheegw.coordination import directory
@@ -781,7 +782,7 @@
         self.server.close_idle()
         await self._wait_for_requests(end_s + _ANSWER_TIME_S)
         if self.server.is_receiving:
-            error = forwarding.shutting_down_error()
+            error = attempt_limits.shutting_down_error()
             self.server.refuse_incomplete(
                 self._adapter.caller_codec.encode_refusal(error), str(error)
             )
--- a/tests/test_request_admission.py
+++ b/tests/test_request_admission.py
@@ -95,6 +95,25 @@
     assert 0 < decision.retry_after_s <= 1.0
 
 
+# Load: a long prompt of an unknown size while nothing waits.
+def test_estimate_alone_refuses_nothing_while_upstreams_are_free() -> None:
+    facts = _facts(0.0, head=_head(0.0, prefill_s=60.0), left_s=10.0)
+    decision = request_admission.judge(facts)
+    assert decision.verdict is request_admission.Verdict.SEND
+
+
+# Load: clients whose own time limit is shorter than the target of the route.
+def test_short_time_limit_bounds_the_time_of_a_hold() -> None:
+    facts = _facts(
+        1.2, bearable_s=0.75, own_bearable_s=3.75, target_left_s=15.0
+    )
+    decision = request_admission.judge(facts._replace(left_s=5.0))
+    assert decision.verdict is request_admission.Verdict.HOLD
+    assert decision.hold_s <= 5.0 - facts.rest_s - facts.head.late_s
+    decision = request_admission.judge(facts._replace(left_s=2.0))
+    assert decision.verdict is request_admission.Verdict.SEND
+
+
 # Guards against a refusal that promises "not run" after a run.
 def test_request_that_may_have_run_is_never_refused() -> None:
     decision = request_admission.judge(
@@ -138,6 +157,8 @@
     assert decision.retry_after_s <= left_s / 3
     if decision.verdict is request_admission.Verdict.HOLD:
         assert 0 < decision.hold_s <= 1.0
+        # A held request can still end within its time limit.
+        assert decision.hold_s < left_s
 
 
 # Load: one organisation sends many times its usual.
