Even load, zones: lost speeds, fetches that waited, gateways that share a node

Change: own samples count where the sums have none, and an aggregator adds up its first ones at once; only a failed fetch waits, until the next announcement; where the first links share a node, the second ones are prompt, too; a request waits for its link's interval; the own zone is left where it is slower by more than a crossing costs; work of others counts once the node has samples itself.

--- a/src/lycheegw/coordination/load/backlog_aggregator.py
+++ b/src/lycheegw/coordination/load/backlog_aggregator.py
@@ -143,13 +143,13 @@
         now_s = self._now_s()
         self._zone_sums.expire(now_s)
         self._fleet_sums.expire(now_s)
-        self._add_speeds(now_s)
         sums = self._zone_sums
         if query.report is not None:
             self._put(query.report, now_s)
             self._read_until_s = now_s + _READ_AFTER_QUESTION_S
             self._asked.set()
             sums = self._fleet_sums
+        self._add_speeds(now_s)
         return sums.since(query.known_started_ms, query.known_sequence)
 
     def _put(self, report: Report, now_s: float) -> None:
@@ -165,6 +165,9 @@
         for sums in (self._zone_sums, self._fleet_sums):
             sums.put(report.node_id, report.value_by_key, expires_s)
         if report.speeds is not None:
+            if not self._speeds_by_node:
+                # The first samples don't wait for the interval.
+                self._speeds_added_s = -math.inf
             self._speeds_by_node[report.node_id] = _Speeds(
                 report.speeds, now_s + _SPEEDS_EXPIRE_AFTER_S
             )
--- a/src/lycheegw/coordination/load/balancing.py
+++ b/src/lycheegw/coordination/load/balancing.py
@@ -478,13 +478,15 @@
         usual_s = self._response_times.expected_first_byte_s(
             service.name, None, 0
         )
+        # Without samples, work that others measured can't be counted.
         duration_s = usual_s or _UNKNOWN_DURATION_S
+        told_weight = 0.0 if usual_s is None else 1.0 / duration_s
         speeds_by_rank = self._speeds.factors(options)
         told_s = self._backlogs.waits_s(
             [each.entry.host_id for each in options]
         )
         shares = [
-            max(backlog_s / duration_s, each.estimated_load(now_s))
+            max(backlog_s * told_weight, each.estimated_load(now_s))
             / max(1, each.entry.slots)
             for backlog_s, each in zip(told_s, options, strict=True)
         ]
@@ -497,9 +499,12 @@
             for rank, each in enumerate(options)
             if self._is_local(each) and shares[rank] <= _FREE_SHARE
         ]
-        # Nothing waits at a free upstream, so that crossing gains nothing.
-        ranks = free or range(len(options))
         crossings_s = self._crossings_s(work, options)
+        least_s = min(costs_s) + max(crossings_s)
+        if free and min(costs_s[each] for each in free) > least_s:
+            # Those of the own zone are slower by more than a crossing costs.
+            free = []
+        ranks = free or range(len(options))
         bound_s = _EQUAL_LOAD * duration_s + min(
             costs_s[each] for each in ranks
         )
--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -192,7 +192,10 @@
 
     def _refresh(self) -> None:
         """Computes the factors from the samples of all nodes."""
-        figures = self.read_sums() or self.own_figures()
+        figures = self.read_sums()
+        if not any(isinstance(key, backlog_sums.SpeedKey) for key in figures):
+            # An aggregator that is new or of an earlier build has none.
+            figures = self.own_figures()
         ids_by_pool: dict[str, list[str]] = {}
         for host_id, upstream in self._state.upstreams.by_id.items():
             ids_by_pool.setdefault(upstream.entry.pool, []).append(host_id)
--- a/src/lycheegw/coordination/neighbours.py
+++ b/src/lycheegw/coordination/neighbours.py
@@ -77,28 +77,52 @@
     Nodes that get updates at once are left out. The arguments are those of
     `choose`.
     """
-    rank_by_id: dict[str, int] = {}
+    interval_s_by_id: dict[str, float] = {}
     own_ids = ids_by_zone[own_zone]
     for zone, ids in ids_by_zone.items():
         if zone == own_zone:
             continue
-        for links in (
+        directions = (
             _links_to(zone, own_ids, ids),
             _links_to(own_zone, ids, own_ids),
-        ):
+        )
+        prompt = _prompt_count(*directions)
+        for links in directions:
             for rank, link in enumerate(links):
                 if own_id in link:
                     other = link[own_id == link[0]]
-                    rank_by_id[other] = min(rank, rank_by_id.get(other, rank))
+                    interval_s_by_id[other] = min(
+                        _interval_s(rank, prompt),
+                        interval_s_by_id.get(other, _SPARE_INTERVAL_S),
+                    )
     return {
-        other: _BACKUP_INTERVAL_S
-        if rank == _PROMPT_GATEWAYS
-        else _SPARE_INTERVAL_S
-        for other, rank in rank_by_id.items()
-        if rank >= _PROMPT_GATEWAYS
+        other: interval_s
+        for other, interval_s in interval_s_by_id.items()
+        if interval_s
     }
 
 
+def _prompt_count(
+    links: Sequence[tuple[str, str]], others: Sequence[tuple[str, str]]
+) -> int:
+    """Returns how many links of each direction pass updates on at once.
+
+    One more does where the first ones of both directions share a node, so that
+    no single node stops all of them.
+    """
+    first = {*links[:1], *others[:1]}
+    ends = [node for link in first for node in link]
+    has_shared_end = len(set(ends)) < len(ends)
+    return _PROMPT_GATEWAYS + has_shared_end
+
+
+def _interval_s(rank: int, prompt: int) -> float:
+    """Returns the seconds between updates on a link, by its rank."""
+    if rank < prompt:
+        return 0.0
+    return _BACKUP_INTERVAL_S if rank == prompt else _SPARE_INTERVAL_S
+
+
 def choose(
     own_id: str, own_zone: str, ids_by_zone: Mapping[str, Sequence[str]]
 ) -> list[str]:
--- a/src/lycheegw/coordination/topic_fetcher.py
+++ b/src/lycheegw/coordination/topic_fetcher.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from typing import NamedTuple
 
 from absl import logging
@@ -143,14 +144,20 @@
         while True:
             await self._wanted_by_topic[topic].wait()
             self._wanted_by_topic[topic].clear()
-            await self._fetch_until_current(topic)
+            has_failed = await self._fetch_until_current(topic)
             await self._state.environment.sleep(_MIN_INTERVAL_S)
-            if self._end_by_peer[topic]:
-                await self._state.environment.sleep(_RETRY_S)
+            if has_failed:
+                # Another announcement ends the wait.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_RETRY_S):
+                        await self._wanted_by_topic[topic].wait()
                 self._wanted_by_topic[topic].set()
 
-    async def _fetch_until_current(self, topic: topics.Topic) -> None:
-        """Asks the peers that have more, the most current first."""
+    async def _fetch_until_current(self, topic: topics.Topic) -> bool:
+        """Asks the peers that have more, the most current first.
+
+        Returns whether some failed that are to be asked again.
+        """
         failed: dict[str, topics.Position] = {}
         for _ in range(_MAX_ROUNDS):
             found = self._next_peer(topic)
@@ -174,6 +181,8 @@
         if failed and self._retries_by_topic[topic]:
             self._retries_by_topic[topic] -= 1
             self._end_by_peer[topic] = failed | self._end_by_peer[topic]
+            return True
+        return False
 
     def _next_peer(
         self, topic: topics.Topic
--- a/src/lycheegw/transport/peer_link.py
+++ b/src/lycheegw/transport/peer_link.py
@@ -225,12 +225,14 @@
                 await self._send(self._queue.get_nowait())
             is_regular = self._now_s() >= heartbeat_s
             if is_regular or self._is_early_heartbeat_due():
-                self._is_early_requested = False
-                self._earliest_heartbeat_s = (
-                    self._now_s() + _MIN_EARLY_HEARTBEAT_S
-                )
                 frames = [peer_pb2.Frame()]
-                if self._may_send_deltas():
+                wait_s = self._delta_wait_s()
+                self._earliest_heartbeat_s = self._now_s() + max(
+                    wait_s, _MIN_EARLY_HEARTBEAT_S
+                )
+                if not wait_s:
+                    self._is_early_requested = False
+                    self._deltas_sent_s = self._now_s()
                     frames = self._heartbeat_frames()
                 # An early heartbeat is of use only for its deltas.
                 if is_regular or frames[0].deltas:
@@ -250,13 +252,10 @@
             and self._now_s() >= self._earliest_heartbeat_s
         )
 
-    def _may_send_deltas(self) -> bool:
-        """Returns whether deltas may be sent now, and counts them as sent."""
+    def _delta_wait_s(self) -> float:
+        """Returns the seconds until deltas may be sent, 0 if they may now."""
         interval_s = self._callbacks.min_delta_interval_s(self.peer.node_id)
-        if interval_s and self._now_s() - self._deltas_sent_s < interval_s:
-            return False
-        self._deltas_sent_s = self._now_s()
-        return True
+        return max(0.0, self._deltas_sent_s + interval_s - self._now_s())
 
     async def _check_silence(self) -> bool:
         if self._silence_s() <= liveness.HEARTBEAT_TIMEOUT_S:
