Admission: a request that is due is judged at intervals, as others that wait

Cause: by reading, a held request whose estimate improved while it waited was judged again without a pause between; one without an upstream waited also where its service has none, or where all asked for a long pause.

Change: holds poll at their interval at least, and wait for a place by the same conditions as new requests.

--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -220,13 +220,7 @@
             errors.RefusalError: No upstream became available.
         """
         progress = accepted.progress
-        choice = self._choose_in_turn(accepted, None)
-        if (
-            isinstance(choice, balancing.NoUpstream)
-            and choice.pool_size
-            and choice.pause_s <= self.limits.max_wait_s(accepted)
-        ):
-            choice = await self._wait_in_queue(accepted, choice)
+        choice = await self._choose_or_queue(accepted)
         if isinstance(choice, balancing.NoUpstream) and progress.tried:
             # All usable upstreams have failed; one may succeed by now.
             progress.tried.clear()
@@ -235,6 +229,19 @@
             return await self._admit(accepted, choice)
         raise self.limits.no_upstream_error(accepted, choice)
 
+    async def _choose_or_queue(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> balancing.Choice | balancing.NoUpstream:
+        """Returns an upstream, at once or when one is below its limit again."""
+        choice = self._choose_in_turn(accepted, None)
+        if (
+            isinstance(choice, balancing.NoUpstream)
+            and choice.pool_size
+            and choice.pause_s <= self.limits.max_wait_s(accepted)
+        ):
+            return await self._wait_in_queue(accepted, choice)
+        return choice
+
     async def _wait_in_queue(
         self,
         accepted: accepted_requests.AcceptedRequest,
@@ -311,9 +318,10 @@
         position = self._dependencies.admission.position(accepted)
         with self._held.wait(service.name, position, due_s) as ticket:
             while decision.verdict is request_admission.Verdict.HOLD:
-                poll_s = max(_HOLD_POLL_INTERVAL_S, backlogs.interval_s())
+                # The estimate may still leave some time when it is due.
+                wait_s = min(backlogs.interval_s(), due_s - self._now_s())
                 await self._state.environment.sleep(
-                    min(poll_s, max(0.0, due_s - self._now_s()))
+                    max(_HOLD_POLL_INTERVAL_S, wait_s)
                 )
                 if self._dependencies.is_closing():
                     # Its answer could outlast the process.
@@ -323,9 +331,7 @@
                 ):
                     continue
                 await backlogs.refresh()
-                latest = self._choose_in_turn(accepted, None)
-                if isinstance(latest, balancing.NoUpstream):
-                    latest = await self._wait_in_queue(accepted, latest)
+                latest = await self._choose_or_queue(accepted)
                 if isinstance(latest, balancing.NoUpstream):
                     raise self.limits.no_upstream_error(accepted, latest)
                 choice = latest
