Speeds: an upstream without samples counts as fast as the fastest

It could never get a sample.

Change: without samples the factor is the least of the service. Weights of homes stay, so that prefixes don't move.

--- a/src/lycheegw/coordination/load/speeds.py
+++ b/src/lycheegw/coordination/load/speeds.py
@@ -200,17 +200,21 @@
         for host_id, upstream in self._state.upstreams.by_id.items():
             ids_by_pool.setdefault(upstream.entry.pool, []).append(host_id)
         self._factor_by_id = {}
+        self._weight_by_id = {}
         for pool, ids in ids_by_pool.items():
             samples_by_id = {each: _samples(figures, each) for each in ids}
             numbers, rates = zip(*samples_by_id.values(), strict=True)
             mean = sum(numbers) / sum(rates)
             self._mean_by_pool[pool] = mean
-            for host_id, (number, rate) in samples_by_id.items():
-                self._factor_by_id[host_id] = _bounded(number / rate / mean)
-        self._weight_by_id = {
-            host_id: 2.0 ** (-round(_STEPS * math.log2(factor)) / _STEPS)
-            for host_id, factor in self._factor_by_id.items()
-        }
+            factor_by_id = {
+                host_id: _bounded(number / rate / mean)
+                for host_id, (number, rate) in samples_by_id.items()
+            }
+            self._weight_by_id |= {
+                host_id: 2.0 ** (-round(_STEPS * math.log2(factor)) / _STEPS)
+                for host_id, factor in factor_by_id.items()
+            }
+            self._factor_by_id |= _try_unknown(factor_by_id, figures)
 
 
 def _samples(
@@ -222,5 +226,22 @@
     return number / _UNITS + _PRIOR_SAMPLES, rates / _UNITS + _PRIOR_SAMPLES
 
 
+def _try_unknown(
+    factor_by_id: dict[str, float],
+    figures: Mapping[backlog_sums.Key, int],
+) -> dict[str, float]:
+    """Returns factors by which upstreams without samples are tried.
+
+    They count as fast as the fastest one: they get samples only by requests.
+    """
+    unknown = [
+        host_id
+        for host_id in factor_by_id
+        if not figures.get(backlog_sums.SpeedKey(host_id, False))
+    ]
+    least = min(1.0, *factor_by_id.values()) if factor_by_id else 1.0
+    return factor_by_id | dict.fromkeys(unknown, least)
+
+
 def _bounded(factor: float) -> float:
     return min(_MAX_FACTOR, max(_MIN_FACTOR, factor))
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -57,6 +57,16 @@
         assert factors["u5"] == pytest.approx(0.85, abs=0.15)
 
 
+# Guards against an upstream that gets no request, and so no sample, ever again.
+def test_upstream_without_samples_counts_as_fast_as_the_fastest() -> None:
+    (node,) = load_nodes.nodes(fakes.ManualClock(), 1, 4)
+    for _ in range(40):
+        for host_id, factor in (("u0", 0.7), ("u1", 0.9), ("u2", 1.5)):
+            upstream = node.state.upstreams.by_id[host_id]
+            node.speeds.note(upstream, 1.0, factor)
+    assert _factor(node, "u3") == _factor(node, "u0") < _factor(node, "u1")
+
+
 # Guards against samples that count once for each report or each zone.
 def test_samples_count_once_however_often_they_are_reported() -> None:
     clock = fakes.ManualClock()
