--- a/src/lycheegw/coordination/forward_attempts.py
+++ b/src/lycheegw/coordination/forward_attempts.py
@@ -673,7 +673,8 @@
     ) -> model_cascade.Outlook | None:
         """Returns what the load means for an answer of the largest model.
 
-        The upstream is the one that would be chosen now.
+        The upstream is the one that would be chosen now. While the wait there
+        is one that all requests bear, the usual times decide (None).
         """
         confidence = accepted.progress.confidence
         if confidence is None or not model_cascade.is_low(confidence):
@@ -694,6 +695,8 @@
             # The answer that would be given up may have the last connection.
             return None
         facts = admission.facts(accepted, choice, largest)
+        if not (facts.is_room_short or facts.is_crowded):
+            return None
         return model_cascade.Outlook(
             facts.head.chance_within(facts.target_left_s),
             self._dependencies.late_worth,
