--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,16 @@
 """A request that crashes runners comes again after a rolling restart."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
+# TROUBLE=0 leaves the disruption out.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parents[1] / "target/review-2"))
 import harness  # noqa: E402
 
@@ -169,4 +173,4 @@
     return len(late) > MAX_LATE
 
 
-harness.run(main, FOLDER)
+harness.run(main, RECORD, HAS_TROUBLE)
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -14,6 +14,7 @@
 import random
 import shlex
 import signal
+import socket
 import struct
 import sys
 import tempfile
@@ -79,8 +80,8 @@
 class Record:
     """What was sent, answered and run; written to record.txt."""
 
-    def __init__(self, folder):
-        self._path = pathlib.Path(folder) / "record.txt"
+    def __init__(self, path):
+        self._path = pathlib.Path(path)
         self._path.write_text("")
         self._begun_s = time.monotonic()
 
@@ -518,27 +519,45 @@
     }
 
 
+# Ports of a node; their numbers are the same on all machines.
+NODE_PORTS = (8227, 8220, 7340, 9464)
+
+
 def addresses(count):
-    """Returns addresses of 127.0.0.0/8 for nodes, by the process's id."""
-    pid = os.getpid()
-    return [
-        f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{10 + number}"
-        for number in range(count)
-    ]
+    """Returns addresses of 127.0.0.0/8 at which the ports of nodes are free."""
+    found = []
+    for _ in range(100 * count):
+        address = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.9"
+        if address not in found and all(
+            _is_free(address, port) for port in NODE_PORTS
+        ):
+            found.append(address)
+        if len(found) == count:
+            return found
+    raise RuntimeError("no free ports")
+
+
+def _is_free(address, port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+        return True
 
 
-def run(main, folder, limit_s=115.0):
+def run(main, record_path, has_trouble, limit_s=112.0):
     """Runs a case and exits: 0 the rule held, 1 broken, 2 it couldn't run.
 
     Args:
         main: Coroutine function; gets a record, a temporary folder and whether
             there is trouble, and a list for the nodes that it starts. Returns
             whether the rule was broken.
-        folder: Folder of the case.
+        record_path: Where the record is written.
+        has_trouble: Whether the case disturbs anything.
         limit_s: Longest time that it may take.
     """
-    record = Record(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(record_path)
     nodes = []
 
     async def guarded(temporary):
