--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -188,11 +188,13 @@
 
     Attributes:
         answer_delay_s: Seconds before it answers a call, 0.004 as a rule.
+        era: What all its answers name as Store-Era.
     """
 
     def __init__(self):
         super().__init__()
         self.answer_delay_s = 0.004
+        self.era = 1
         self._records = {}
         self._changed = asyncio.Condition()
 
@@ -230,7 +232,8 @@
             fields = dict(urllib.parse.parse_qsl(query))
             await asyncio.sleep(self.answer_delay_s)
             status, body = await self._call(path, fields, request.body)
-            writer.write(response(status, (), body))
+            headers = (("Store-Era", str(self.era)),)
+            writer.write(response(status, headers, body))
             await writer.drain()
 
     async def _call(self, path, fields, body):
@@ -295,6 +298,7 @@
 
     Attributes:
         arrived: Ids and times of the requests that it accepted.
+        is_leaving: Whether it leaves, and says so in its answers.
     """
 
     def __init__(self, name, service, zone="tartu-a", slots=6, version="v1"):
@@ -303,6 +307,7 @@
         self.slots, self.version = slots, version
         self.state = "ready"
         self.arrived = []
+        self.is_leaving = False
         self._sequence = 0
         self._born = int(time.time() * 1000)
 
@@ -324,7 +329,8 @@
         while (request := await read_request(reader)) is not None:
             if request.target == "/healthz":
                 headers = (("X-Lycheegw-Instance-Id", self.name),)
-                writer.write(response(200, headers))
+                status = 503 if self.is_leaving else 200
+                writer.write(response(status, headers))
                 continue
             attempt = request.headers.get("x-lycheegw-attempt-id", "")
             expected = request.headers.get("x-lycheegw-expected-instance")
@@ -338,13 +344,19 @@
             self.arrived.append((attempt, time.monotonic()))
             await self.run(request, attempt, writer)
             await writer.drain()
+            if self.is_leaving:
+                writer.close()
+                return
 
     def signed(self, attempt):
         """Returns the headers of an answer."""
-        return (
+        headers = (
             ("X-Lycheegw-Attempt-Id", attempt),
             ("X-Lycheegw-Response-Signature", f"sig.{self.name}.{attempt}"),
         )
+        if self.is_leaving:
+            headers += (("Server-Leaving", "1"), ("Connection", "close"))
+        return headers
 
     async def run(self, request, attempt, writer):
         await asyncio.sleep(0.03)
